--- /dev/null
+++ b/packages/samphirepost-bench/src/samphirepost_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load and experiments for samphirepost."""
--- /dev/null
+++ b/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
@@ -0,0 +1,88 @@
+"""Runs a stand-in, the demo or an experiment; see --help."""
+
+import dataclasses
+import sys
+import typing
+
+import cappa
+
+_Port = typing.Annotated[int, cappa.Arg(long=True, help="Port to listen on.")]
+
+
+@cappa.command(name="platform", help="Runs the platform's stand-in.")
+@dataclasses.dataclass
+class Platform:
+    """The platform's stand-in."""
+
+    port: _Port
+
+    def __call__(self):
+        from samphirepost_bench import platform
+
+        platform.run("127.0.0.1", self.port)
+
+
+@cappa.command(name="engine", help="Runs an engine's stand-in.")
+@dataclasses.dataclass
+class Engine:
+    """An engine's stand-in."""
+
+    port: _Port
+    name: typing.Annotated[str, cappa.Arg(long=True, help="Its id.")]
+    scale: typing.Annotated[
+        float, cappa.Arg(long=True, help="Factor on the step time.")
+    ] = 1.0
+    checks_orders: typing.Annotated[
+        bool, cappa.Arg(long=True, help="Refuse old fencing numbers.")
+    ] = False
+
+    def __call__(self):
+        from samphirepost_bench import engine
+
+        engine.run(
+            self.name, "127.0.0.1", self.port, self.checks_orders, self.scale
+        )
+
+
+@cappa.command(name="service", help="Runs a plain service's stand-in.")
+@dataclasses.dataclass
+class Service:
+    """A plain service's stand-in."""
+
+    port: _Port
+
+    def __call__(self):
+        from samphirepost_bench import service
+
+        service.run("127.0.0.1", self.port)
+
+
+@cappa.command(name="demo", help="Runs the whole system through a failure.")
+@dataclasses.dataclass
+class Demo:
+    """The demo."""
+
+    items: typing.Annotated[
+        int, cappa.Arg(long=True, help="Items of the batch.")
+    ] = 300
+
+    def __call__(self):
+        from samphirepost_bench import demo
+
+        return demo.run(self.items)
+
+
+@cappa.command(
+    name="samphirepost_bench",
+    help="Stand-ins, load and experiments for samphirepost.",
+)
+@dataclasses.dataclass
+class Bench:
+    """The bench's command line."""
+
+    command: cappa.Subcommands[Platform | Engine | Service | Demo]
+
+
+if __name__ == "__main__":
+    parsed = cappa.parse(Bench, completion=False)
+    sys.exit(parsed.command() or 0)
--- /dev/null
+++ b/packages/samphirepost-bench/src/samphirepost_bench/demo.py
@@ -0,0 +1,320 @@
+"""The demo: online streams and a batch through the loss of a daemon."""
+
+import concurrent.futures
+import json
+import sys
+import time
+
+from hdrh import histogram as hdrh
+import urllib3
+
+from samphirepost import stream
+from samphirepost_bench import engine
+from samphirepost_bench import fleet as fleet_module
+
+ZONES = ("krakow-a", "krakow-b", "krakow-c")
+ONLINE = 120
+ONLINE_THREADS = 12
+TOKENS = 24
+BATCH_TOKENS = 32
+JOB_S = 120.0
+RETRIES = 8
+
+
+class Answer:
+    """What came back of one online request."""
+
+    __slots__ = ("first_s", "key", "stored", "text", "whole", "work")
+
+    def __init__(self, key):
+        self.key = key
+        self.first_s = 0.0
+        self.text = ""
+        self.work = ""
+        self.whole = False
+        self.stored = False
+
+
+def run(items):
+    """Runs the demo; returns the exit status."""
+    with fleet_module.Fleet() as fleet:
+        _say("starting a platform, three engines, a service, three daemons")
+        _start(fleet)
+        _apply(fleet)
+        job, body = _submit(fleet, items)
+        answers, status = _work_through_a_loss(fleet, job)
+        return _report(fleet, items, body, job, answers, status)
+
+
+def _say(text):
+    if sys.stdout.isatty():
+        text = f"\033[1m{text}\033[0m"
+    print(text, flush=True)
+
+
+def _start(fleet):
+    fleet.start_platform()
+    for index, zone in enumerate(ZONES):
+        fleet.start_engine(f"engine-{index}", zone)
+    fleet.start_service("billing-0", ZONES[0])
+    for index, zone in enumerate(ZONES):
+        fleet.start_daemon(f"vm-{index}", zone)
+
+
+def _apply(fleet):
+    engines = list(fleet.engines.values())
+    services = list(fleet.services.values())
+    edit = {
+        "expected": 0,
+        "routes": fleet_module.routes_table(),
+        "pools": fleet_module.pools_table(engines, engines[1:], services),
+        "note": "demo",
+    }
+    url = fleet.daemons[0].url("operator") + "/v1/tables"
+    status, body = fleet.http.json("POST", url, edit)
+    if status != 200:
+        raise fleet_module.Gone(f"apply: {body}")
+    started_s = time.monotonic()
+    wait_in_force(fleet, body["revision"])
+    took_s = time.monotonic() - started_s
+    _say(f"tables at revision 1, in force everywhere after {took_s:.2f} s")
+
+
+def wait_in_force(fleet, revision, wait_s=15.0):
+    """Waits until all live daemons have a revision."""
+    until_s = time.monotonic() + wait_s
+    while time.monotonic() < until_s:
+        if all(_has(fleet, d, revision) for d in fleet.daemons if d.alive):
+            return
+        time.sleep(fleet_module.POLL_S)
+    raise fleet_module.Gone(f"revision {revision} is not in force")
+
+
+def _has(fleet, daemon, revision):
+    url = daemon.url("operator") + f"/v1/tables?brief=1&revision={revision}"
+    status, body = fleet.http.json("GET", url, token=fleet_module.OPERATOR)
+    return status == 200 and body["in_force"]
+
+
+def upload(items, route="summary", tokens=BATCH_TOKENS):
+    """Returns the JSON lines of a job."""
+    lines = [
+        json.dumps(
+            {
+                "custom_id": f"order-{number}",
+                "body": {
+                    "model": route,
+                    "prompt": f"summary of pond plant order number {number}",
+                    "max_tokens": tokens,
+                },
+            }
+        )
+        for number in range(items)
+    ]
+    return "\n".join(lines).encode()
+
+
+def _submit(fleet, items):
+    body = upload(items)
+    url = fleet.daemons[0].url("batch") + "/v1/batches"
+    status, reply = fleet.http.json(
+        "POST",
+        url,
+        body,
+        token=fleet_module.CALLERS["nurseries"],
+        headers={"Idempotency-Key": "evening"},
+    )
+    if status != 202:
+        raise fleet_module.Gone(f"submit: {status} {reply}")
+    _say(f"job {reply['id']} of {items} summaries accepted")
+    return reply["id"], body
+
+
+def _work_through_a_loss(fleet, job):
+    answers = []
+    with concurrent.futures.ThreadPoolExecutor(ONLINE_THREADS) as pool:
+        futures = []
+        for number in range(ONLINE):
+            futures.append(pool.submit(ask, fleet, number))
+            if number == ONLINE // 3:
+                concurrent.futures.wait(futures[: ONLINE // 4])
+                lost = fleet.daemons[2]
+                lost.kill()
+                _say(f"killed {lost.name} with kill -9")
+        answers = [future.result() for future in futures]
+    return answers, wait_job(fleet, job)
+
+
+def ask(fleet, number, tokens=TOKENS):
+    """Asks online with a key, again after a loss, as a caller would."""
+    answer = Answer(f"request-{number}")
+    for attempt in range(RETRIES):
+        live = [d for d in fleet.daemons if d.alive]
+        daemon = live[(number + attempt) % len(live)]
+        try:
+            if _ask_once(fleet, daemon, answer, number, tokens):
+                return answer
+        except (urllib3.exceptions.HTTPError, OSError):
+            pass
+        time.sleep(0.2)
+    return answer
+
+
+def prompt_of(number):
+    """Returns the prompt of an online request."""
+    return f"care note for water lily variety {number}"
+
+
+def _ask_once(fleet, daemon, answer, number, tokens):
+    body = {
+        "model": "care-note",
+        "prompt": prompt_of(number),
+        "max_tokens": tokens,
+        "stream": True,
+    }
+    token = fleet_module.CALLERS["nurseries"]
+    started_s = time.monotonic()
+    reply = fleet.http.pool.request(
+        "POST",
+        daemon.url("online") + "/v1/completions",
+        body=json.dumps(body).encode(),
+        headers={
+            "Authorization": f"Bearer {token}",
+            "Idempotency-Key": answer.key,
+        },
+        preload_content=False,
+    )
+    if reply.status != 200:
+        reply.drain_conn()
+        return False
+    answer.work = reply.headers["Request-Id"]
+    return _read(reply, answer, started_s)
+
+
+def _read(reply, answer, started_s):
+    rest = b""
+    answer.text = ""
+    answer.first_s = 0.0
+    for data in reply.stream(None):
+        if not answer.first_s:
+            answer.first_s = time.monotonic() - started_s
+        events, rest = stream.split(rest + data)
+        for event in events:
+            if event == stream.DONE:
+                answer.whole = True
+                continue
+            found = json.loads(event)
+            answer.text += found["choices"][0]["text"]
+            answer.stored = found.get("stored", answer.stored)
+    return answer.whole
+
+
+def wait_job(fleet, job, wait_s=JOB_S, caller="nurseries"):
+    """Waits for a job's end at any live daemon; returns its status."""
+    until_s = time.monotonic() + wait_s
+    found = {}
+    while time.monotonic() < until_s:
+        daemon = next(d for d in fleet.daemons if d.alive)
+        url = daemon.url("batch") + f"/v1/batches/{job}"
+        status, found = fleet.http.json(
+            "GET", url, token=fleet_module.CALLERS[caller]
+        )
+        if status == 200:
+            _progress(found)
+            if found["phase"] != "running":
+                break
+        time.sleep(0.2)
+    return found
+
+
+def _progress(found):
+    if sys.stdout.isatty():
+        ended = found["done"] + found["failed"] + found["unknown"]
+        print(f"\r{ended}/{found['total']} items", end="", flush=True)
+        if found["phase"] != "running":
+            print()
+
+
+def _report(fleet, items, body, job, answers, status):
+    lost, doubled, wrong = _check_items(fleet, items, body, job)
+    cut = [a for a in answers if not a.whole]
+    bad = [a for a in answers if a.whole and not _is_right(a)]
+    unread = [a for a in answers if a.whole and not _is_readable(fleet, a)]
+    times = hdrh.HdrHistogram(1, 60_000_000, 3)
+    for answer in answers:
+        times.record_value(max(1, int(answer.first_s * 1e6)))
+    p50 = times.get_value_at_percentile(50) / 1000
+    p99 = times.get_value_at_percentile(99) / 1000
+    print(f"job: {json.dumps(status)}")
+    print(f"batch: {items} items, lost {lost}, doubled {doubled},"
+          f" wrong {wrong}")
+    print(f"online: {len(answers)} requests, cut {len(cut)},"
+          f" wrong {len(bad)}, unreadable elsewhere {len(unread)}")
+    print(f"first token: p50 {p50:.1f} ms, p99 {p99:.1f} ms")
+    _print_metrics(fleet)
+    failed = lost or doubled or wrong or cut or bad or unread
+    _say("failed" if failed else "every answer came back once and whole")
+    return 1 if failed else 0
+
+
+def _check_items(fleet, items, body, job):
+    """Returns the numbers of items lost, doubled and wrong."""
+    daemon = [d for d in fleet.daemons if d.alive][-1]
+    url = daemon.url("batch") + f"/v1/batches/{job}/results"
+    status, text = fleet.http.json(
+        "GET", url, token=fleet_module.CALLERS["nurseries"]
+    )
+    if status != 200:
+        print(f"results: {status} {text}")
+        return items, 0, 0
+    found = [json.loads(line) for line in text.splitlines()]
+    ids = [line["custom_id"] for line in found]
+    asked = {json.loads(line)["custom_id"]: json.loads(line)["body"]
+             for line in body.splitlines()}
+    lost = len(asked.keys() - set(ids))
+    doubled = len(ids) - len(set(ids))
+    wrong = sum(not _item_is_right(line, asked) for line in found)
+    return lost, doubled, wrong
+
+
+def _item_is_right(line, asked):
+    if "response" not in line:
+        return False
+    body = asked[line["custom_id"]]
+    text = line["response"]["body"]["choices"][0]["text"]
+    return text == engine.text(body["prompt"], body["max_tokens"])
+
+
+def _is_right(answer):
+    number = int(answer.key.split("-")[1])
+    return answer.text == engine.text(prompt_of(number), TOKENS)
+
+
+def _is_readable(fleet, answer):
+    """Whether the stored answer is read through another daemon."""
+    daemon = [d for d in fleet.daemons if d.alive][-1]
+    url = daemon.url("online") + f"/v1/results/{answer.work}"
+    status, body = fleet.http.json(
+        "GET", url, token=fleet_module.CALLERS["nurseries"]
+    )
+    return status == 200 and body["choices"][0]["text"] == answer.text
+
+
+def _print_metrics(fleet):
+    names = (
+        "samphirepost_partitions_owned",
+        "samphirepost_tokens_total",
+        "samphirepost_commits_total",
+        "samphirepost_records_total",
+        "samphirepost_items_preempted_total",
+        "samphirepost_retries_total",
+    )
+    for daemon in fleet.daemons:
+        if daemon.alive:
+            found = [
+                f"{name.removeprefix('samphirepost_')}"
+                f" {fleet.metric(daemon, name):.0f}"
+                for name in names
+            ]
+            print(f"{daemon.name}: " + ", ".join(found))
+    print(f"platform: {json.dumps(fleet.counts())}")
--- /dev/null
+++ b/packages/samphirepost-bench/src/samphirepost_bench/fleet.py
@@ -0,0 +1,325 @@
+"""Starts stand-ins and daemons as processes on loopback, and ends them."""
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+import msgspec
+import urllib3
+
+from samphirepost import hashing
+
+HOST = "127.0.0.1"
+POLL_S = 0.05
+READY_S = 30.0
+STOP_S = 90.0
+CALLERS = {"nurseries": "lily-token", "umoja": "notice-token"}
+OPERATOR = "operator-token"
+
+
+class Gone(Exception):
+    """A process did not come up or go down in time."""
+
+
+def free_port():
+    """Returns a port that nothing listens on now."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+class Process:
+    """One process of the fleet."""
+
+    def __init__(self, name, argv, log_path):
+        self.name = name
+        self._log = open(log_path, "ab")
+        self.popen = subprocess.Popen(
+            argv, stdout=self._log, stderr=self._log, stdin=subprocess.DEVNULL
+        )
+
+    @property
+    def alive(self):
+        """Whether the process runs."""
+        return self.popen.poll() is None
+
+    def kill(self):
+        """Ends it at once, as the loss of a VM would."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def freeze(self):
+        """Stops it without a word."""
+        os.kill(self.popen.pid, signal.SIGSTOP)
+
+    def thaw(self):
+        """Lets it go on."""
+        os.kill(self.popen.pid, signal.SIGCONT)
+
+    def terminate(self):
+        """Asks it to drain."""
+        self.popen.terminate()
+
+    def wait(self, wait_s=STOP_S):
+        """Waits for its end; returns the exit status."""
+        return self.popen.wait(wait_s)
+
+
+class Daemon(Process):
+    """A daemon and its addresses."""
+
+    def __init__(self, name, zone, argv, log_path, listen):
+        super().__init__(name, argv, log_path)
+        self.zone = zone
+        self.listen = listen
+
+    def url(self, kind):
+        """Returns the address of one of the listeners."""
+        return f"http://{HOST}:{self.listen[kind + '_port']}"
+
+
+class Http:
+    """Plain HTTP for tests and experiments."""
+
+    def __init__(self):
+        self.pool = urllib3.PoolManager(
+            retries=False,
+            maxsize=64,
+            num_pools=256,
+            timeout=urllib3.Timeout(connect=2.0, read=120.0),
+        )
+
+    def json(self, method, url, body=None, token=None, headers=None):
+        """Returns the status and the decoded body."""
+        sent = {"Content-Type": "application/json"}
+        if token:
+            sent["Authorization"] = f"Bearer {token}"
+        sent.update(headers or {})
+        if body is not None and not isinstance(body, bytes):
+            body = msgspec.json.encode(body)
+        reply = self.pool.request(method, url, body=body, headers=sent)
+        try:
+            return reply.status, json.loads(reply.data)
+        except ValueError:
+            return reply.status, reply.data.decode("utf-8", "replace")
+
+
+class Fleet:
+    """All processes of one run; a context manager that ends them all."""
+
+    def __init__(self, folder=None):
+        self.folder = pathlib.Path(folder or tempfile.mkdtemp("-fleet"))
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.http = Http()
+        self.processes = []
+        self.daemons = []
+        self.engines = {}
+        self.services = {}
+        self.platform_url = ""
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc):
+        for process in self.processes:
+            if process.alive:
+                process.thaw()
+                process.kill()
+
+    def _log(self, name):
+        return self.folder / f"{name}.log"
+
+    def _stand_in(self, name, *args):
+        module = "samphirepost_bench"
+        argv = [sys.executable, "-m", module, *map(str, args)]
+        process = Process(name, argv, self._log(name))
+        self.processes.append(process)
+        return process
+
+    def start_platform(self):
+        """Starts the platform's stand-in."""
+        port = free_port()
+        self.platform_url = f"http://{HOST}:{port}"
+        process = self._stand_in("platform", "platform", "--port", port)
+        self.wait_for(f"{self.platform_url}/counts", process)
+        return process
+
+    def start_engine(self, name, zone, checks_orders=True, scale=1.0):
+        """Starts an engine's stand-in."""
+        port = free_port()
+        args = ["engine", "--name", name, "--port", port, "--scale", scale]
+        if checks_orders:
+            args.append("--checks-orders")
+        process = self._stand_in(name, *args)
+        process.zone = zone
+        process.url = f"http://{HOST}:{port}"
+        self.engines[name] = process
+        self.wait_for(f"{process.url}/counts", process)
+        return process
+
+    def start_service(self, name, zone):
+        """Starts a plain service's stand-in."""
+        port = free_port()
+        process = self._stand_in(name, "service", "--port", port)
+        process.zone = zone
+        process.url = f"http://{HOST}:{port}"
+        self.services[name] = process
+        self.wait_for(f"{process.url}/journal", process)
+        return process
+
+    def start_daemon(self, name, zone, wait=True, **overrides):
+        """Starts a daemon; `overrides` change its settings."""
+        listen = {
+            "host": HOST,
+            "online_port": free_port(),
+            "batch_port": free_port(),
+            "operator_port": free_port(),
+            "peer_port": free_port(),
+            "online_threads": overrides.pop("online_threads", 200),
+        }
+        platform = {
+            "table_url": self.platform_url,
+            "object_url": self.platform_url,
+            "vms_url": self.platform_url,
+            **overrides.pop("platform", {}),
+        }
+        cfg = {
+            "id": name,
+            "zone": zone,
+            "platform": platform,
+            "listen": listen,
+            "log_path": str(self._log(name + ".eliot")),
+            **overrides,
+        }
+        path = self.folder / f"{name}.json"
+        path.write_text("// Settings of one daemon.\n" + json.dumps(cfg))
+        program = pathlib.Path(sys.executable).parent / "samphirepostd"
+        argv = [sys.executable, str(program), "--settings", str(path)]
+        daemon = Daemon(name, zone, argv, self._log(name), listen)
+        self.processes.append(daemon)
+        self.daemons.append(daemon)
+        self.list_vm(name, "live", f"tcp://{HOST}:{listen['peer_port']}")
+        if wait:
+            self.wait_ready(daemon)
+        return daemon
+
+    def list_vm(self, name, state, address=""):
+        """Puts a VM on the platform's list."""
+        entry = [{"id": name, "state": state, "address": address}]
+        self.http.json("POST", f"{self.platform_url}/vms", entry)
+
+    def wait_for(self, url, process):
+        """Waits until the address answers 200."""
+        until_s = time.monotonic() + READY_S
+        while time.monotonic() < until_s:
+            if not process.alive:
+                raise Gone(f"{process.name} ended: see {self.folder}")
+            try:
+                if self.http.json("GET", url)[0] == 200:
+                    return
+            except urllib3.exceptions.HTTPError:
+                pass
+            time.sleep(POLL_S)
+        raise Gone(f"{process.name} is not ready: see {self.folder}")
+
+    def wait_ready(self, daemon):
+        """Waits until the daemon takes requests."""
+        self.wait_for(daemon.url("operator") + "/readyz", daemon)
+
+    def fault(self, service, mode, delay_ms=0, every=1):
+        """Sets how one of the platform's services behaves."""
+        body = {
+            "service": service,
+            "mode": mode,
+            "delay_ms": delay_ms,
+            "every": every,
+        }
+        self.http.json("POST", f"{self.platform_url}/control", body)
+
+    def counts(self):
+        """Returns the platform's counts."""
+        return self.http.json("GET", f"{self.platform_url}/counts")[1]
+
+    def spoil(self, process, name, count=1, seconds=0.0):
+        """Brings about a fault of an engine or service."""
+        body = {"name": name, "count": count, "seconds": seconds}
+        self.http.json("POST", f"{process.url}/control", body)
+
+    def metric(self, daemon, name):
+        """Returns the sum of a metric's samples at a daemon."""
+        url = daemon.url("operator") + "/metrics"
+        text = self.http.json("GET", url)[1]
+        total = 0.0
+        for line in text.splitlines():
+            if line.startswith((name + "{", name + " ")):
+                total += float(line.rsplit(" ", 1)[1])
+        return total
+
+
+def callers():
+    """Returns the callers' rows of the routes table."""
+    rows = {
+        name: {"token_sha256": hashing.digest(token.encode())}
+        for name, token in CALLERS.items()
+    }
+    rows["operator"] = {
+        "token_sha256": hashing.digest(OPERATOR.encode()),
+        "operator": True,
+    }
+    return rows
+
+
+def target_rows(processes, kind="engine"):
+    """Returns the targets' rows of a pool."""
+    return [
+        {
+            "id": process.name,
+            "url": process.url,
+            "zone": process.zone,
+            "kind": kind,
+        }
+        for process in processes
+    ]
+
+
+def routes_table():
+    """Returns the demo's routes: care notes, slips, summaries, notices."""
+    plants = {"pool": "plants", "callers": ["nurseries"]}
+    return {
+        "callers": callers(),
+        "routes": {
+            "care-note": plants,
+            "slip": plants,
+            "summary": plants,
+            "notice": {"pool": "notices", "callers": ["umoja"]},
+            "bill": {
+                "pool": "billing",
+                "callers": ["umoja"],
+                "idempotent": False,
+                "path": "/bill",
+            },
+        },
+    }
+
+
+def pools_table(plants, notices, billing):
+    """Returns the demo's pools."""
+    return {
+        "pools": {
+            "plants": {
+                "targets": target_rows(plants),
+                "online_headroom": 1.5,
+            },
+            "notices": {
+                "targets": target_rows(notices),
+                "online_headroom": 1.05,
+            },
+            "billing": {"targets": target_rows(billing, "service")},
+        }
+    }
--- /dev/null
+++ b/packages/samphirepost-cli/src/samphirepost_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The samphirepost command line."""
--- /dev/null
+++ b/packages/samphirepost-cli/src/samphirepost_cli/actions.py
@@ -0,0 +1,415 @@
+"""What each command does; returns the exit status."""
+
+import functools
+
+import msgspec
+
+from samphirepost import codec
+from samphirepost import errors
+from samphirepost import jsonc
+from samphirepost import stream
+from samphirepost import tables
+from samphirepost import target
+from samphirepost_cli import client as client_module
+from samphirepost_cli import commands
+from samphirepost_cli import exits
+from samphirepost_cli import output
+
+POLL_S = 0.2
+
+
+class Shown(msgspec.Struct):
+    """The operators' view of the tables."""
+
+    revision: int
+    in_force: bool
+    waiting_for: tuple[str, ...]
+    tables: tables.Tables | None
+
+
+class Status(msgspec.Struct):
+    """Where a job stands."""
+
+    id: str
+    phase: str
+    total: int
+    done: int
+    failed: int
+    unknown: int
+    pending: int
+    running: int
+
+
+class Submitted(msgspec.Struct):
+    """An accepted job; `created` is False for one sent again."""
+
+    id: str
+    created: bool
+
+
+class Applied(msgspec.Struct):
+    """An accepted edit's revision."""
+
+    revision: int
+
+
+class Pair(msgspec.Struct):
+    """The two tables as their files have them."""
+
+    routes: tables.Routes
+    pools: tables.Pools
+
+
+class Context:
+    """The environment, config and client of one command."""
+
+    def __init__(self, env, cfg):
+        self.env = env
+        self.cfg = cfg
+        self.client = client_module.Client(cfg.token)
+
+
+@functools.singledispatch
+def run(command, ctx):
+    """Runs a command; returns its exit status."""
+    raise TypeError(type(command))
+
+
+def read_pair(command):
+    """Returns both tables of two files, checked, or a Failure."""
+    routes = jsonc.read(command.routes, tables.Routes)
+    if isinstance(routes, errors.Failure):
+        return routes
+    pools = jsonc.read(command.pools, tables.Pools)
+    if isinstance(pools, errors.Failure):
+        return pools
+    failure = tables.check(tables.join(routes, pools, 0))
+    return Pair(routes, pools) if failure is None else failure
+
+
+@run.register
+def _(command: commands.Check, ctx):
+    found = read_pair(command)
+    if isinstance(found, errors.Failure):
+        return output.failure(ctx.env, found)
+    output.line(ctx.env, "both tables are good")
+    return exits.Exit.OK
+
+
+def _get(ctx, url, kind):
+    reply = ctx.client.send("GET", url)
+    if isinstance(reply, errors.Failure):
+        return reply
+    return codec.from_json(reply.data, kind)
+
+
+def _shown(ctx, query=""):
+    return _get(ctx, f"{ctx.cfg.operator}/v1/tables{query}", Shown)
+
+
+@run.register
+def _(command: commands.Apply, ctx):
+    pair = read_pair(command)
+    if isinstance(pair, errors.Failure):
+        return output.failure(ctx.env, pair)
+    expected = command.expected
+    if expected < 0:
+        shown = _shown(ctx, "?brief=1")
+        if isinstance(shown, errors.Failure):
+            return output.failure(ctx.env, shown)
+        expected = shown.revision
+    edit = {
+        "expected": expected,
+        "routes": pair.routes,
+        "pools": pair.pools,
+        "note": command.note,
+    }
+    body = codec.to_json(edit)
+    url = f"{ctx.cfg.operator}/v1/tables"
+    reply = ctx.client.send("POST", url, body)
+    if isinstance(reply, errors.Failure):
+        return output.failure(ctx.env, reply)
+    applied = codec.from_json(reply.data, Applied)
+    return _await_force(ctx, applied.revision, command.wait)
+
+
+def _await_force(ctx, revision, wait_s):
+    """Waits until every live member has the revision."""
+    until_s = ctx.env.monotonic_s() + wait_s
+    while True:
+        shown = _shown(ctx, f"?brief=1&revision={revision}")
+        done = not isinstance(shown, errors.Failure) and shown.in_force
+        if done:
+            output.line(ctx.env, f"revision {revision} is in force")
+            return exits.Exit.OK
+        if ctx.env.monotonic_s() >= until_s:
+            return _not_in_force(ctx, revision, shown)
+        ctx.env.pause(POLL_S)
+
+
+def _not_in_force(ctx, revision, shown):
+    waiting = "the daemon does not answer"
+    if not isinstance(shown, errors.Failure):
+        waiting = "waiting for " + ", ".join(shown.waiting_for)
+    ctx.env.stderr.write(
+        f"samphirepost: revision {revision} is accepted and not yet in force"
+        f" everywhere: {waiting}\n"
+    )
+    return exits.Exit.NOT_IN_FORCE
+
+
+@run.register
+def _(command: commands.Diff, ctx):
+    pair = read_pair(command)
+    if isinstance(pair, errors.Failure):
+        return output.failure(ctx.env, pair)
+    shown = _shown(ctx)
+    if isinstance(shown, errors.Failure):
+        return output.failure(ctx.env, shown)
+    after = tables.join(pair.routes, pair.pools, shown.revision)
+    changes = tables.changes(shown.tables, after)
+    if command.json:
+        output.json(ctx.env, changes)
+    else:
+        _print_changes(ctx.env, changes)
+    return exits.Exit.OK
+
+
+def _print_changes(env, changes):
+    for change in changes:
+        sign = "~"
+        if change["before"] is None:
+            sign = "+"
+        if change["after"] is None:
+            sign = "-"
+        output.line(env, f"{sign} {change['table']}.{change['name']}")
+
+
+@run.register
+def _(command: commands.Show, ctx):
+    shown = _shown(ctx)
+    if isinstance(shown, errors.Failure):
+        return output.failure(ctx.env, shown)
+    if command.json:
+        output.json(ctx.env, shown)
+        return exits.Exit.OK
+    state = "in force everywhere"
+    if not shown.in_force:
+        state = "waiting for " + ", ".join(shown.waiting_for)
+    output.line(ctx.env, f"revision {shown.revision}, {state}")
+    output.rows(
+        ctx.env,
+        ("ROUTE", "POOL", "CALLERS", "IDEMPOTENT"),
+        [
+            (name, row.pool, ",".join(row.callers), row.idempotent)
+            for name, row in sorted(shown.tables.routes.items())
+        ],
+    )
+    output.rows(
+        ctx.env,
+        ("POOL", "TARGETS", "HEADROOM"),
+        [
+            (name, len(row.targets), row.online_headroom)
+            for name, row in sorted(shown.tables.pools.items())
+        ],
+    )
+    return exits.Exit.OK
+
+
+@run.register
+def _(command: commands.History, ctx):
+    url = f"{ctx.cfg.operator}/v1/tables/history"
+    found = _get(ctx, url, list[tables.AuditRow])
+    if isinstance(found, errors.Failure):
+        return output.failure(ctx.env, found)
+    if command.json:
+        output.json(ctx.env, found)
+        return exits.Exit.OK
+    output.rows(
+        ctx.env,
+        ("REVISION", "FROM", "AT", "WHO", "CHANGES", "NOTE"),
+        [_audit_cells(row) for row in found],
+    )
+    return exits.Exit.OK
+
+
+def _audit_cells(row):
+    changed = ",".join(f"{c['table']}.{c['name']}" for c in row.changes)
+    at = f"{row.at_unix_s:.0f}"
+    return row.revision, row.previous, at, row.who, changed, row.note
+
+
+@run.register
+def _(command: commands.Members, ctx):
+    found = _get(ctx, f"{ctx.cfg.operator}/v1/members", dict)
+    if isinstance(found, errors.Failure):
+        return output.failure(ctx.env, found)
+    if command.json:
+        output.json(ctx.env, found)
+        return exits.Exit.OK
+    output.rows(
+        ctx.env,
+        ("VM", "ZONE", "REVISION", "SERVING"),
+        [
+            (m["vm"], m["zone"], m["revision"], m["serving"])
+            for m in found["members"]
+        ],
+    )
+    return exits.Exit.OK
+
+
+def _headers(command):
+    headers = {}
+    if command.key:
+        headers["Idempotency-Key"] = command.key
+    if command.timeout:
+        headers["Timeout-Ms"] = str(command.timeout)
+    return headers
+
+
+@run.register
+def _(command: commands.Complete, ctx):
+    body = codec.to_json(
+        {
+            "model": command.route,
+            "prompt": command.prompt,
+            "max_tokens": command.max_tokens,
+            "stream": not command.json,
+        }
+    )
+    reply = ctx.client.send(
+        "POST",
+        f"{ctx.cfg.online}/v1/completions",
+        body,
+        _headers(command),
+        preload=command.json,
+    )
+    if isinstance(reply, errors.Failure):
+        return output.failure(ctx.env, reply)
+    if command.json:
+        output.line(ctx.env, reply.data.decode())
+        return exits.Exit.OK
+    return _print_stream(ctx, reply)
+
+
+def _print_stream(ctx, reply):
+    """Prints tokens as they come; a stream without an end has failed."""
+    rest = b""
+    for data in reply.stream(None):
+        events, rest = stream.split(rest + data)
+        for event in events:
+            if event == stream.DONE:
+                output.line(ctx.env, "")
+                return exits.Exit.OK
+            found = codec.from_json(event, target.Event)
+            if not isinstance(found, errors.Failure):
+                output.piece(ctx.env, found.choices[0].text)
+    output.line(ctx.env, "")
+    return output.failure(
+        ctx.env,
+        errors.Failure(
+            errors.Kind.STREAM_BROKEN,
+            "the answer is not whole; send it again with its key",
+            errors.Outcome.UNKNOWN,
+        ),
+    )
+
+
+@run.register
+def _(command: commands.Call, ctx):
+    body = ctx.env.stdin.read() if command.body == "-" else command.body
+    reply = ctx.client.send(
+        "POST",
+        f"{ctx.cfg.online}/v1/services/{command.route}",
+        body.encode(),
+        _headers(command),
+    )
+    return _print_body(ctx, reply)
+
+
+def _print_body(ctx, reply):
+    if isinstance(reply, errors.Failure):
+        return output.failure(ctx.env, reply)
+    output.piece(ctx.env, reply.data.decode())
+    if ctx.env.on_terminal:
+        output.line(ctx.env, "")
+    return exits.Exit.OK
+
+
+@run.register
+def _(command: commands.Result, ctx):
+    url = f"{ctx.cfg.online}/v1/results/{command.work}"
+    return _print_body(ctx, ctx.client.send("GET", url))
+
+
+@run.register
+def _(command: commands.Submit, ctx):
+    data = _read_input(ctx.env, command.file)
+    if isinstance(data, errors.Failure):
+        return output.failure(ctx.env, data)
+    reply = ctx.client.send(
+        "POST", f"{ctx.cfg.batch}/v1/batches", data, _headers(command)
+    )
+    if isinstance(reply, errors.Failure):
+        return output.failure(ctx.env, reply)
+    submitted = codec.from_json(reply.data, Submitted)
+    output.line(ctx.env, submitted.id)
+    return exits.Exit.OK
+
+
+def _read_input(env, path):
+    if path == "-":
+        return env.stdin.read().encode()
+    try:
+        with open(path, "rb") as file:
+            return file.read()
+    except OSError as exc:
+        reason = f"{path}: {exc.strerror}"
+        return errors.Failure(errors.Kind.BAD_SETTINGS, reason)
+
+
+@run.register
+def _(command: commands.Status, ctx):
+    url = f"{ctx.cfg.batch}/v1/batches/{command.work}"
+    until_s = ctx.env.monotonic_s() + command.wait
+    while True:
+        found = _get(ctx, url, Status)
+        over = ctx.env.monotonic_s() >= until_s
+        if isinstance(found, errors.Failure):
+            if over or found.outcome is errors.Outcome.NOT_RUN:
+                return output.failure(ctx.env, found)
+        elif over or found.phase != "running":
+            return _print_status(ctx, command, found)
+        ctx.env.pause(POLL_S)
+
+
+def _print_status(ctx, command, found):
+    if command.json:
+        output.json(ctx.env, found)
+    else:
+        output.line(
+            ctx.env,
+            f"{found.phase}: {found.done} done, {found.failed} failed,"
+            f" {found.unknown} unknown, {found.running} running,"
+            f" {found.pending} waiting, {found.total} in all",
+        )
+    if command.wait and found.phase == "running":
+        return exits.Exit.NOT_FINISHED
+    return exits.Exit.OK
+
+
+@run.register
+def _(command: commands.Results, ctx):
+    url = f"{ctx.cfg.batch}/v1/batches/{command.work}/results"
+    return _print_body(ctx, ctx.client.send("GET", url))
+
+
+@run.register
+def _(command: commands.Cancel, ctx):
+    url = f"{ctx.cfg.batch}/v1/batches/{command.work}/cancel"
+    reply = ctx.client.send("POST", url)
+    if isinstance(reply, errors.Failure):
+        return output.failure(ctx.env, reply)
+    found = codec.from_json(reply.data, Status)
+    output.line(ctx.env, f"{found.id} is {found.phase}")
+    return exits.Exit.OK
--- /dev/null
+++ b/packages/samphirepost-cli/src/samphirepost_cli/exits.py
@@ -0,0 +1,16 @@
+"""Exit statuses."""
+
+import enum
+
+
+class Exit(enum.IntEnum):
+    """How a command ended; scripts may rely on the numbers."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    REFUSED = 3
+    UNKNOWN = 4
+    NOT_FINISHED = 5
+    NOT_IN_FORCE = 6
+    UNREACHABLE = 7
--- /dev/null
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The samphirepost daemon."""
--- /dev/null
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/batches.py
@@ -0,0 +1,140 @@
+"""The batch listener: upload, status, results and cancel of jobs."""
+
+import uuid
+
+import msgspec
+
+from samphirepost import errors
+from samphirepost import hashing
+from samphirepost import jobs
+from samphirepost import messages
+from samphirepost import records
+from samphirepost_daemon import online
+from samphirepost_daemon import uploads
+from samphirepost_daemon import web
+
+BATCHES = "/v1/batches"
+SUBMIT_S = 10.0
+ASK_S = 3.0
+JSONL = "application/jsonl"
+
+
+class Batches:
+    """The WSGI application for batch jobs."""
+
+    def __init__(self, clock, cfg, current, gate, owners, objects):
+        self._clock = clock
+        self._limits = cfg.limits
+        self._partitions = cfg.ledger.partitions
+        self._current = current
+        self._gate = gate
+        self._owners = owners
+        self._objects = objects
+
+    def __call__(self, environ, start_response):
+        self._gate.enter()
+        try:
+            return self._answer(web.Request(environ), start_response)
+        finally:
+            self._gate.leave()
+
+    def _answer(self, req, start_response):
+        refusal = self._gate.refusal()
+        if refusal is not None:
+            return web.fail(start_response, refusal)
+        caller = web.authenticate(req, self._current)
+        if isinstance(caller, errors.Failure):
+            return web.fail(start_response, caller)
+        parts = req.path.removeprefix(BATCHES).strip("/").split("/")
+        if not req.path.startswith(BATCHES):
+            return web.fail(start_response, web.not_found(req.path))
+        if req.method == "POST" and parts == [""]:
+            return self._submit(req, caller, start_response)
+        if req.method == "GET" and len(parts) == 1 and parts[0]:
+            return self._status(parts[0], caller, start_response)
+        if req.method == "GET" and parts[1:] == ["results"]:
+            return self._results(parts[0], caller, start_response)
+        if req.method == "POST" and parts[1:] == ["cancel"]:
+            return self._cancel(parts[0], caller, start_response)
+        return web.fail(start_response, web.not_found(req.path))
+
+    def _submit(self, req, caller, start_response):
+        wait_s = web.timeout_s(req, self._limits.batch_deadline_ms)
+        if isinstance(wait_s, errors.Failure):
+            return web.fail(start_response, wait_s)
+        if req.length() > self._limits.upload_bytes_max:
+            failure = web.too_large(self._limits.upload_bytes_max)
+            return web.fail(start_response, failure)
+        reader = uploads.Reader(self._objects, self._limits.items_max)
+        upload = reader.read(req.lines())
+        if isinstance(upload, errors.Failure):
+            return web.fail(start_response, upload)
+        row = online.find_route(self._current.tables, upload.route, caller)
+        if isinstance(row, errors.Failure):
+            return web.fail(start_response, row)
+        key = req.header("Idempotency-Key") or uuid.uuid4().hex
+        accepted = self._accepted(caller, key, upload, row, wait_s)
+        return self._offer(accepted, start_response)
+
+    def _accepted(self, caller, key, upload, row, wait_s):
+        now_s = self._clock.unix_s()
+        return records.JobAccepted(
+            work=hashing.work_id("job", caller, key, self._partitions),
+            caller=caller,
+            digest=upload.digest,
+            route=upload.route,
+            idempotent=row.idempotent,
+            total=upload.total,
+            chunk_items=uploads.CHUNK_ITEMS,
+            chunks=upload.chunks,
+            deadline_unix_s=now_s + wait_s,
+            accepted_unix_s=now_s,
+        )
+
+    def _offer(self, accepted, start_response):
+        command = messages.Submit(accepted)
+        reply = self._owners.ask_work(accepted.work, command, SUBMIT_S)
+        if isinstance(reply, errors.Failure):
+            return web.fail(start_response, reply, accepted.work)
+        status = 202 if reply.created else 200
+        location = ("Location", f"{BATCHES}/{reply.work}")
+        body = {"id": reply.work, "created": reply.created}
+        return web.reply(start_response, body, status, [location])
+
+    def _ask_status(self, work, caller):
+        command = messages.Status(work, caller)
+        return self._owners.ask_work(work, command, ASK_S)
+
+    def _status(self, work, caller, start_response):
+        reply = self._ask_status(work, caller)
+        if isinstance(reply, errors.Failure):
+            return web.fail(start_response, reply, work)
+        return web.reply(start_response, _shown(reply))
+
+    def _results(self, work, caller, start_response):
+        reply = self._ask_status(work, caller)
+        if isinstance(reply, errors.Failure):
+            return web.fail(start_response, reply, work)
+        if reply.phase != jobs.Phase.COMPLETED.value:
+            reason = f"the job is {reply.phase}"
+            failure = errors.Failure(errors.Kind.NOT_FINISHED, reason)
+            return web.fail(start_response, failure, work)
+        data = self._objects.get(reply.results)
+        if isinstance(data, errors.Failure):
+            return web.fail(start_response, data, work)
+        return web.respond(start_response, 200, data, JSONL)
+
+    def _cancel(self, work, caller, start_response):
+        command = messages.Cancel(work, caller)
+        reply = self._owners.ask_work(work, command, ASK_S)
+        if isinstance(reply, errors.Failure):
+            return web.fail(start_response, reply, work)
+        return web.reply(start_response, _shown(reply))
+
+
+def _shown(status):
+    shown = msgspec.to_builtins(status)
+    shown.pop("results")
+    shown["id"] = shown.pop("work")
+    shown.pop("type", None)
+    return shown
--- /dev/null
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/board.py
@@ -0,0 +1,114 @@
+"""What this daemon knows of each target, shared between its threads."""
+
+import threading
+
+import msgspec
+
+from samphirepost import choice
+
+
+class Load(msgspec.Struct, frozen=True):
+    """The requests of this daemon that run on one target."""
+
+    online: int
+    batch: int
+
+
+class Board:
+    """Chooses targets and counts what runs where."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._seen = {}
+
+    def pick(self, targets, key, excluded, online):
+        """Returns the id of a target, counted as busy, or None."""
+        with self._lock:
+            now_s = self._clock.monotonic_s()
+            for name in targets:
+                self._seen.setdefault(name, choice.Seen())
+            found = choice.candidates(targets, self._seen, excluded, now_s)
+            name = choice.choose(found, key)
+            if name is not None:
+                self._enter(name, online, now_s)
+            return name
+
+    def enter(self, name, online):
+        """Counts a request on a given target; returns if it may be sent."""
+        with self._lock:
+            now_s = self._clock.monotonic_s()
+            seen = self._seen.setdefault(name, choice.Seen())
+            if not seen.usable(now_s):
+                return False
+            self._enter(name, online, now_s)
+            return True
+
+    def _enter(self, name, online, now_s):
+        seen = self._seen[name]
+        seen.breaker.sent(now_s)
+        if online:
+            seen.online += 1
+        else:
+            seen.batch += 1
+
+    def leave(self, name, online):
+        """Takes a request off the target's count."""
+        with self._lock:
+            seen = self._seen[name]
+            if online:
+                seen.online -= 1
+            else:
+                seen.batch -= 1
+
+    def succeeded(self, name):
+        """Notes that the target answered."""
+        with self._lock:
+            self._seen[name].breaker.succeeded()
+
+    def failed(self, name):
+        """Notes that the target failed."""
+        with self._lock:
+            self._seen[name].breaker.failed(self._clock.monotonic_s())
+
+    def abandoned(self, name):
+        """Notes a request that was ended from this side."""
+        with self._lock:
+            self._seen[name].breaker.abandoned()
+
+    def report(self, name, report):
+        """Notes a load report."""
+        with self._lock:
+            seen = self._seen.setdefault(name, choice.Seen())
+            seen.take_report(report, self._clock.monotonic_s())
+
+    def missed(self, name):
+        """Notes that a load report could not be had."""
+        with self._lock:
+            self._seen.setdefault(name, choice.Seen()).missed += 1
+
+    def leaving(self, names):
+        """Notes the targets that the platform's list has as leaving."""
+        with self._lock:
+            for name in names:
+                self._seen.setdefault(name, choice.Seen()).leaving = True
+
+    def usable(self, name):
+        """Whether the target may get new work."""
+        with self._lock:
+            seen = self._seen.get(name)
+            return seen is None or seen.usable(self._clock.monotonic_s())
+
+    def loads(self):
+        """Returns the Load of each target by id."""
+        with self._lock:
+            return {
+                name: Load(seen.online, seen.batch)
+                for name, seen in self._seen.items()
+            }
+
+    def last_report(self, name):
+        """Returns the target's last load report, or None."""
+        with self._lock:
+            seen = self._seen.get(name)
+            return None if seen is None else seen.report
--- /dev/null
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/commits.py
@@ -0,0 +1,104 @@
+"""Reads and writes one partition's log: segments, snapshots and its row."""
+
+import functools
+
+import msgspec
+
+from samphirepost import codec
+from samphirepost import errors
+from samphirepost import ledger
+from samphirepost import records
+from samphirepost_daemon import metrics
+from samphirepost_daemon import platform
+
+
+class Loaded(msgspec.Struct, frozen=True):
+    """A partition's row at a revision and the state that it stands for."""
+
+    row: records.Row
+    revision: int
+    state: ledger.State
+
+
+def row_key(partition):
+    """Returns the key of the partition's row."""
+    return f"partition/{partition:03x}"
+
+
+def partition_in(key):
+    """Returns the partition in a row's key."""
+    return int(key.rsplit("/", 1)[1], 16)
+
+
+def segment_name(partition, epoch, write):
+    """Returns the name of the object that holds a segment."""
+    return f"segments/{partition:03x}/{epoch:08x}-{write}"
+
+
+def load(services, partition, cfg, now):
+    """Returns the partition as the platform has it, or a Failure."""
+    found = services.table.read(row_key(partition))
+    if isinstance(found, errors.Failure):
+        return found
+    state = ledger.State(cfg.claim_ms / 1000, cfg.attempts_max)
+    if found is None:
+        return Loaded(records.Row(), platform.ABSENT, state)
+    row = codec.unpack(found.value, records.Row)
+    failure = _replay(services.objects, row, state, now)
+    if failure is not None:
+        return failure
+    return Loaded(row, found.revision, state)
+
+
+def _replay(objects, row, state, now):
+    if row.snapshot:
+        data = objects.get(row.snapshot)
+        if isinstance(data, errors.Failure):
+            return data
+        ledger.load(state, codec.unpack(data, ledger.Snapshot), now)
+    for name in row.segments:
+        data = objects.get(name)
+        if isinstance(data, errors.Failure):
+            return data
+        segment = codec.unpack(data, records.Segment)
+        for position, record in enumerate(segment.records):
+            reference = records.Reference(name, position)
+            ledger.apply(record, state, reference, now)
+    return None
+
+
+def write_row(table, partition, row, revision):
+    """Writes the row if it is at the revision; returns what is known."""
+    key = row_key(partition)
+    transaction = platform.Transaction(
+        row.write, {key: revision}, {key: codec.pack(row)}
+    )
+    outcome = platform.settle(table, transaction)
+    metrics.COMMITS.labels(type(outcome).__name__.lower()).inc()
+    return outcome
+
+
+
+
+@functools.lru_cache(maxsize=64)
+def _segment(objects, name):
+    data = objects.get(name)
+    if isinstance(data, errors.Failure):
+        raise errors.Failed(data)
+    return codec.unpack(data, records.Segment)
+
+
+def segment(objects, name):
+    """Returns the segment of that name, kept for a while, or a Failure."""
+    try:
+        return _segment(objects, name)
+    except errors.Failed as exc:
+        return exc.failure
+
+
+def result_record(objects, reference):
+    """Returns the record at a reference, or a Failure."""
+    found = segment(objects, reference.segment)
+    if isinstance(found, errors.Failure):
+        return found
+    return found.records[reference.position]
--- /dev/null
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/core.py
@@ -0,0 +1,84 @@
+"""The daemon's story: start, serve until told to stop, drain, exit."""
+
+import signal
+import sys
+import threading
+
+import eliot
+
+from samphirepost_daemon import ledgers
+from samphirepost_daemon import members
+from samphirepost_daemon import runner
+from samphirepost_daemon import wiring
+
+SWITCH_INTERVAL_S = 0.001
+DRAIN_POLL_S = 0.1
+DRAIN_MARGIN_S = 10.0
+RELEASE_S = 10.0
+
+
+def run(cfg):
+    """Runs one daemon until SIGTERM or SIGINT; returns when it is drained."""
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    log_to(cfg.log_path)
+    daemon = wiring.Daemon(cfg)
+    start(daemon)
+    stop.wait()
+    drain(daemon)
+
+
+def log_to(path):
+    """Sends the log to a file, or to standard error."""
+    if path:
+        eliot.to_file(open(path, "a", encoding="utf-8"))
+    else:
+        eliot.to_file(sys.stderr)
+
+
+def start(daemon):
+    """Starts every part, peers first."""
+    eliot.log_message(message_type="daemon:starting", vm=daemon.cfg.id)
+    daemon.peer_server.start()
+    daemon.members.tell(members.Serving(True))
+    for thread in daemon.threads:
+        thread.start()
+    for listener in daemon.listeners:
+        listener.start()
+
+
+def drain(daemon):
+    """Leaves without cutting anything: unready, finish, hand over."""
+    eliot.log_message(message_type="daemon:draining", vm=daemon.cfg.id)
+    daemon.gate.leaving = True
+    daemon.members.tell(members.Serving(False))
+    pause = threading.Event()
+    pause.wait(daemon.cfg.drain_notice_ms / 1000)
+    daemon.runner.tell(runner.Stop())
+    longest_s = daemon.cfg.limits.online_deadline_ms / 1000
+    daemon.gate.wait_empty(longest_s + DRAIN_MARGIN_S)
+    for listener in daemon.listeners:
+        listener.flush()
+    _wait(lambda: not daemon.runner.ask(runner.Busy()), DRAIN_MARGIN_S)
+    _wait(lambda: not len(daemon.outbox), DRAIN_MARGIN_S)
+    _wait(lambda: daemon.keeper.empty, DRAIN_MARGIN_S)
+    release(daemon)
+    eliot.log_message(message_type="daemon:stopped", vm=daemon.cfg.id)
+
+
+def release(daemon):
+    """Hands this daemon's partitions back."""
+    daemon.placing.stopped = True
+    for partition in daemon.ledger.ask(ledgers.Owned()):
+        daemon.ledger.tell(ledgers.Release(partition))
+    _wait(lambda: not daemon.ledger.ask(ledgers.Owned()), RELEASE_S)
+
+
+def _wait(done, wait_s):
+    pause = threading.Event()
+    for _ in range(int(wait_s / DRAIN_POLL_S)):
+        if done():
+            return
+        pause.wait(DRAIN_POLL_S)
--- /dev/null
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/current.py
@@ -0,0 +1,74 @@
+"""The tables in force at this daemon, and their rows on the platform."""
+
+import threading
+
+import eliot
+import msgspec
+
+from samphirepost import codec
+from samphirepost import errors
+from samphirepost import tables
+from samphirepost_daemon import metrics
+
+HEAD_KEY = "tables/head"
+CURRENT_KEY = "tables/current"
+AUDIT_PREFIX = "audit/"
+
+
+class Head(msgspec.Struct, frozen=True):
+    """The newest revision; coordinators read this row often."""
+
+    revision: int = 0
+
+
+class Current:
+    """Holds the newest tables that this daemon has; never moves back."""
+
+    __slots__ = ("_lock", "callers", "tables")
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self.tables = tables.Tables()
+        self.callers = {}
+
+    @property
+    def revision(self):
+        """The revision in force here."""
+        return self.tables.revision
+
+    def offer(self, candidate):
+        """Takes the tables if they are newer."""
+        with self._lock:
+            chosen = tables.newer(self.tables, candidate)
+            if chosen is self.tables:
+                return
+            self.callers = {
+                caller.token_sha256: name
+                for name, caller in chosen.callers.items()
+            }
+            self.tables = chosen
+        metrics.TABLES_REVISION.set(chosen.revision)
+        eliot.log_message(message_type="tables:in-force", revision=chosen.revision)
+
+
+def audit_key(revision):
+    """Returns the key of a revision's audit row; keys sort by revision."""
+    return f"{AUDIT_PREFIX}{revision:012d}"
+
+
+def read_head(table):
+    """Returns the newest revision's number, or a Failure."""
+    row = table.read(HEAD_KEY)
+    if isinstance(row, errors.Failure):
+        return row
+    return 0 if row is None else codec.unpack(row.value, Head).revision
+
+
+def read_tables(table):
+    """Returns the newest tables, or a Failure."""
+    row = table.read(CURRENT_KEY)
+    if row is None:
+        return tables.Tables()
+    if isinstance(row, errors.Failure):
+        return row
+    return codec.unpack(row.value, tables.Tables)
--- /dev/null
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/directory.py
@@ -0,0 +1,39 @@
+"""The newest view of the members, readable from any thread."""
+
+from samphirepost import membership
+
+EMPTY_VIEW = membership.make_view((), {}, {}, {}, (), 0)
+
+
+class Directory:
+    """The view and the word that the tables are the newest."""
+
+    __slots__ = ("_by_name", "confirmation", "table_out", "view")
+
+    def __init__(self, confirm_s):
+        self.view = EMPTY_VIEW
+        self.confirmation = membership.Confirmation(confirm_s)
+        self.table_out = False
+        self._by_name = {}
+
+    def set_view(self, view):
+        """Puts a newer view in place."""
+        self._by_name = {member.name: member for member in view.members}
+        self.view = view
+
+    def live(self, name):
+        """Whether a daemon of that name is a member."""
+        return name in self._by_name
+
+    def member(self, name):
+        """Returns the member of that name, or None."""
+        return self._by_name.get(name)
+
+    def owner(self, partition):
+        """Returns the member that owns the partition, or None."""
+        owner = self.view.owners.get(partition)
+        return None if owner is None else self.member(owner.name)
+
+    def serving(self):
+        """Returns the names of the members that take work."""
+        return [m.name for m in self.view.members if m.serving]
--- /dev/null
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/gate.py
@@ -0,0 +1,53 @@
+"""Whether this daemon takes requests, and how many are in progress."""
+
+import threading
+
+from samphirepost import errors
+
+
+class Gate:
+    """Counts requests in progress; closes when the daemon leaves."""
+
+    def __init__(self, clock, directory, current):
+        self._clock = clock
+        self._directory = directory
+        self._current = current
+        self._changed = threading.Condition()
+        self._count = 0
+        self.leaving = False
+
+    @property
+    def ready(self):
+        """Whether the balancer ought to send requests here."""
+        return not self.leaving and self.confirmed
+
+    @property
+    def confirmed(self):
+        """Whether the tables are known to be the newest."""
+        now_s = self._clock.monotonic_s()
+        return self._directory.confirmation.fresh(now_s)
+
+    def refusal(self):
+        """Returns the Failure that refuses a new request, or None."""
+        if self.confirmed:
+            return None
+        reason = "this daemon may have old tables; ask another"
+        return errors.Failure(
+            errors.Kind.TABLES_UNCONFIRMED, reason, retry_after_s=1.0
+        )
+
+    def enter(self):
+        """Counts a request in."""
+        with self._changed:
+            self._count += 1
+
+    def leave(self):
+        """Counts a request out."""
+        with self._changed:
+            self._count -= 1
+            self._changed.notify_all()
+
+    def wait_empty(self, wait_s):
+        """Waits until nothing is in progress; returns whether it is so."""
+        with self._changed:
+            return self._changed.wait_for(lambda: self._count == 0, wait_s)
--- /dev/null
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/inbox.py
@@ -0,0 +1,61 @@
+"""Takes a peer's command to the actor that answers it."""
+
+import functools
+
+from samphirepost import hashing
+from samphirepost import messages
+from samphirepost_daemon import members
+from samphirepost_daemon import runner
+
+
+class Inbox:
+    """Knows the actors; returns replies or their futures."""
+
+    def __init__(self, owners, members_ref, runner_ref, current, gate):
+        self.owners = owners
+        self.members_ref = members_ref
+        self.runner_ref = runner_ref
+        self.current = current
+        self.gate = gate
+
+    def handle(self, command):
+        """Returns the reply to a command, or the future of it."""
+        return _handle(command, self)
+
+
+@functools.singledispatch
+def _handle(command, inbox):
+    """Commands on a work id go to the ledger of its partition."""
+    partition = hashing.partition_of(command.work)
+    return inbox.owners.handle(partition, command)
+
+
+@_handle.register
+def _(command: messages.Submit, inbox):
+    partition = hashing.partition_of(command.accepted.work)
+    return inbox.owners.handle(partition, command)
+
+
+@_handle.register(messages.Pull)
+@_handle.register(messages.Renew)
+def _(command, inbox):
+    return inbox.owners.handle(command.partition, command)
+
+
+@_handle.register(messages.Heartbeat)
+@_handle.register(messages.Digest)
+def _(command, inbox):
+    return inbox.members_ref.ask(members.Hear(command))
+
+
+@_handle.register
+def _(command: messages.TablesPull, inbox):
+    tables = inbox.current.tables
+    fresh = inbox.gate.confirmed and tables.revision > 0
+    return messages.TablesReply(tables if fresh else None)
+
+
+@_handle.register
+def _(command: messages.Burst, inbox):
+    inbox.runner_ref.tell(runner.Hint(command))
+    return messages.Done()
--- /dev/null
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/members.py
@@ -0,0 +1,405 @@
+"""The actor that knows the members of this zone and who coordinates it.
+
+One daemon in a zone coordinates it, by a row in the table service. Members
+send it heartbeats and get the view of all zones; only coordinators read and
+write the table service for this, so its load grows with the zones. A wrong
+or double coordinator costs efficiency alone.
+"""
+
+import functools
+
+import eliot
+import msgspec
+import pykka
+
+from samphirepost import codec
+from samphirepost import hashing
+from samphirepost import lease
+from samphirepost import membership
+from samphirepost import messages
+from samphirepost import records
+from samphirepost_daemon import commits
+from samphirepost_daemon import metrics
+from samphirepost_daemon import platform
+
+ZONE_PREFIX = "zone/"
+PARTITION_PREFIX = "partition/"
+RANK_STEP_S = 0.5
+RANK_MAX = 10
+
+
+class Hear(msgspec.Struct, frozen=True):
+    """A peer's heartbeat or digest."""
+
+    command: messages.Heartbeat | messages.Digest
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """Asks whom to tell at this beat."""
+
+
+class Beat(msgspec.Struct, frozen=True):
+    """This daemon as a member, whom it follows and whom it may ask.
+
+    `neighbours` are peers of this zone that would coordinate before this
+    daemon; `others` has peers of each other zone, the likeliest first.
+    """
+
+    member: messages.Member
+    coordinating: bool
+    coordinator: str
+    version: str
+    digest: messages.Digest
+    neighbours: tuple[str, ...]
+    others: dict[str, tuple[str, ...]]
+
+
+class Observed(msgspec.Struct, frozen=True):
+    """The rows of the table service as asked for at `asked_s`."""
+
+    asked_s: float
+    zones: tuple[platform.Versioned, ...]
+    partitions: tuple[platform.Versioned, ...]
+    leaving: tuple[str, ...]
+    revision: int
+
+
+class ZoneWrite(msgspec.Struct, frozen=True):
+    """The zone's row to write at the revision."""
+
+    row: membership.ZoneRow
+    revision: int
+
+
+class ZoneWritten(msgspec.Struct, frozen=True):
+    """Whether the zone's row was written as planned."""
+
+    ours: bool
+
+
+class Told(msgspec.Struct, frozen=True):
+    """A peer replied to the heartbeat sent at `asked_s`."""
+
+    asked_s: float
+    reply: messages.HeartbeatReply
+
+
+class Silent(msgspec.Struct, frozen=True):
+    """A peer did not reply."""
+
+    peer: str
+
+
+class Out(msgspec.Struct, frozen=True):
+    """The table service is out; the digests of zones that answered."""
+
+    asked_s: float
+    digests: tuple[messages.Digest, ...]
+
+
+class Serving(msgspec.Struct, frozen=True):
+    """Says whether this daemon takes requests."""
+
+    serving: bool
+
+
+class Waiting(msgspec.Struct, frozen=True):
+    """Says which of this daemon's partitions have items to hand out."""
+
+    partitions: tuple[int, ...]
+
+
+class MembersActor(pykka.ThreadingActor):
+    """Keeps the zone's members and makes the view."""
+
+    def __init__(self, me, cfg, clock, directory, current):
+        super().__init__()
+        self._me = me
+        self._cfg = cfg
+        self._clock = clock
+        self._directory = directory
+        self._current = current
+        self._silent_s = cfg.dead_ms / 1000
+        self._zone = membership.Zone(self._silent_s)
+        self._coordinating = False
+        self._coordinator = ""
+        self._silences = {}
+        self._watches = {}
+        self._zones = {}
+        self._table_out = False
+
+    def on_receive(self, message):
+        return self._receive(message)
+
+    @functools.singledispatchmethod
+    def _receive(self, message):
+        raise TypeError(type(message))
+
+    @_receive.register
+    def _(self, message: Serving):
+        self._me = msgspec.structs.replace(self._me, serving=message.serving)
+
+    @_receive.register
+    def _(self, message: Waiting):
+        self._me = msgspec.structs.replace(
+            self._me, partitions_waiting=message.partitions
+        )
+
+    def _member(self):
+        revision = self._current.revision
+        return msgspec.structs.replace(self._me, revision=revision)
+
+    @_receive.register
+    def _(self, message: Plan):
+        now_s = self._clock.monotonic_s()
+        self._zone.hear(self._member(), now_s)
+        self._zone.forget_silent(now_s)
+        return Beat(
+            member=self._member(),
+            coordinating=self._coordinating,
+            coordinator=self._followed(now_s),
+            version=self._directory.view.version,
+            digest=self._digest(now_s),
+            neighbours=self._neighbours(),
+            others=self._others(),
+        )
+
+    def _followed(self, now_s):
+        if self._coordinating or self._is_silent(self._coordinator, now_s):
+            return ""
+        return self._coordinator
+
+    def _is_silent(self, peer, now_s):
+        since_s = self._silences.get(peer)
+        return since_s is not None and now_s - since_s < self._silent_s
+
+    def _digest(self, now_s):
+        return messages.Digest(
+            self._me.zone,
+            self._zone.live(),
+            self._current.revision,
+            self._directory.confirmation.age(now_s),
+        )
+
+    def _ranked(self, zone):
+        """Returns the zone's peers, the likeliest coordinator first."""
+        view = self._directory.view
+        peers = [m.peer for m in view.members if m.zone == zone]
+        ranked = hashing.ranked(f"zone/{zone}", peers)
+        first = view.coordinators.get(zone)
+        if first in ranked:
+            ranked.remove(first)
+            ranked.insert(0, first)
+        return ranked
+
+    def _neighbours(self):
+        ranked = self._ranked(self._me.zone)
+        if self._me.peer in ranked:
+            return tuple(ranked[: ranked.index(self._me.peer)])
+        return tuple(ranked)
+
+    def _others(self):
+        zones = {m.zone for m in self._directory.view.members}
+        zones.discard(self._me.zone)
+        return {zone: tuple(self._ranked(zone)) for zone in sorted(zones)}
+
+    @_receive.register
+    def _(self, message: Hear):
+        return self._hear(message.command)
+
+    @functools.singledispatchmethod
+    def _hear(self, command):
+        raise TypeError(type(command))
+
+    @_hear.register
+    def _(self, command: messages.Heartbeat):
+        now_s = self._clock.monotonic_s()
+        self._zone.hear(command.member, now_s)
+        view = self._directory.view
+        return messages.HeartbeatReply(
+            confirmed_age_s=self._directory.confirmation.age(now_s),
+            revision=self._current.revision,
+            view=None if command.version == view.version else view,
+        )
+
+    @_hear.register
+    def _(self, command: messages.Digest):
+        return self._digest(self._clock.monotonic_s())
+
+    @_receive.register
+    def _(self, message: Told):
+        reply = message.reply
+        if reply.revision <= self._current.revision:
+            confirmation = self._directory.confirmation
+            confirmation.confirm(message.asked_s, reply.confirmed_age_s)
+        if reply.view is not None:
+            self._follow_view(reply.view)
+
+    def _follow_view(self, view):
+        self._set_view(view)
+        coordinator = view.coordinators.get(self._me.zone, "")
+        if coordinator != self._me.peer:
+            self._coordinator = coordinator
+
+    @_receive.register
+    def _(self, message: Silent):
+        self._silences[message.peer] = self._clock.monotonic_s()
+
+    @_receive.register
+    def _(self, message: Observed):
+        now_s = self._clock.monotonic_s()
+        if self._table_out:
+            self._restart_watches(now_s)
+        self._set_table_out(False)
+        self._note_rows(message, now_s)
+        if message.revision <= self._current.revision:
+            self._directory.confirmation.confirm(message.asked_s)
+        self._set_view(self._make_view(message, now_s))
+        return self._zone_write(now_s)
+
+    def _restart_watches(self, now_s):
+        for watch in self._watches.values():
+            watch.restart(now_s)
+
+    def _note_rows(self, message, now_s):
+        self._zones = {}
+        for row in (*message.zones, *message.partitions):
+            watch = self._watches.setdefault(row.key, lease.Watch())
+            watch.observe(row.revision, now_s)
+        for row in message.zones:
+            zone = row.key.removeprefix(ZONE_PREFIX)
+            value = codec.unpack(row.value, membership.ZoneRow)
+            self._zones[zone] = ZoneWrite(value, row.revision)
+
+    def _make_view(self, observed, now_s):
+        members = {}
+        coordinators = {}
+        for zone, found in self._zones.items():
+            watch = self._watches[ZONE_PREFIX + zone]
+            if watch.lapsed(2 * self._silent_s, now_s):
+                continue
+            coordinators[zone] = found.row.peer
+            members.update({m.name: m for m in found.row.members})
+        if self._coordinating:
+            members.update({m.name: m for m in self._zone.live()})
+        members[self._me.name] = self._member()
+        owners, suspects = self._partitions(observed.partitions, now_s)
+        return membership.make_view(
+            members.values(),
+            owners,
+            suspects,
+            coordinators,
+            observed.leaving,
+            observed.revision,
+        )
+
+    def _partitions(self, rows, now_s):
+        owners = {}
+        suspects = dict.fromkeys(
+            range(self._cfg.ledger.partitions), platform.ABSENT
+        )
+        lease_s = self._cfg.ledger.lease_ms / 1000
+        for versioned in rows:
+            number = commits.partition_in(versioned.key)
+            row = codec.unpack(versioned.value, records.Row)
+            owners[number] = messages.Owner(row.owner, row.epoch)
+            watch = self._watches[versioned.key]
+            if not row.owner or watch.lapsed(lease_s, now_s):
+                suspects[number] = versioned.revision
+            else:
+                suspects.pop(number, None)
+        return owners, suspects
+
+    def _zone_write(self, now_s):
+        """Returns the row to write if this daemon (now) coordinates."""
+        found = self._zones.get(self._me.zone)
+        if found is None:
+            return self._new_row(0, platform.ABSENT)
+        row = found.row
+        if row.coordinator == self._me.name:
+            self._set_coordinating(True)
+            return self._new_row(row.epoch, found.revision)
+        self._set_coordinating(False)
+        self._coordinator = row.peer
+        watch = self._watches[ZONE_PREFIX + self._me.zone]
+        rank = min(RANK_MAX, len(self._neighbours()))
+        wait_s = self._silent_s + rank * RANK_STEP_S
+        if not row.coordinator or watch.lapsed(wait_s, now_s):
+            return self._new_row(row.epoch + 1, found.revision)
+        return None
+
+    def _new_row(self, epoch, revision):
+        row = membership.ZoneRow(
+            coordinator=self._me.name,
+            peer=self._me.peer,
+            epoch=epoch,
+            members=self._zone.live(),
+        )
+        return ZoneWrite(row, revision)
+
+    @_receive.register
+    def _(self, message: ZoneWritten):
+        self._set_coordinating(message.ours)
+
+    def _set_coordinating(self, coordinating):
+        if coordinating == self._coordinating:
+            return
+        self._coordinating = coordinating
+        if coordinating:
+            self._coordinator = ""
+        metrics.COORDINATING.set(int(coordinating))
+        eliot.log_message(
+            message_type="zone:coordinating",
+            zone=self._me.zone,
+            coordinating=coordinating,
+        )
+
+    @_receive.register
+    def _(self, message: Out):
+        now_s = self._clock.monotonic_s()
+        self._set_table_out(True)
+        self._confirm_by_digests(message)
+        self._set_view(self._view_of(message.digests))
+
+    def _confirm_by_digests(self, message):
+        view = self._directory.view
+        confirmation = self._directory.confirmation
+        newest = max((d.revision for d in message.digests), default=0)
+        if newest > self._current.revision or not self._current.revision:
+            return
+        known = {m.zone for m in view.members} | {self._me.zone}
+        heard = {d.zone for d in message.digests} | {self._me.zone}
+        if membership.outage_confirms(known, heard):
+            confirmation.confirm(message.asked_s)
+
+    def _view_of(self, digests):
+        """Returns the view with the members that can be heard of now."""
+        view = self._directory.view
+        members = {m.name: m for m in self._zone.live()}
+        for digest in digests:
+            members.update({m.name: m for m in digest.members})
+        heard = {d.zone for d in digests} | {self._me.zone}
+        for member in view.members:
+            if member.zone not in heard:
+                members[member.name] = member
+        return membership.make_view(
+            members.values(),
+            view.owners,
+            {},
+            view.coordinators,
+            view.leaving,
+            view.revision,
+        )
+
+    def _set_table_out(self, out):
+        if out == self._table_out:
+            return
+        self._table_out = out
+        self._directory.table_out = out
+        eliot.log_message(message_type="table-service:out", out=out)
+
+    def _set_view(self, view):
+        if view.version == self._directory.view.version:
+            return
+        self._directory.set_view(view)
+        metrics.MEMBERS.set(len(view.members))
--- /dev/null
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/owners.py
@@ -0,0 +1,77 @@
+"""Sends commands to the daemon that owns a partition, here or elsewhere."""
+
+import concurrent.futures
+import threading
+
+from samphirepost import errors
+from samphirepost import hashing
+from samphirepost_daemon import ledgers
+
+RETRY_S = 0.05
+
+
+class Owners:
+    """Finds a partition's owner and asks it, again if it has moved."""
+
+    def __init__(self, name, ledger_ref, client, directory, clock):
+        self._name = name
+        self._ledger_ref = ledger_ref
+        self._client = client
+        self._directory = directory
+        self._clock = clock
+
+    def ask_work(self, work, command, wait_s):
+        """Returns the reply of the owner of a work id, or a Failure."""
+        partition = hashing.partition_of(work)
+        if partition is None:
+            return errors.Failure(errors.Kind.NOT_FOUND, f"no work {work}")
+        return self.ask(partition, command, wait_s)
+
+    def ask(self, partition, command, wait_s):
+        """Returns the owner's reply, or a Failure after `wait_s`.
+
+        Commands carry ids of their own, so asking twice is safe.
+        """
+        until_s = self._clock.monotonic_s() + wait_s
+        uncertain = False
+        while True:
+            left_s = until_s - self._clock.monotonic_s()
+            reply = self._ask_once(partition, command, max(0.05, left_s))
+            if not _may_ask_again(reply):
+                return reply
+            uncertain |= reply.outcome is errors.Outcome.UNKNOWN
+            if self._clock.monotonic_s() + RETRY_S >= until_s:
+                return reply.unknown() if uncertain else reply
+            threading.Event().wait(RETRY_S)
+
+    def _ask_once(self, partition, command, wait_s):
+        owner = self._directory.owner(partition)
+        if owner is None:
+            reason = f"partition {partition} has no owner now"
+            return errors.Failure(errors.Kind.NOT_OWNER, reason)
+        if owner.name != self._name:
+            return self._client.ask(owner.peer, command, wait_s)
+        future = self.handle(partition, command)
+        try:
+            return future.result(timeout=wait_s)
+        except concurrent.futures.TimeoutError:
+            return errors.Failure(
+                errors.Kind.PLATFORM_UNCERTAIN,
+                "the command is not durable yet",
+                errors.Outcome.UNKNOWN,
+            )
+
+    def handle(self, partition, command):
+        """Gives the command to this daemon's own ledger."""
+        future = concurrent.futures.Future()
+        self._ledger_ref.tell(ledgers.Handle(partition, command, future))
+        return future
+
+
+def _may_ask_again(reply):
+    if not isinstance(reply, errors.Failure):
+        return False
+    return reply.kind in (
+        errors.Kind.NOT_OWNER,
+        errors.Kind.PEER_UNREACHABLE,
+    )
--- /dev/null
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/peers.py
@@ -0,0 +1,170 @@
+"""Requests between daemons over pynng, each under an id of its own.
+
+A server always replies within the request's wait, so a client that hears
+nothing for longer has a dead or silent connection: it is retired and the
+next request goes over a new one.
+"""
+
+import asyncio
+import concurrent.futures
+import threading
+import uuid
+
+import msgspec
+import pynng
+
+from samphirepost import codec
+from samphirepost import errors
+from samphirepost import messages
+from samphirepost_daemon import metrics
+
+CONTEXTS = 128
+GRACE_S = 0.4
+RESEND_NEVER_MS = 3_600_000
+MESSAGE_BYTES_MAX = 64 * 1024 * 1024
+
+
+class Call(msgspec.Struct, frozen=True):
+    """A request on the wire and how long its reply may take (s)."""
+
+    request: messages.Request
+    wait_s: float
+
+
+class Server:
+    """Answers peers' commands; `handle` returns a reply or its future."""
+
+    def __init__(self, address, handle):
+        self._address = address
+        self._handle = handle
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._socket = None
+        self._started = threading.Event()
+
+    def start(self):
+        """Listens, and returns when peers can connect."""
+        self._thread.start()
+        self._started.wait()
+
+    def stop(self):
+        """Stops listening."""
+        self._loop.call_soon_threadsafe(self._socket.close)
+
+    def _run(self):
+        asyncio.set_event_loop(self._loop)
+        self._loop.run_until_complete(self._serve())
+
+    async def _serve(self):
+        self._socket = pynng.Rep0()
+        self._socket.recv_max_size = MESSAGE_BYTES_MAX
+        self._socket.listen(self._address)
+        self._started.set()
+        contexts = [self._socket.new_context() for _ in range(CONTEXTS)]
+        tasks = [self._serve_context(context) for context in contexts]
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _serve_context(self, context):
+        while True:
+            try:
+                data = await context.arecv()
+                call = codec.unpack(data, Call)
+                reply = await self._answer(call)
+                response = messages.Response(call.request.id, reply)
+                await context.asend(codec.pack(response))
+            except pynng.Closed:
+                return
+            except (pynng.NNGException, msgspec.DecodeError):
+                metrics.PEER_ERRORS.inc()
+
+    async def _answer(self, call):
+        found = self._handle(call.request.command)
+        if not isinstance(found, concurrent.futures.Future):
+            return found
+        waiting = asyncio.wrap_future(found)
+        try:
+            return await asyncio.wait_for(
+                asyncio.shield(waiting), call.wait_s
+            )
+        except asyncio.TimeoutError:
+            return errors.Failure(
+                errors.Kind.PLATFORM_UNCERTAIN,
+                "the command is not durable yet",
+                errors.Outcome.UNKNOWN,
+            )
+
+
+class Connection:
+    """One socket to one peer, and how many requests use it now."""
+
+    __slots__ = ("retired", "socket", "users")
+
+    def __init__(self, address):
+        self.socket = pynng.Req0(resend_time=RESEND_NEVER_MS)
+        self.socket.recv_max_size = MESSAGE_BYTES_MAX
+        self.socket.dial(address, block=False)
+        self.users = 0
+        self.retired = False
+
+
+class Client:
+    """Sends commands to peers by address."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._connections = {}
+
+    def ask(self, address, command, wait_s):
+        """Returns the peer's reply, or a Failure of unknown outcome."""
+        connection = self._enter(address)
+        request = messages.Request(uuid.uuid4().hex, command)
+        data = codec.pack(Call(request, wait_s))
+        try:
+            reply = self._exchange(connection, request.id, data, wait_s)
+        except pynng.NNGException as exc:
+            self._retire(address, connection)
+            reason = f"{address}: {type(exc).__name__}"
+            reply = errors.Failure(
+                errors.Kind.PEER_UNREACHABLE, reason, errors.Outcome.UNKNOWN
+            )
+        finally:
+            self._leave(connection)
+        return reply
+
+    def _exchange(self, connection, request_id, data, wait_s):
+        timeout_ms = int((wait_s + GRACE_S) * 1000)
+        with connection.socket.new_context() as context:
+            context.send_timeout = timeout_ms
+            context.recv_timeout = timeout_ms
+            context.send(data)
+            response = codec.unpack(context.recv(), messages.Response)
+        if response.id != request_id:
+            return errors.Failure(
+                errors.Kind.STREAM_CROSSED,
+                "a peer's reply belongs to another request",
+                errors.Outcome.UNKNOWN,
+            )
+        return response.reply
+
+    def _enter(self, address):
+        with self._lock:
+            connection = self._connections.get(address)
+            if connection is None:
+                connection = Connection(address)
+                self._connections[address] = connection
+            connection.users += 1
+            return connection
+
+    def _retire(self, address, connection):
+        metrics.PEER_CONNECTIONS_RETIRED.inc()
+        with self._lock:
+            connection.retired = True
+            if self._connections.get(address) is connection:
+                del self._connections[address]
+
+    def _leave(self, connection):
+        with self._lock:
+            connection.users -= 1
+            unused = connection.retired and connection.users == 0
+        if unused:
+            connection.socket.close()
--- /dev/null
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform.py
@@ -0,0 +1,242 @@
+"""The platform's services: table service, object store and VM list.
+
+Each is met behind a narrow interface. Every call returns a value or a
+Failure: PLATFORM_OUT when nothing took effect for certain, and
+PLATFORM_UNCERTAIN when a write may have taken effect.
+"""
+
+import enum
+import uuid
+
+import msgspec
+import urllib3
+
+from samphirepost import codec
+from samphirepost import errors
+
+ABSENT = 0
+CONNECTIONS_MAX = 32
+
+
+class Versioned(msgspec.Struct, frozen=True):
+    """A row with its revision and the id of the write that made it."""
+
+    key: str
+    revision: int
+    write: str
+    value: bytes
+
+
+class Transaction(msgspec.Struct, frozen=True):
+    """Puts that take effect together if every row is at its revision.
+
+    A revision of ABSENT asks that the row is not there.
+    """
+
+    write: str
+    checks: dict[str, int]
+    puts: dict[str, bytes]
+
+
+class Written(msgspec.Struct, frozen=True, tag="written"):
+    """The transaction took effect; the new revision of each row."""
+
+    revisions: dict[str, int]
+
+
+class Conflict(msgspec.Struct, frozen=True, tag="conflict"):
+    """A row was at another revision, and nothing took effect."""
+
+    revisions: dict[str, int]
+
+
+class Rows(msgspec.Struct, frozen=True):
+    """The rows of a scan."""
+
+    rows: tuple[Versioned, ...]
+
+
+class VmState(enum.Enum):
+    """A VM as the platform's lagging list has it."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class Vm(msgspec.Struct, frozen=True):
+    """One VM of the platform's list; `address` is where peers reach it."""
+
+    id: str
+    state: VmState
+    address: str = ""
+
+
+class VmRows(msgspec.Struct, frozen=True):
+    """The platform's list of VMs."""
+
+    vms: tuple[Vm, ...]
+
+
+def write_id():
+    """Returns a new unique id for a write."""
+    return uuid.uuid4().hex
+
+
+class Http:
+    """Calls one of the platform's services; a silent one is abandoned."""
+
+    def __init__(self, url, timeout_ms):
+        seconds = timeout_ms / 1000
+        self._url = url
+        self._pool = urllib3.PoolManager(
+            maxsize=CONNECTIONS_MAX,
+            retries=False,
+            timeout=urllib3.Timeout(connect=seconds, read=seconds),
+        )
+
+    def call(self, method, path, body=None, fields=None):
+        """Returns the response, or a Failure."""
+        try:
+            reply = self._pool.request(
+                method, self._url + path, body=body, fields=fields
+            )
+        except urllib3.exceptions.NewConnectionError:
+            return _out(f"{self._url} cannot be reached")
+        except urllib3.exceptions.ConnectTimeoutError:
+            return _out(f"{self._url} cannot be reached")
+        except urllib3.exceptions.HTTPError as exc:
+            return _uncertain(f"{self._url}: {type(exc).__name__}")
+        if reply.status == 503:
+            return _out(f"{self._url} refuses")
+        if reply.status >= 500:
+            return _uncertain(f"{self._url} answers {reply.status}")
+        return reply
+
+
+class TableService:
+    """The transactional table service over HTTP."""
+
+    def __init__(self, http):
+        self._http = http
+
+    def read(self, key):
+        """Returns the row, None if it is absent, or a Failure."""
+        reply = self._http.call("GET", "/rows", fields={"key": key})
+        if isinstance(reply, errors.Failure):
+            return reply
+        if reply.status == 404:
+            return None
+        return codec.from_json(reply.data, Versioned)
+
+    def scan(self, prefix):
+        """Returns the rows whose keys begin with the prefix, or a Failure."""
+        reply = self._http.call("GET", "/scan", fields={"prefix": prefix})
+        if isinstance(reply, errors.Failure):
+            return reply
+        found = codec.from_json(reply.data, Rows)
+        return found if isinstance(found, errors.Failure) else found.rows
+
+    def write(self, transaction):
+        """Returns Written, Conflict or a Failure."""
+        body = codec.to_json(transaction)
+        reply = self._http.call("POST", "/transactions", body=body)
+        if isinstance(reply, errors.Failure):
+            return reply
+        return codec.from_json(reply.data, Written | Conflict)
+
+
+class ObjectStore:
+    """The object store over HTTP."""
+
+    def __init__(self, http):
+        self._http = http
+
+    def put(self, name, data):
+        """Stores the bytes; returns None or a Failure."""
+        reply = self._http.call("PUT", f"/objects/{name}", body=data)
+        return reply if isinstance(reply, errors.Failure) else None
+
+    def get(self, name):
+        """Returns the bytes or a Failure."""
+        reply = self._http.call("GET", f"/objects/{name}")
+        if isinstance(reply, errors.Failure):
+            return reply
+        if reply.status == 404:
+            return errors.Failure(errors.Kind.NOT_FOUND, f"no object {name}")
+        return reply.data
+
+
+class VmList:
+    """The platform's list of live and leaving VMs over HTTP."""
+
+    def __init__(self, http):
+        self._http = http
+
+    def read(self):
+        """Returns the VMs or a Failure."""
+        reply = self._http.call("GET", "/vms")
+        if isinstance(reply, errors.Failure):
+            return reply
+        found = codec.from_json(reply.data, VmRows)
+        return found if isinstance(found, errors.Failure) else found.vms
+
+
+class Platform:
+    """The platform's three services."""
+
+    __slots__ = ("objects", "table", "vms")
+
+    def __init__(self, table, objects, vms):
+        self.table = table
+        self.objects = objects
+        self.vms = vms
+
+
+def connect(cfg):
+    """Returns the Platform at the addresses in the settings."""
+    return Platform(
+        TableService(Http(cfg.table_url, cfg.timeout_ms)),
+        ObjectStore(Http(cfg.object_url, cfg.timeout_ms)),
+        VmList(Http(cfg.vms_url, cfg.timeout_ms)),
+    )
+
+
+def settle(table, transaction):
+    """Writes once and reads back if the answer was lost.
+
+    Returns Written, Conflict, or a Failure while neither is known. After a
+    Failure the same transaction must be settled again before another: the
+    first may still take effect.
+    """
+    outcome = table.write(transaction)
+    if isinstance(outcome, Written):
+        return outcome
+    if isinstance(outcome, errors.Failure):
+        if outcome.kind is errors.Kind.PLATFORM_OUT:
+            return outcome
+    return _read_back(table, transaction, outcome)
+
+
+def _read_back(table, transaction, outcome):
+    key = next(iter(transaction.puts))
+    row = table.read(key)
+    if isinstance(row, errors.Failure):
+        return row.unknown()
+    if row is not None and row.write == transaction.write:
+        return Written({key: row.revision})
+    if isinstance(outcome, Conflict):
+        return outcome
+    revision = ABSENT if row is None else row.revision
+    if revision != transaction.checks.get(key, revision):
+        return Conflict({key: revision})
+    return outcome
+
+
+def _out(reason):
+    return errors.Failure(errors.Kind.PLATFORM_OUT, reason)
+
+
+def _uncertain(reason):
+    return errors.Failure(
+        errors.Kind.PLATFORM_UNCERTAIN, reason, errors.Outcome.UNKNOWN
+    )
--- /dev/null
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/pollers.py
@@ -0,0 +1,187 @@
+"""Threads that poll targets, send hints, renew claims and tick the actors."""
+
+import concurrent.futures
+import threading
+
+import eliot
+import pykka
+
+from samphirepost import errors
+from samphirepost import messages
+from samphirepost import placement
+from samphirepost import tables
+from samphirepost_daemon import ledgers
+from samphirepost_daemon import members
+from samphirepost_daemon import runner
+
+TICK_S = 0.05
+LEDGER_TICK_S = 0.5
+HINT_S = 0.05
+HINT_REFRESH_S = 1.0
+HINT_CHANGE = 0.25
+HINT_WAIT_S = 0.3
+RENEW_WAIT_S = 1.0
+SUBSET_TARGETS = 24
+REPORT_THREADS = 8
+MISPLACED_TICKS = 4
+
+
+class Poller(threading.Thread):
+    """Calls `step` again and again until it is stopped."""
+
+    def __init__(self, interval_s, step):
+        super().__init__(daemon=True)
+        self._interval_s = interval_s
+        self._step = step
+        self._stopped = threading.Event()
+
+    def run(self):
+        while not self._stopped.wait(self._interval_s):
+            try:
+                self._step()
+            except pykka.ActorDeadError:
+                return
+            except Exception as exc:
+                eliot.log_message(message_type="poller:error", error=repr(exc))
+
+    def stop(self):
+        """Ends the thread."""
+        self._stopped.set()
+
+
+class Reports:
+    """Polls the load of the targets that this daemon sends work to."""
+
+    def __init__(self, cfg, current, directory, board, client):
+        self._cfg = cfg
+        self._current = current
+        self._directory = directory
+        self._board = board
+        self._client = client
+        self._pool = concurrent.futures.ThreadPoolExecutor(REPORT_THREADS)
+
+    def step(self):
+        """Asks every engine of the subset once."""
+        self._board.leaving(self._directory.view.leaving)
+        engines = {
+            name: destination
+            for name, destination in tables.targets(
+                self._current.tables
+            ).items()
+            if destination.kind is tables.TargetKind.ENGINE
+        }
+        chosen = placement.subset(
+            self._cfg.id, self._cfg.zone, engines.values(), SUBSET_TARGETS
+        )
+        list(self._pool.map(self._ask, [engines[name] for name in chosen]))
+
+    def _ask(self, destination):
+        report = self._client.report(destination)
+        if isinstance(report, errors.Failure):
+            self._board.missed(destination.id)
+        else:
+            self._board.report(destination.id, report)
+
+
+class Hints:
+    """Tells admitters of changes in this daemon's online load."""
+
+    def __init__(self, name, clock, board, directory, client, runner_ref):
+        self._name = name
+        self._clock = clock
+        self._board = board
+        self._directory = directory
+        self._client = client
+        self._runner_ref = runner_ref
+        self._told = {}
+        self._told_s = {}
+
+    def step(self):
+        """Sends what has changed, and all that is not zero now and then."""
+        by_member = {}
+        now_s = self._clock.monotonic_s()
+        serving = self._directory.serving()
+        for name, load in self._board.loads().items():
+            if self._is_news(name, load.online, now_s):
+                chosen = placement.admitter(name, serving)
+                by_member.setdefault(chosen, {})[name] = load.online
+                self._told[name] = load.online
+                self._told_s[name] = now_s
+        for member, targets in by_member.items():
+            self._tell(member, targets)
+
+    def _is_news(self, name, online, now_s):
+        told = self._told.get(name, 0)
+        if abs(online - told) > HINT_CHANGE * told:
+            return True
+        age_s = now_s - self._told_s.get(name, 0.0)
+        return online > 0 and age_s > HINT_REFRESH_S
+
+    def _tell(self, name, targets):
+        burst = messages.Burst(self._name, targets)
+        if name == self._name:
+            self._runner_ref.tell(runner.Hint(burst))
+            return
+        member = self._directory.member(name) if name else None
+        if member is not None:
+            self._client.ask(member.peer, burst, HINT_WAIT_S)
+
+
+class Renewals:
+    """Keeps the runner's claims and tells it of those it lost."""
+
+    def __init__(self, name, owners, runner_ref):
+        self._name = name
+        self._owners = owners
+        self._runner_ref = runner_ref
+
+    def step(self):
+        """Renews every claim once."""
+        found = self._runner_ref.ask(runner.Claims())
+        for partition, claims in found.items():
+            command = messages.Renew(partition, self._name, tuple(claims))
+            reply = self._owners.ask(partition, command, RENEW_WAIT_S)
+            if isinstance(reply, messages.RenewReply) and reply.lost:
+                self._runner_ref.tell(runner.ClaimsLost(reply.lost))
+
+
+class Placing:
+    """Acquires and releases partitions as the members change."""
+
+    def __init__(self, name, ledger_ref, members_ref, directory):
+        self._name = name
+        self._ledger_ref = ledger_ref
+        self._members_ref = members_ref
+        self._directory = directory
+        self._misplaced = {}
+        self.stopped = False
+
+    def step(self):
+        """Takes suspect partitions that this daemon ought to own."""
+        self._ledger_ref.tell(ledgers.Tick())
+        waiting = self._ledger_ref.ask(ledgers.Waiting())
+        self._members_ref.tell(members.Waiting(waiting))
+        if self.stopped:
+            return
+        view = self._directory.view
+        serving = self._directory.serving()
+        owned = self._ledger_ref.ask(ledgers.Owned())
+        for partition, revision in view.suspects.items():
+            if partition in owned:
+                continue
+            if placement.partition_owner(partition, serving) == self._name:
+                self._ledger_ref.tell(ledgers.Acquire(partition, revision))
+        self._release_misplaced(owned, serving)
+
+    def _release_misplaced(self, owned, serving):
+        """Gives up partitions that another has been preferred for."""
+        found = {}
+        for partition in owned:
+            preferred = placement.partition_owner(partition, serving)
+            if preferred in (None, self._name):
+                continue
+            found[partition] = self._misplaced.get(partition, 0) + 1
+            if found[partition] > MISPLACED_TICKS:
+                self._ledger_ref.tell(ledgers.Release(partition))
+        self._misplaced = found
+
--- /dev/null
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/runner.py
@@ -0,0 +1,606 @@
+"""The actor that admits batch work to this daemon's engines and runs it."""
+
+import collections
+import concurrent.futures
+import functools
+import uuid
+
+import eliot
+import msgspec
+import pykka
+
+from samphirepost import admission
+from samphirepost import choice
+from samphirepost import errors
+from samphirepost import hashing
+from samphirepost import jobs
+from samphirepost import messages
+from samphirepost import placement
+from samphirepost import tables
+from samphirepost_daemon import metrics
+from samphirepost_daemon import online
+from samphirepost_daemon import outbox as outbox_module
+from samphirepost_daemon import results
+from samphirepost_daemon import uploads
+from samphirepost_daemon import work
+
+THREADS = 512
+PULL_WAIT_S = 3.0
+START_WAIT_S = 5.0
+UNSAVED_MAX = 2000
+HINT_S = 3.0
+BACKOFF_S = 0.5
+RESUME_S = 10.0
+FAILURES_MAX = 3
+_PREEMPTED = errors.Failure(
+    errors.Kind.OVERLOADED, "preempted by online work", errors.Outcome.UNKNOWN
+)
+_CLAIM_LOST = errors.Failure(
+    errors.Kind.CANCELLED, "the claim was lost", errors.Outcome.UNKNOWN
+)
+
+
+class Tick(msgspec.Struct, frozen=True):
+    """Adjust the limits; start, preempt and pull."""
+
+
+class Pulled(msgspec.Struct, frozen=True):
+    """What the partition owners granted for a target."""
+
+    target: str
+    grants: tuple[messages.Grant, ...]
+
+
+class Ran(msgspec.Struct, frozen=True):
+    """A run ended with a Result or a Failure."""
+
+    run: object
+    outcome: object
+
+
+class Hint(msgspec.Struct, frozen=True):
+    """A daemon's count of online requests on this daemon's targets."""
+
+    burst: messages.Burst
+
+
+class Claims(msgspec.Struct, frozen=True):
+    """Asks for the claims held, by partition."""
+
+
+class ClaimsLost(msgspec.Struct, frozen=True):
+    """Claims that this daemon no longer holds."""
+
+    claims: tuple[str, ...]
+
+
+class Stop(msgspec.Struct, frozen=True):
+    """Take no more work and hand back what runs."""
+
+
+class Busy(msgspec.Struct, frozen=True):
+    """Asks whether items are held here."""
+
+
+class Held:
+    """The items of a claim that have not ended here."""
+
+    __slots__ = ("items", "partition")
+
+    def __init__(self, grant):
+        self.items = set(grant.items)
+        self.partition = hashing.partition_of(grant.accepted.work)
+
+
+class Run:
+    """One item that this daemon runs or will run."""
+
+    __slots__ = (
+        "accepted",
+        "claim",
+        "failures",
+        "interrupt",
+        "item",
+        "preempted_s",
+        "solo",
+        "started",
+        "target",
+        "work",
+    )
+
+    def __init__(self, grant, item):
+        self.accepted = grant.accepted
+        self.claim = grant.claim
+        self.solo = grant.solo
+        self.item = item
+        self.target = ""
+        self.work = None
+        self.interrupt = work.Interrupt()
+        self.started = False
+        self.failures = 0
+        self.preempted_s = 0.0
+
+
+class Engine:
+    """The batch work of one target that this daemon admits."""
+
+    __slots__ = (
+        "gaps",
+        "hints",
+        "limit",
+        "paused_until_s",
+        "pool",
+        "pulling",
+        "ready",
+        "running",
+    )
+
+    def __init__(self, pool, row):
+        self.pool = pool
+        self.limit = admission.Limit(row.online_headroom, row.batch_limit_max)
+        self.gaps = collections.deque(maxlen=admission.STEP_SAMPLES)
+        self.hints = {}
+        self.ready = collections.deque()
+        self.running = []
+        self.pulling = False
+        self.paused_until_s = 0.0
+
+    def online(self, now_s):
+        """Returns the online requests that all daemons have there."""
+        fresh = [n for n, at_s in self.hints.values() if now_s - at_s < HINT_S]
+        return sum(fresh)
+
+
+class Inputs:
+    """Reads items' input lines; keeps the last few chunks."""
+
+    def __init__(self, objects):
+        self._objects = objects
+        self._chunk = functools.lru_cache(maxsize=16)(self._read)
+
+    def _read(self, name):
+        data = self._objects.get(name)
+        if isinstance(data, errors.Failure):
+            raise errors.Failed(data)
+        return data.splitlines()
+
+    def line(self, accepted, item):
+        """Returns an item's input line, or a Failure."""
+        chunk, offset = divmod(item, accepted.chunk_items)
+        try:
+            return self._chunk(accepted.chunks[chunk])[offset]
+        except errors.Failed as exc:
+            return exc.failure
+
+
+class Runner(pykka.ThreadingActor):
+    """Admits, runs, preempts and resumes batch items."""
+
+    def __init__(
+        self,
+        name,
+        cfg,
+        clock,
+        owners,
+        directory,
+        current,
+        dispatcher,
+        objects,
+        outbox,
+    ):
+        super().__init__()
+        self._name = name
+        self._cfg = cfg
+        self._clock = clock
+        self._owners = owners
+        self._directory = directory
+        self._current = current
+        self._dispatcher = dispatcher
+        self._inputs = Inputs(objects)
+        self._outbox = outbox
+        self._engines = {}
+        self._claims = {}
+        self._placed = None
+        self._stopping = False
+        self._pool = concurrent.futures.ThreadPoolExecutor(THREADS)
+
+    def on_receive(self, message):
+        return self._receive(message)
+
+    def on_stop(self):
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    @functools.singledispatchmethod
+    def _receive(self, message):
+        raise TypeError(type(message))
+
+    @_receive.register
+    def _(self, message: Hint):
+        now_s = self._clock.monotonic_s()
+        for name, count in message.burst.targets.items():
+            engine = self._engines.get(name)
+            if engine is not None:
+                engine.hints[message.burst.daemon] = (count, now_s)
+                self._admit(name, engine, now_s)
+
+    @_receive.register
+    def _(self, message: Tick):
+        self._place()
+        now_s = self._clock.monotonic_s()
+        for name, engine in self._engines.items():
+            self._measure(engine, now_s)
+            self._admit(name, engine, now_s)
+
+    def _place(self):
+        """Finds the targets that this daemon admits batch work to."""
+        serving = tuple(self._directory.serving())
+        placed = (self._current.revision, serving)
+        if placed == self._placed:
+            return
+        self._placed = placed
+        mine = {}
+        for pool, row in self._current.tables.pools.items():
+            for destination in row.targets:
+                chosen = placement.admitter(destination.id, serving)
+                if chosen == self._name:
+                    mine[destination.id] = self._engine(
+                        destination.id, pool, row
+                    )
+        for name in self._engines.keys() - mine.keys():
+            self._hand_back(self._engines[name])
+        self._engines = mine
+
+    def _engine(self, name, pool, row):
+        engine = self._engines.get(name)
+        if engine is None:
+            return Engine(pool, row)
+        engine.limit.headroom = row.online_headroom
+        engine.limit.limit_max = row.batch_limit_max
+        return engine
+
+    def _measure(self, engine, now_s):
+        while engine.gaps:
+            engine.limit.see_gap(engine.gaps.popleft())
+        engine.limit.adjust(now_s)
+
+    def _admit(self, name, engine, now_s):
+        engine.limit.see_online(engine.online(now_s), now_s)
+        room = engine.limit.room(now_s)
+        if now_s < engine.paused_until_s or self._stopping:
+            room = 0
+        metrics.BATCH_LIMIT.labels(name).set(room)
+        over = len(engine.running) - room
+        if over > 0:
+            self._preempt(engine, over)
+            return
+        self._expire(engine, now_s)
+        while engine.ready and len(engine.running) < room:
+            if not self._may_start(engine.ready[0]):
+                return
+            self._start(name, engine, engine.ready.popleft())
+        free = room - len(engine.running)
+        if free > 0 and not engine.pulling:
+            self._pull(name, engine, free)
+
+    def _preempt(self, engine, over):
+        """Ends the streams that were started last, to resume them later."""
+        for run in engine.running[-over:]:
+            if run.accepted.idempotent and not run.preempted_s:
+                run.preempted_s = self._clock.monotonic_s()
+                run.interrupt.fire(_PREEMPTED)
+                metrics.ITEMS_PREEMPTED.inc()
+
+    def _expire(self, engine, now_s):
+        """Hands back items that have waited long to be resumed."""
+        for run in list(engine.ready):
+            waited_s = now_s - run.preempted_s
+            if run.preempted_s and waited_s > RESUME_S:
+                engine.ready.remove(run)
+                self._return(run)
+
+    def _may_start(self, run):
+        """An item that may have taken its holder down runs alone."""
+        return not run.solo or not self._held_besides(run)
+
+    def _held_besides(self, run):
+        return any(
+            other is not run
+            for engine in self._engines.values()
+            for other in (*engine.running, *engine.ready)
+        )
+
+    def _start(self, name, engine, run):
+        run.target = name
+        run.preempted_s = 0.0
+        run.interrupt = work.Interrupt()
+        engine.running.append(run)
+        self._pool.submit(self._run, run, engine.gaps)
+
+    def _pull(self, name, engine, room):
+        waiting = self._waiting()
+        blocked = self._has_solo() or len(self._outbox) > UNSAVED_MAX
+        if not waiting or blocked:
+            return
+        engine.pulling = True
+        alone = not self._claims and not self._pulling_others(engine)
+        routes = tuple(
+            route
+            for route, row in self._current.tables.routes.items()
+            if row.pool == engine.pool
+        )
+        self._pool.submit(self._ask_all, name, waiting, routes, room, alone)
+
+    def _pulling_others(self, engine):
+        return any(
+            other.pulling
+            for other in self._engines.values()
+            if other is not engine
+        )
+
+    def _has_solo(self):
+        return any(
+            run.solo
+            for engine in self._engines.values()
+            for run in (*engine.running, *engine.ready)
+        )
+
+    def _waiting(self):
+        found = {
+            partition
+            for member in self._directory.view.members
+            for partition in member.partitions_waiting
+        }
+        salt = uuid.uuid4().hex
+        return hashing.ranked(salt, [str(n) for n in found])
+
+    def _ask_all(self, name, partitions, routes, room, alone):
+        grants = []
+        try:
+            for partition in partitions:
+                if room <= 0:
+                    break
+                found = self._ask(int(partition), routes, room, alone)
+                grants.extend(found)
+                room -= sum(len(grant.items) for grant in found)
+                alone = alone and not found
+        finally:
+            self.actor_ref.tell(Pulled(name, tuple(grants)))
+
+    def _ask(self, partition, routes, room, alone):
+        command = messages.Pull(
+            partition, self._name, uuid.uuid4().hex, routes, room, alone
+        )
+        reply = self._owners.ask(partition, command, PULL_WAIT_S)
+        if isinstance(reply, messages.PullReply):
+            return reply.grants
+        return ()
+
+    @_receive.register
+    def _(self, message: Pulled):
+        engine = self._engines.get(message.target)
+        for grant in message.grants:
+            self._claims[grant.claim] = Held(grant)
+            for item in grant.items:
+                run = Run(grant, item)
+                if engine is None:
+                    self._return(run)
+                else:
+                    engine.ready.append(run)
+        if engine is None:
+            return
+        engine.pulling = False
+        now_s = self._clock.monotonic_s()
+        if message.grants:
+            self._admit(message.target, engine, now_s)
+
+    def _run(self, run, gaps):
+        """Runs one item in a thread of the pool."""
+        try:
+            outcome = self._outcome(run, gaps)
+        except Exception as exc:
+            eliot.log_message(message_type="item:error", error=repr(exc))
+            outcome = errors.Failure(
+                errors.Kind.TARGET_FAILED, repr(exc), errors.Outcome.UNKNOWN
+            )
+        self.actor_ref.tell(Ran(run, outcome))
+
+    def _outcome(self, run, gaps):
+        failure = self._prepare(run)
+        if failure is not None:
+            return failure
+        steps = self._dispatcher.run(run.work)
+        tokens = metrics.TOKENS.labels("batch")
+        last_s = None
+        while True:
+            try:
+                token = next(steps)
+            except StopIteration as stop:
+                return stop.value
+            now_s = self._clock.monotonic_s()
+            if last_s is not None:
+                gaps.append((now_s - last_s) * 1000 / token.count)
+            last_s = now_s
+            tokens.inc(token.count)
+
+    def _prepare(self, run):
+        """Reads the input and starts the item; returns a Failure or None."""
+        if run.work is None:
+            line = self._inputs.line(run.accepted, run.item)
+            if isinstance(line, errors.Failure):
+                return errors.Failure(line.kind, line.reason)
+            found = self._work(run, line)
+            if isinstance(found, errors.Failure):
+                return found
+            run.work = found
+        run.work.pinned = run.target
+        run.work.interrupt = run.interrupt
+        run.work.tries = 0
+        if run.accepted.idempotent or run.started:
+            return None
+        return self._start_once(run)
+
+    def _start_once(self, run):
+        command = messages.ItemStart(run.accepted.work, run.item, run.claim)
+        work_id = run.accepted.work
+        reply = self._owners.ask_work(work_id, command, START_WAIT_S)
+        if isinstance(reply, errors.Failure):
+            return errors.Failure(errors.Kind.CANCELLED, reply.reason)
+        run.started = True
+        return None
+
+    def _work(self, run, line):
+        accepted = run.accepted
+        row = online.find_route(
+            self._current.tables, accepted.route, accepted.caller
+        )
+        if isinstance(row, errors.Failure):
+            return row
+        asked = msgspec.json.decode(line, type=uploads.ItemLine).body
+        payload = _payload(self._kind(row.pool), asked)
+        work_id = f"{accepted.work}-{run.item}"
+        found = work.Work(
+            work_id, accepted.caller, accepted.route, row, payload, ""
+        )
+        found.online = False
+        found.idempotent = accepted.idempotent
+        now = self._clock.now()
+        found.deadline_unix_s = accepted.deadline_unix_s
+        left_s = accepted.deadline_unix_s - now.unix_s
+        found.deadline_s = now.monotonic_s + left_s
+        return found
+
+    def _kind(self, pool):
+        row = self._current.tables.pools.get(pool)
+        return tables.TargetKind.ENGINE if row is None else row.targets[0].kind
+
+    @_receive.register
+    def _(self, message: Ran):
+        run = message.run
+        engine = self._engines.get(run.target)
+        if engine is not None and run in engine.running:
+            engine.running.remove(run)
+        self._end(run, engine, message.outcome)
+
+    def _end(self, run, engine, outcome):
+        if not isinstance(outcome, errors.Failure):
+            line = results.response_line(outcome)
+            self._finish(run, jobs.Item.DONE, line)
+        elif outcome is _PREEMPTED:
+            self._put_aside(run, engine)
+        elif outcome.kind is errors.Kind.CANCELLED:
+            self._forget(run)
+        elif outcome.kind in (
+            errors.Kind.REFUSED_BY_TARGET,
+            errors.Kind.ROUTE_MISSING,
+            errors.Kind.DEADLINE_PASSED,
+        ):
+            self._fail(run, outcome)
+        elif outcome.outcome is errors.Outcome.UNKNOWN:
+            self._lost(run, engine, outcome)
+        else:
+            self._not_run(run, engine)
+
+    def _put_aside(self, run, engine):
+        """Keeps a preempted item for later, with what it has emitted."""
+        if engine is None or self._stopping:
+            self._return(run)
+        else:
+            engine.ready.appendleft(run)
+
+    def _lost(self, run, engine, outcome):
+        """The item was sent and its answer did not come."""
+        run.failures += 1
+        if not run.accepted.idempotent:
+            self._finish(
+                run, jobs.Item.UNKNOWN, results.error_line(outcome)
+            )
+        elif run.failures >= FAILURES_MAX:
+            exhausted = errors.Failure(
+                errors.Kind.ATTEMPTS_EXHAUSTED,
+                outcome.reason,
+                errors.Outcome.UNKNOWN,
+            )
+            self._fail(run, exhausted)
+        elif engine is None:
+            self._return(run)
+        else:
+            engine.ready.append(run)
+
+    def _not_run(self, run, engine):
+        if engine is not None:
+            now_s = self._clock.monotonic_s()
+            engine.paused_until_s = now_s + BACKOFF_S
+        if run.started and engine is not None:
+            engine.ready.append(run)
+            return
+        self._return(run)
+
+    def _fail(self, run, failure):
+        self._finish(run, jobs.Item.FAILED, results.error_line(failure))
+
+    def _finish(self, run, state, line):
+        metrics.ITEMS.labels(state.name.lower()).inc()
+        result = messages.ItemResult(run.item, int(state), line)
+        self._outbox.put(
+            outbox_module.Ended(run.accepted.work, run.claim, result)
+        )
+        self._forget(run)
+
+    def _return(self, run):
+        self._outbox.put_back(
+            outbox_module.Back(run.accepted.work, run.claim, run.item)
+        )
+        self._forget(run)
+
+    def _forget(self, run):
+        held = self._claims.get(run.claim)
+        if held is None:
+            return
+        held.items.discard(run.item)
+        if not held.items:
+            del self._claims[run.claim]
+
+    @_receive.register
+    def _(self, message: Claims):
+        found = {}
+        for claim, held in self._claims.items():
+            found.setdefault(held.partition, []).append(claim)
+        return found
+
+    @_receive.register
+    def _(self, message: Busy):
+        return bool(self._claims)
+
+    @_receive.register
+    def _(self, message: ClaimsLost):
+        lost = set(message.claims)
+        for engine in self._engines.values():
+            for run in engine.running:
+                if run.claim in lost:
+                    run.interrupt.fire(_CLAIM_LOST)
+            kept = [r for r in engine.ready if r.claim not in lost]
+            engine.ready = collections.deque(kept)
+        for claim in lost:
+            self._claims.pop(claim, None)
+
+    def _hand_back(self, engine):
+        for run in engine.running:
+            if run.accepted.idempotent:
+                run.interrupt.fire(_PREEMPTED)
+        for run in engine.ready:
+            self._return(run)
+        engine.ready.clear()
+
+    @_receive.register
+    def _(self, message: Stop):
+        self._stopping = True
+        for engine in self._engines.values():
+            self._hand_back(engine)
+
+
+def _payload(kind, asked):
+    if kind is tables.TargetKind.SERVICE:
+        body = msgspec.json.encode(asked)
+        return work.Service(body, "application/json")
+    return work.Generation(asked, choice.prefix(asked.prompt))
+
--- /dev/null
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/wiring.py
@@ -0,0 +1,191 @@
+"""The composition root: makes a daemon's parts and joins them."""
+
+from samphirepost_daemon import batches
+from samphirepost_daemon import beats
+from samphirepost_daemon import board
+from samphirepost_daemon import clock as clock_module
+from samphirepost_daemon import current as current_module
+from samphirepost_daemon import directory as directory_module
+from samphirepost_daemon import dispatch
+from samphirepost_daemon import gate as gate_module
+from samphirepost_daemon import identity
+from samphirepost_daemon import inbox
+from samphirepost_daemon import keeper
+from samphirepost_daemon import ledgers
+from samphirepost_daemon import listener
+from samphirepost_daemon import members
+from samphirepost_daemon import online
+from samphirepost_daemon import operators
+from samphirepost_daemon import outbox
+from samphirepost_daemon import owners
+from samphirepost_daemon import peers
+from samphirepost_daemon import platform
+from samphirepost_daemon import pollers
+from samphirepost_daemon import runner
+from samphirepost_daemon import serve
+from samphirepost_daemon import targets
+
+
+class Daemon:
+    """The parts of one daemon that are started and stopped."""
+
+    def __init__(self, cfg):
+        self.cfg = cfg
+        self.clock = clock_module.Clock()
+        self.me = identity.member(cfg)
+        self.current = current_module.Current()
+        self.directory = directory_module.Directory(cfg.confirm_ms / 1000)
+        self.gate = gate_module.Gate(self.clock, self.directory, self.current)
+        self.services = platform.connect(cfg.platform)
+        self.client = peers.Client()
+        self._make_actors()
+        self._make_threads()
+        self._make_listeners()
+
+    def _make_actors(self):
+        cfg = self.cfg
+        self.board = board.Board(self.clock)
+        self.ledger = ledgers.LedgerActor.start(
+            self.me.name,
+            cfg.ledger,
+            self.services,
+            self.clock,
+            self.directory.live,
+        )
+        self.members = members.MembersActor.start(
+            self.me, cfg, self.clock, self.directory, self.current
+        )
+        self.owners = owners.Owners(
+            self.me.name,
+            self.ledger,
+            self.client,
+            self.directory,
+            self.clock,
+        )
+        self.outbox = outbox.Outbox(self.owners)
+        self.runner = runner.Runner.start(
+            self.me.name,
+            cfg,
+            self.clock,
+            self.owners,
+            self.directory,
+            self.current,
+            self._dispatcher(),
+            self.services.objects,
+            self.outbox,
+        )
+
+    def _dispatcher(self):
+        """Returns a dispatcher with connections of its own."""
+        client = targets.Client(self.cfg.limits.silence_ms)
+        return dispatch.Dispatcher(
+            self.clock, self.board, client, self.current
+        )
+
+    def _make_threads(self):
+        cfg = self.cfg
+        reports = pollers.Reports(
+            cfg,
+            self.current,
+            self.directory,
+            self.board,
+            targets.Client(cfg.limits.silence_ms),
+        )
+        hints = pollers.Hints(
+            self.me.name,
+            self.clock,
+            self.board,
+            self.directory,
+            self.client,
+            self.runner,
+        )
+        renewals = pollers.Renewals(self.me.name, self.owners, self.runner)
+        self.placing = pollers.Placing(
+            self.me.name, self.ledger, self.members, self.directory
+        )
+        self.keeper = keeper.Keeper(self.owners)
+        self.beats = beats.Beats(
+            self.members,
+            self.services,
+            self.client,
+            self.clock,
+            self.current,
+            cfg,
+        )
+        claim_s = cfg.ledger.claim_ms / 1000
+        self.threads = [
+            self.beats,
+            self.keeper,
+            self.outbox,
+            pollers.Poller(cfg.report_ms / 1000, reports.step),
+            pollers.Poller(pollers.HINT_S, hints.step),
+            pollers.Poller(claim_s / 4, renewals.step),
+            pollers.Poller(pollers.LEDGER_TICK_S, self.placing.step),
+            pollers.Poller(pollers.TICK_S, self._tick_runner),
+        ]
+
+    def _tick_runner(self):
+        self.runner.tell(runner.Tick())
+
+    def _make_listeners(self):
+        cfg = self.cfg
+        handler = inbox.Inbox(
+            self.owners, self.members, self.runner, self.current, self.gate
+        )
+        self.peer_server = peers.Server(self.me.peer, handler.handle)
+        listen = cfg.listen
+        self.online = listener.Listener(
+            self._online_app(),
+            listen.host,
+            listen.online_port,
+            listen.online_threads,
+            cfg.limits.body_bytes_max,
+        )
+        self.batch = listener.Listener(
+            self._batch_app(),
+            listen.host,
+            listen.batch_port,
+            listen.batch_threads,
+            cfg.limits.upload_bytes_max,
+        )
+        self.operator = listener.Listener(
+            self._operator_app(),
+            listen.host,
+            listen.operator_port,
+            listen.operator_threads,
+            operators.BODY_BYTES_MAX,
+        )
+        self.listeners = [self.online, self.batch, self.operator]
+
+    def _online_app(self):
+        server = serve.Server(
+            self.me.name,
+            self.clock,
+            self.owners,
+            self._dispatcher(),
+            self.services.objects,
+            self.keeper,
+            self.cfg.limits,
+        )
+        return online.Online(
+            self.clock, self.cfg, self.current, self.gate, server
+        )
+
+    def _batch_app(self):
+        return batches.Batches(
+            self.clock,
+            self.cfg,
+            self.current,
+            self.gate,
+            self.owners,
+            self.services.objects,
+        )
+
+    def _operator_app(self):
+        return operators.Operators(
+            self.clock,
+            self.current,
+            self.gate,
+            self.directory,
+            self.services.table,
+        )
--- /dev/null
+++ b/packages/samphirepost/src/samphirepost/__init__.py
@@ -0,0 +1,1 @@
+"""Values, errors, settings, tables and decisions; no input or output."""
--- /dev/null
+++ b/packages/samphirepost/src/samphirepost/codec.py
@@ -0,0 +1,32 @@
+"""Encodes typed values: MessagePack between daemons, JSON to the outside."""
+
+import msgspec
+
+from samphirepost import errors
+
+_packer = msgspec.msgpack.Encoder()
+
+
+def pack(value):
+    """Returns the MessagePack bytes of a typed value."""
+    return _packer.encode(value)
+
+
+def unpack(data, kind):
+    """Returns the value of type `kind` in MessagePack bytes."""
+    return msgspec.msgpack.decode(data, type=kind)
+
+
+def to_json(value):
+    """Returns the JSON bytes of a typed value."""
+    return msgspec.json.encode(value)
+
+
+def from_json(data, kind):
+    """Returns the value of type `kind` in JSON, or a Failure."""
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except msgspec.ValidationError as exc:
+        return errors.Failure(errors.Kind.BAD_REQUEST, str(exc))
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return errors.Failure(errors.Kind.BAD_JSON, str(exc))
--- /dev/null
+++ b/packages/samphirepost/src/samphirepost/errors.py
@@ -0,0 +1,112 @@
+"""Typed failures: a sentinel kind, a reason and what became of the work."""
+
+import enum
+
+import msgspec
+
+
+class Outcome(enum.Enum):
+    """What is known of the work that a failure speaks of."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    DONE = "done"
+
+
+class Kind(enum.Enum):
+    """Every way in which a request, item or edit can fail."""
+
+    BAD_JSON = "bad-json"
+    BAD_REQUEST = "bad-request"
+    BAD_SETTINGS = "bad-settings"
+    BODY_TOO_LARGE = "body-too-large"
+    BREAKER_OPEN = "breaker-open"
+    CALLER_MISSING = "caller-missing"
+    CALLER_UNKNOWN = "caller-unknown"
+    CANCELLED = "cancelled"
+    DEADLINE_PASSED = "deadline-passed"
+    DUPLICATE_ITEM = "duplicate-item"
+    ITEM_REFUSED = "item-refused"
+    ITEM_WITHOUT_ID = "item-without-id"
+    ATTEMPTS_EXHAUSTED = "attempts-exhausted"
+    KEY_REUSED = "key-reused"
+    LEAVING = "leaving"
+    NOT_FINISHED = "not-finished"
+    NOT_FOUND = "not-found"
+    NOT_OPERATOR = "not-operator"
+    NOT_OWNER = "not-owner"
+    OVERLOADED = "overloaded"
+    PEER_UNREACHABLE = "peer-unreachable"
+    PLATFORM_OUT = "platform-out"
+    PLATFORM_UNCERTAIN = "platform-uncertain"
+    POOL_MISSING = "pool-missing"
+    REFUSED_BY_TARGET = "refused-by-target"
+    ROUTE_MISSING = "route-missing"
+    STALE_EPOCH = "stale-epoch"
+    STALE_REVISION = "stale-revision"
+    STREAM_BROKEN = "stream-broken"
+    STREAM_CROSSED = "stream-crossed"
+    STREAM_SILENT = "stream-silent"
+    TABLES_UNCONFIRMED = "tables-unconfirmed"
+    TARGET_FAILED = "target-failed"
+    TARGET_UNREACHABLE = "target-unreachable"
+    TOO_MANY_ITEMS = "too-many-items"
+    UNKNOWN_RESULT = "unknown-result"
+
+
+STATUS_DEFAULT = 503
+
+_STATUS = {
+    Kind.BAD_JSON: 400,
+    Kind.BAD_REQUEST: 400,
+    Kind.BODY_TOO_LARGE: 413,
+    Kind.CALLER_MISSING: 401,
+    Kind.CALLER_UNKNOWN: 403,
+    Kind.CANCELLED: 409,
+    Kind.DEADLINE_PASSED: 504,
+    Kind.DUPLICATE_ITEM: 400,
+    Kind.ITEM_REFUSED: 422,
+    Kind.ITEM_WITHOUT_ID: 400,
+    Kind.KEY_REUSED: 409,
+    Kind.NOT_FINISHED: 409,
+    Kind.NOT_FOUND: 404,
+    Kind.NOT_OPERATOR: 403,
+    Kind.OVERLOADED: 429,
+    Kind.POOL_MISSING: 400,
+    Kind.REFUSED_BY_TARGET: 422,
+    Kind.ROUTE_MISSING: 404,
+    Kind.STALE_REVISION: 409,
+    Kind.STREAM_BROKEN: 502,
+    Kind.STREAM_CROSSED: 502,
+    Kind.STREAM_SILENT: 504,
+    Kind.TARGET_FAILED: 502,
+    Kind.TARGET_UNREACHABLE: 502,
+    Kind.TOO_MANY_ITEMS: 413,
+    Kind.UNKNOWN_RESULT: 409,
+}
+
+
+class Failure(msgspec.Struct, frozen=True, tag="failure"):
+    """A failure as a value; `outcome` is a promise when it is NOT_RUN."""
+
+    kind: Kind
+    reason: str
+    outcome: Outcome = Outcome.NOT_RUN
+    retry_after_s: float = 0.0
+
+    def unknown(self):
+        """Returns the same failure, for work that may have run."""
+        return Failure(self.kind, self.reason, Outcome.UNKNOWN)
+
+
+class Failed(Exception):
+    """Carries a failure through code that must unwind."""
+
+    def __init__(self, failure):
+        super().__init__(failure.reason)
+        self.failure = failure
+
+
+def http_status(kind):
+    """Returns the HTTP status that a failure of this kind is sent with."""
+    return _STATUS.get(kind, STATUS_DEFAULT)
--- /dev/null
+++ b/packages/samphirepost/src/samphirepost/hashing.py
@@ -0,0 +1,46 @@
+"""Stable hashes for partitions, rendezvous choice and digests."""
+
+import hashlib
+
+import xxhash
+
+
+def score(*parts):
+    """Returns a 64-bit hash of the parts, the same on every VM."""
+    return xxhash.xxh3_64_intdigest("\x00".join(parts))
+
+
+def rendezvous(key, members):
+    """Returns the member with the highest score for `key`, or None."""
+    return max(members, key=lambda member: score(key, member), default=None)
+
+
+def ranked(key, members):
+    """Returns the members from highest to lowest score for `key`."""
+    return sorted(members, key=lambda member: -score(key, member))
+
+
+def digest(data):
+    """Returns the hex SHA-256 of the bytes."""
+    return hashlib.sha256(data).hexdigest()
+
+
+def work_id(prefix, caller, key, partitions):
+    """Returns the id of the work that a caller names by `key`.
+
+    The partition stands in the id, so any daemon can find its owner.
+    """
+    value = xxhash.xxh3_128_hexdigest(f"{caller}\x00{key}")
+    partition = int(value[:8], 16) % partitions
+    return f"{prefix}-{partition:03x}-{value}"
+
+
+def partition_of(work):
+    """Returns the partition in a work id, or None if it is malformed."""
+    parts = work.split("-")
+    if len(parts) != 3:
+        return None
+    try:
+        return int(parts[1], 16)
+    except ValueError:
+        return None
--- /dev/null
+++ b/packages/samphirepost/src/samphirepost/ledger.py
@@ -0,0 +1,624 @@
+"""One partition's ledger: pure decisions on requests, jobs and items.
+
+A command gives records and a reply. The records change the state at once;
+the reply may go out only when they are durable.
+"""
+
+import functools
+
+import msgspec
+
+from samphirepost import errors
+from samphirepost import jobs
+from samphirepost import messages
+from samphirepost import records
+
+RUNNING_GRACE_S = 5.0
+
+
+class Entry:
+    """What is known of one request."""
+
+    __slots__ = (
+        "attempt",
+        "caller",
+        "closed",
+        "daemon",
+        "deadline_unix_s",
+        "digest",
+        "reference",
+        "standing",
+    )
+
+    def __init__(self, caller, digest):
+        self.caller = caller
+        self.digest = digest
+        self.attempt = ""
+        self.daemon = ""
+        self.deadline_unix_s = 0.0
+        self.standing = messages.Standing.NEW
+        self.reference = None
+        self.closed = ()
+
+
+class Claim:
+    """Items of one job that a runner holds until `lapses_at`."""
+
+    __slots__ = ("items", "lapses_at", "runner", "solo", "work")
+
+    def __init__(self, runner, work, items, solo, lapses_at):
+        self.runner = runner
+        self.work = work
+        self.items = set(items)
+        self.solo = solo
+        self.lapses_at = lapses_at
+
+
+class SavedEntry(msgspec.Struct, frozen=True, array_like=True):
+    """An entry as it stands in a snapshot."""
+
+    work: str
+    caller: str
+    digest: str
+    attempt: str
+    daemon: str
+    deadline_unix_s: float
+    standing: messages.Standing
+    reference: records.Reference | None
+    closed: tuple[str, ...]
+
+
+class SavedClaim(msgspec.Struct, frozen=True, array_like=True):
+    """A claim as it stands in a snapshot."""
+
+    claim: str
+    runner: str
+    work: str
+    items: tuple[int, ...]
+    solo: bool
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """A partition's whole state; results stay in their segments."""
+
+    entries: tuple[SavedEntry, ...]
+    jobs: tuple[jobs.Saved, ...]
+    claims: tuple[SavedClaim, ...]
+
+
+class Now(msgspec.Struct, frozen=True):
+    """The two clocks: monotonic for leases, Unix time for deadlines (s)."""
+
+    monotonic_s: float
+    unix_s: float
+
+
+class State:
+    """A partition's entries, jobs and claims."""
+
+    __slots__ = ("claim_s", "claims", "entries", "jobs", "blames_max")
+
+    def __init__(self, claim_s, blames_max):
+        self.entries = {}
+        self.jobs = {}
+        self.claims = {}
+        self.claim_s = claim_s
+        self.blames_max = blames_max
+
+
+class Decision(msgspec.Struct, frozen=True):
+    """The records to append and the reply to give once they are durable."""
+
+    reply: messages.Reply
+    appended: tuple[records.Record, ...] = ()
+
+
+def _reply(reply, *appended):
+    return Decision(reply, appended)
+
+
+def _fail(kind, reason, outcome=errors.Outcome.NOT_RUN):
+    return Decision(errors.Failure(kind, reason, outcome))
+
+
+_NOT_FOUND = errors.Failure(errors.Kind.NOT_FOUND, "no such work")
+
+
+@functools.singledispatch
+def decide(command, state, now, live):
+    """Returns the Decision on a command.
+
+    `live` tells of a daemon's name whether it is a live member.
+    """
+    raise TypeError(type(command))
+
+
+@decide.register
+def _(command: messages.Begin, state, now, live):
+    entry = state.entries.get(command.work)
+    if entry is None:
+        return _begin_new(command)
+    if entry.digest != command.digest:
+        reason = "this Idempotency-Key was used with another body"
+        return _fail(errors.Kind.KEY_REUSED, reason)
+    if entry.standing is messages.Standing.FINISHED:
+        standing = messages.Standing.FINISHED
+        return _reply(messages.BeginReply(standing, entry.reference))
+    if entry.standing is messages.Standing.UNKNOWN:
+        return _reply(messages.BeginReply(messages.Standing.UNKNOWN))
+    if command.attempt in entry.closed:
+        return _fail(errors.Kind.CANCELLED, "this attempt was ended")
+    if entry.standing is messages.Standing.NEW:
+        return _begin_new(command)
+    if entry.attempt == command.attempt:
+        return _reply(messages.BeginReply(messages.Standing.GO))
+    return _reply(messages.BeginReply(_held(entry, now, live)))
+
+
+def _begin_new(command):
+    if command.idempotent:
+        return _reply(messages.BeginReply(messages.Standing.NEW))
+    started = records.Started(
+        command.work,
+        command.caller,
+        command.digest,
+        command.attempt,
+        command.daemon,
+        command.deadline_unix_s,
+    )
+    return _reply(messages.BeginReply(messages.Standing.GO), started)
+
+
+def _held(entry, now, live):
+    overdue = now.unix_s > entry.deadline_unix_s + RUNNING_GRACE_S
+    if overdue or not live(entry.daemon):
+        return messages.Standing.UNKNOWN
+    return messages.Standing.RUNNING
+
+
+@decide.register
+def _(command: messages.Finish, state, now, live):
+    entry = state.entries.get(command.work)
+    if entry is not None:
+        if entry.reference is not None:
+            mine = entry.attempt == command.attempt
+            reply = messages.FinishReply(mine, entry.reference)
+            return _reply(reply)
+        if entry.digest != command.digest:
+            reason = "this Idempotency-Key was used with another body"
+            return _fail(errors.Kind.KEY_REUSED, reason)
+    if not command.idempotent and not _holds(entry, command.attempt):
+        return _fail(errors.Kind.CANCELLED, "this attempt was ended")
+    finished = records.Finished(
+        command.work,
+        command.caller,
+        command.digest,
+        command.attempt,
+        command.result,
+    )
+    return _reply(messages.FinishReply(True), finished)
+
+
+def _holds(entry, attempt):
+    return entry is not None and entry.attempt == attempt
+
+
+@decide.register
+def _(command: messages.NotSent, state, now, live):
+    entry = state.entries.get(command.work)
+    if entry is None or entry.attempt != command.attempt:
+        return _reply(messages.Done())
+    if entry.standing is not messages.Standing.RUNNING:
+        return _reply(messages.Done())
+    record = records.NotSent(command.work, command.attempt)
+    return _reply(messages.Done(), record)
+
+
+@decide.register
+def _(command: messages.Unknowable, state, now, live):
+    entry = state.entries.get(command.work)
+    if entry is None or entry.attempt != command.attempt:
+        return _reply(messages.Done())
+    if entry.standing is not messages.Standing.RUNNING:
+        return _reply(messages.Done())
+    record = records.Unknowable(command.work, command.attempt)
+    return _reply(messages.Done(), record)
+
+
+@decide.register
+def _(command: messages.Fetch, state, now, live):
+    entry = state.entries.get(command.work)
+    if entry is None or entry.caller != command.caller:
+        return Decision(_NOT_FOUND)
+    standing = entry.standing
+    if standing is messages.Standing.RUNNING:
+        standing = _held(entry, now, live)
+    return _reply(messages.BeginReply(standing, entry.reference))
+
+
+@decide.register
+def _(command: messages.Known, state, now, live):
+    job = state.jobs.get(command.work)
+    if job is None:
+        return Decision(_NOT_FOUND)
+    return _same_job(job, command.digest)
+
+
+def _same_job(job, digest):
+    if job.accepted.digest != digest:
+        reason = "this Idempotency-Key was used with another job"
+        return _fail(errors.Kind.KEY_REUSED, reason)
+    return _reply(messages.SubmitReply(job.accepted.work, False))
+
+
+@decide.register
+def _(command: messages.Submit, state, now, live):
+    accepted = command.accepted
+    job = state.jobs.get(accepted.work)
+    if job is not None:
+        return _same_job(job, accepted.digest)
+    reply = messages.SubmitReply(accepted.work, True)
+    return _reply(reply, accepted)
+
+
+@decide.register
+def _(command: messages.Pull, state, now, live):
+    waiting = _waiting(state, command.routes)
+    grants = []
+    found = []
+    room = command.room
+    while waiting and room > 0:
+        job = _fairest(state, waiting, grants)
+        items, solo = job.next_items(room)
+        if solo and (not command.alone or grants):
+            waiting.remove(job)
+            continue
+        claim = f"{command.claim}.{len(grants)}"
+        grant = _grant(claim, job, items, solo)
+        grants.append(grant)
+        found.append(_claimed(grant, command.runner))
+        room = 0 if solo else room - len(items)
+        waiting.remove(job)
+    reply = messages.PullReply(tuple(grants), bool(waiting))
+    return Decision(reply, tuple(found))
+
+
+def _waiting(state, routes):
+    return [
+        job
+        for job in state.jobs.values()
+        if job.waiting and job.accepted.route in routes
+    ]
+
+
+def _fairest(state, waiting, grants):
+    """Picks by the least items running of a caller, then by deadline."""
+    held = {}
+    for claim in state.claims.values():
+        caller = state.jobs[claim.work].accepted.caller
+        held[caller] = held.get(caller, 0) + len(claim.items)
+    for grant in grants:
+        caller = grant.accepted.caller
+        held[caller] = held.get(caller, 0) + len(grant.items)
+    fair = sum(held.values()) / len({j.accepted.caller for j in waiting})
+
+    def rank(job):
+        over = held.get(job.accepted.caller, 0) > fair
+        return over, job.accepted.deadline_unix_s, job.accepted.work
+
+    return min(waiting, key=rank)
+
+
+def _grant(claim, job, items, solo):
+    return messages.Grant(claim, job.accepted, tuple(items), solo)
+
+
+def _claimed(grant, runner):
+    return records.Claimed(
+        grant.claim, runner, grant.accepted.work, grant.items, grant.solo
+    )
+
+
+@decide.register
+def _(command: messages.Renew, state, now, live):
+    lost = []
+    for name in command.claims:
+        claim = state.claims.get(name)
+        if claim is None or claim.runner != command.runner:
+            lost.append(name)
+        elif state.jobs[claim.work].phase is not jobs.Phase.RUNNING:
+            lost.append(name)
+        else:
+            claim.lapses_at = now.monotonic_s + state.claim_s
+    return _reply(messages.RenewReply(tuple(lost)))
+
+
+@decide.register
+def _(command: messages.ItemStart, state, now, live):
+    claim = state.claims.get(command.claim)
+    job = state.jobs.get(command.work)
+    if claim is None or job is None or command.item not in claim.items:
+        return _fail(errors.Kind.STALE_EPOCH, "the claim has lapsed")
+    if job.phase is not jobs.Phase.RUNNING:
+        return _fail(errors.Kind.CANCELLED, "the job was cancelled")
+    if job.states[command.item] != jobs.Item.CLAIMED:
+        reason = "the item was started before"
+        return _fail(
+            errors.Kind.UNKNOWN_RESULT, reason, errors.Outcome.UNKNOWN
+        )
+    record = records.ItemStarted(command.work, command.item, command.claim)
+    return _reply(messages.Done(), record)
+
+
+@decide.register
+def _(command: messages.ItemFinish, state, now, live):
+    job = state.jobs.get(command.work)
+    if job is None:
+        return Decision(_NOT_FOUND)
+    if job.phase is not jobs.Phase.RUNNING:
+        return _fail(errors.Kind.CANCELLED, "the job takes no results")
+    found = []
+    for result in command.results:
+        if _may_finish(state, job, command.claim, result):
+            found.append(_item_done(command.work, result))
+    return Decision(messages.Done(), tuple(found))
+
+
+def _may_finish(state, job, claim, result):
+    if job.states[result.item] not in jobs.OPEN_STATES:
+        return False
+    if job.accepted.idempotent:
+        return True
+    held = state.claims.get(claim)
+    return held is not None and result.item in held.items
+
+
+def _item_done(work, result):
+    return records.ItemDone(work, result.item, result.state, result.line)
+
+
+@decide.register
+def _(command: messages.Release, state, now, live):
+    claim = state.claims.get(command.claim)
+    job = state.jobs.get(command.work)
+    if claim is None or job is None:
+        return _reply(messages.Done())
+    items = tuple(
+        item
+        for item in command.items
+        if item in claim.items and job.states[item] == jobs.Item.CLAIMED
+    )
+    if not items:
+        return _reply(messages.Done())
+    record = records.Returned(command.work, items, False)
+    return _reply(messages.Done(), record)
+
+
+@decide.register
+def _(command: messages.Cancel, state, now, live):
+    job = state.jobs.get(command.work)
+    if job is None or job.accepted.caller != command.caller:
+        return Decision(_NOT_FOUND)
+    if job.phase is not jobs.Phase.RUNNING:
+        return _reply(_status(job))
+    record = records.JobCancelled(command.work)
+    cancelled = msgspec.structs.replace(
+        _status(job), phase=jobs.Phase.CANCELLED.value
+    )
+    return _reply(cancelled, record)
+
+
+@decide.register
+def _(command: messages.Status, state, now, live):
+    job = state.jobs.get(command.work)
+    if job is None or job.accepted.caller != command.caller:
+        return Decision(_NOT_FOUND)
+    return _reply(_status(job))
+
+
+def _status(job):
+    counts = job.counts
+    return messages.JobStatus(
+        work=job.accepted.work,
+        phase=job.phase.value,
+        total=job.accepted.total,
+        done=counts[jobs.Item.DONE],
+        failed=counts[jobs.Item.FAILED],
+        unknown=counts[jobs.Item.UNKNOWN],
+        pending=counts[jobs.Item.PENDING],
+        running=counts[jobs.Item.CLAIMED] + counts[jobs.Item.STARTED],
+        deadline_unix_s=job.accepted.deadline_unix_s,
+        results=job.results,
+    )
+
+
+def lapse(state, now, line):
+    """Returns the records for claims whose holders are lost.
+
+    Items that may be sent again go back to the queue. A started item's
+    result is unknown for good. `line(accepted, item, kind)` makes the result
+    line of an item that ends here.
+    """
+    found = []
+    for claim in state.claims.values():
+        if claim.lapses_at <= now.monotonic_s:
+            found.extend(_lapse_claim(state, claim, line))
+    return tuple(found)
+
+
+def _lapse_claim(state, claim, line):
+    job = state.jobs[claim.work]
+    back = []
+    for item in sorted(claim.items):
+        if job.states[item] == jobs.Item.STARTED:
+            kind = errors.Kind.UNKNOWN_RESULT
+            text = line(job.accepted, item, kind)
+            yield _ended(job, item, jobs.Item.UNKNOWN, text)
+        elif claim.solo and job.blames[item] + 1 >= state.blames_max:
+            kind = errors.Kind.ATTEMPTS_EXHAUSTED
+            text = line(job.accepted, item, kind)
+            yield _ended(job, item, jobs.Item.FAILED, text)
+        else:
+            back.append(item)
+    if back:
+        yield records.Returned(claim.work, tuple(back), True)
+
+
+def _ended(job, item, state, text):
+    return records.ItemDone(job.accepted.work, item, state, text)
+
+
+def completed(state):
+    """Returns the running jobs whose items all have a final state."""
+    return [
+        job
+        for job in state.jobs.values()
+        if job.phase is jobs.Phase.RUNNING and job.open_items == 0
+    ]
+
+
+@functools.singledispatch
+def apply(record, state, reference, now):
+    """Changes the state by a record that lies at `reference`."""
+    raise TypeError(type(record))
+
+
+@apply.register
+def _(record: records.Started, state, reference, now):
+    entry = state.entries.get(record.work)
+    if entry is None:
+        entry = Entry(record.caller, record.digest)
+        state.entries[record.work] = entry
+    entry.attempt = record.attempt
+    entry.daemon = record.daemon
+    entry.deadline_unix_s = record.deadline_unix_s
+    entry.standing = messages.Standing.RUNNING
+
+
+@apply.register
+def _(record: records.NotSent, state, reference, now):
+    entry = state.entries[record.work]
+    entry.closed = (*entry.closed, record.attempt)
+    entry.attempt = ""
+    entry.standing = messages.Standing.NEW
+
+
+@apply.register
+def _(record: records.Unknowable, state, reference, now):
+    state.entries[record.work].standing = messages.Standing.UNKNOWN
+
+
+@apply.register
+def _(record: records.Finished, state, reference, now):
+    entry = state.entries.get(record.work)
+    if entry is None:
+        entry = Entry(record.caller, record.digest)
+        state.entries[record.work] = entry
+    entry.attempt = record.attempt
+    entry.standing = messages.Standing.FINISHED
+    entry.reference = reference
+
+
+@apply.register
+def _(record: records.JobAccepted, state, reference, now):
+    state.jobs[record.work] = jobs.Job(record)
+
+
+@apply.register
+def _(record: records.Claimed, state, reference, now):
+    state.jobs[record.work].claim(record.items)
+    lapses_at = now.monotonic_s + state.claim_s
+    state.claims[record.claim] = Claim(
+        record.runner, record.work, record.items, record.solo, lapses_at
+    )
+
+
+@apply.register
+def _(record: records.ItemStarted, state, reference, now):
+    state.jobs[record.work].move(record.item, jobs.Item.STARTED)
+
+
+@apply.register
+def _(record: records.ItemDone, state, reference, now):
+    job = state.jobs[record.work]
+    job.finish(record.item, record.state, reference)
+    _drop_from_claims(state, record.work, (record.item,))
+
+
+@apply.register
+def _(record: records.Returned, state, reference, now):
+    job = state.jobs[record.work]
+    _drop_from_claims(state, record.work, record.items)
+    job.put_back(record.items, record.blamed)
+
+
+@apply.register
+def _(record: records.JobCancelled, state, reference, now):
+    job = state.jobs[record.work]
+    job.phase = jobs.Phase.CANCELLED
+    _drop_from_claims(state, record.work, range(job.accepted.total))
+
+
+@apply.register
+def _(record: records.JobCompleted, state, reference, now):
+    job = state.jobs[record.work]
+    job.phase = jobs.Phase.COMPLETED
+    job.results = record.results
+    job.drop_references()
+
+
+def _drop_from_claims(state, work, items):
+    for name, claim in list(state.claims.items()):
+        if claim.work != work:
+            continue
+        claim.items.difference_update(items)
+        if not claim.items:
+            del state.claims[name]
+
+
+def save(state):
+    """Returns the state as a value for a snapshot."""
+    return Snapshot(
+        tuple(_save_entry(w, e) for w, e in state.entries.items()),
+        tuple(job.save() for job in state.jobs.values()),
+        tuple(_save_claim(n, c) for n, c in state.claims.items()),
+    )
+
+
+def _save_entry(work, entry):
+    return SavedEntry(
+        work,
+        entry.caller,
+        entry.digest,
+        entry.attempt,
+        entry.daemon,
+        entry.deadline_unix_s,
+        entry.standing,
+        entry.reference,
+        entry.closed,
+    )
+
+
+def _save_claim(name, claim):
+    items = tuple(sorted(claim.items))
+    return SavedClaim(name, claim.runner, claim.work, items, claim.solo)
+
+
+def load(state, snapshot, now):
+    """Fills an empty state from a snapshot."""
+    for saved in snapshot.entries:
+        entry = Entry(saved.caller, saved.digest)
+        entry.attempt = saved.attempt
+        entry.daemon = saved.daemon
+        entry.deadline_unix_s = saved.deadline_unix_s
+        entry.standing = saved.standing
+        entry.reference = saved.reference
+        entry.closed = saved.closed
+        state.entries[saved.work] = entry
+    for saved in snapshot.jobs:
+        state.jobs[saved.accepted.work] = jobs.load(saved)
+    lapses_at = now.monotonic_s + state.claim_s
+    for saved in snapshot.claims:
+        state.claims[saved.claim] = Claim(
+            saved.runner, saved.work, saved.items, saved.solo, lapses_at
+        )
--- /dev/null
+++ b/packages/samphirepost/src/samphirepost/settings.py
@@ -0,0 +1,90 @@
+"""The daemon's settings: JSON with comments, every field checked."""
+
+import msgspec
+
+from samphirepost import errors
+from samphirepost import jsonc
+
+
+class Listen(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Addresses that a daemon listens on, and threads for each kind."""
+
+    host: str = "127.0.0.1"
+    online_port: int = 7001
+    batch_port: int = 7002
+    operator_port: int = 7003
+    peer_port: int = 7004
+    online_threads: int = 500
+    batch_threads: int = 16
+    operator_threads: int = 8
+
+
+class Platform(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Where the platform's services are, and how long a call may take."""
+
+    table_url: str
+    object_url: str
+    vms_url: str
+    timeout_ms: int = 1000
+
+
+class Ledger(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Partitions and their group commit."""
+
+    partitions: int = 8
+    commit_interval_ms: int = 50
+    lease_ms: int = 5000
+    snapshot_segments: int = 64
+    unsaved_records_max: int = 20000
+    claim_ms: int = 5000
+    attempts_max: int = 3
+
+
+class Limits(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Bounds on what callers may send and how long work may take."""
+
+    body_bytes_max: int = 4_000_000
+    upload_bytes_max: int = 400_000_000
+    items_max: int = 130_000
+    online_deadline_ms: int = 60_000
+    batch_deadline_ms: int = 4 * 3600 * 1000
+    silence_ms: int = 2000
+    store_wait_ms: int = 1500
+
+
+class Daemon(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Everything that one daemon is told when it starts."""
+
+    id: str
+    zone: str
+    platform: Platform
+    listen: Listen = Listen()
+    ledger: Ledger = Ledger()
+    limits: Limits = Limits()
+    heartbeat_ms: int = 500
+    dead_ms: int = 3000
+    confirm_ms: int = 3000
+    drain_notice_ms: int = 500
+    report_ms: int = 500
+    log_path: str = ""
+
+
+def read(path):
+    """Returns the settings in the file at `path`, or a Failure."""
+    found = jsonc.read(path, Daemon)
+    if isinstance(found, errors.Failure):
+        return found
+    return _check(found, path)
+
+
+def _check(cfg, path):
+    if cfg.ledger.partitions < 1:
+        reason = f"{path}: must be 1 or more - at `$.ledger.partitions`"
+        return errors.Failure(errors.Kind.BAD_SETTINGS, reason)
+    if cfg.ledger.lease_ms <= cfg.platform.timeout_ms:
+        reason = (
+            f"{path}: must be longer than platform.timeout_ms"
+            " - at `$.ledger.lease_ms`"
+        )
+        return errors.Failure(errors.Kind.BAD_SETTINGS, reason)
+    return cfg
--- /dev/null
+++ b/packages/samphirepost/src/samphirepost/tables.py
@@ -0,0 +1,175 @@
+"""The routes and pools tables that operators edit, and their checks."""
+
+import enum
+
+import msgspec
+
+from samphirepost import errors
+
+
+class TargetKind(enum.Enum):
+    """What stands behind a target's address."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class Target(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """One engine or plain service. `checks_orders`: fencing is enforced."""
+
+    id: str
+    url: str
+    zone: str
+    kind: TargetKind = TargetKind.ENGINE
+    checks_orders: bool = False
+
+
+class Pool(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Targets behind one name, and how much batch work may harm online.
+
+    `online_headroom` is the allowed ratio of the time between tokens under
+    batch load to that of online work alone; 1.5 means half as long again.
+    """
+
+    targets: tuple[Target, ...]
+    online_headroom: float = 1.5
+    batch_limit_max: int = 64
+    hedge_after_ms: int = 0
+    model: str = ""
+    adapters: tuple[str, ...] = ()
+
+
+class Caller(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """An organisation: the SHA-256 of its bearer token, and its rights."""
+
+    token_sha256: str
+    operator: bool = False
+    share: float = 1.0
+
+
+class Route(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Where the work that callers send under one name goes."""
+
+    pool: str
+    callers: tuple[str, ...]
+    idempotent: bool = True
+    path: str = "/v1/completions"
+    retry_budget: float = 0.1
+
+
+class Routes(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """The routes table: callers by name and routes by name."""
+
+    callers: dict[str, Caller]
+    routes: dict[str, Route]
+
+
+class Pools(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """The pools table: pools by name."""
+
+    pools: dict[str, Pool]
+
+
+class Tables(msgspec.Struct, frozen=True):
+    """Both tables at one revision."""
+
+    revision: int = 0
+    callers: dict[str, Caller] = {}
+    routes: dict[str, Route] = {}
+    pools: dict[str, Pool] = {}
+
+
+class AuditRow(msgspec.Struct, frozen=True):
+    """Who changed what, when (Unix time, s) and from which revision."""
+
+    revision: int
+    previous: int
+    who: str
+    at_unix_s: float
+    note: str
+    changes: tuple[dict, ...]
+
+
+def join(routes, pools, revision):
+    """Returns the tables as one value at `revision`."""
+    return Tables(revision, routes.callers, routes.routes, pools.pools)
+
+
+def check(tables):
+    """Returns the Failure that makes the tables unfit, or None."""
+    for name, route in tables.routes.items():
+        if route.pool not in tables.pools:
+            return _missing(f"routes.{name}.pool", f"pool {route.pool!r}")
+        for caller in route.callers:
+            if caller not in tables.callers:
+                return _missing(f"routes.{name}.callers", repr(caller))
+    for name, pool in tables.pools.items():
+        failure = _check_pool(name, pool)
+        if failure is not None:
+            return failure
+    return None
+
+
+def _check_pool(name, pool):
+    if not pool.targets:
+        return _missing(f"pools.{name}.targets", "at least one target")
+    ids = [target.id for target in pool.targets]
+    if len(set(ids)) != len(ids):
+        return _missing(f"pools.{name}.targets", "distinct target ids")
+    if pool.online_headroom < 1.0:
+        reason = f"pools.{name}.online_headroom: must be 1.0 or more"
+        return errors.Failure(errors.Kind.BAD_REQUEST, reason)
+    return None
+
+
+def _missing(path, what):
+    reason = f"{path}: {what} does not exist"
+    return errors.Failure(errors.Kind.POOL_MISSING, reason)
+
+
+def changes(before, after):
+    """Returns the row changes that lead from one Tables to another."""
+    found = []
+    for table in ("callers", "routes", "pools"):
+        old = getattr(before, table)
+        new = getattr(after, table)
+        for name in sorted(old.keys() | new.keys()):
+            if old.get(name) != new.get(name):
+                found.append(
+                    {
+                        "table": table,
+                        "name": name,
+                        "before": msgspec.to_builtins(old.get(name)),
+                        "after": msgspec.to_builtins(new.get(name)),
+                    }
+                )
+    return tuple(found)
+
+
+def newer(current, candidate):
+    """Returns whichever Tables is newer; a member never moves back."""
+    if current is None or candidate.revision > current.revision:
+        return candidate
+    return current
+
+
+def admit(expected, current):
+    """Returns the Failure for an edit made from a stale revision, or None."""
+    if expected == current:
+        return None
+    reason = f"the tables are at revision {current}, not {expected}"
+    return errors.Failure(errors.Kind.STALE_REVISION, reason)
+
+
+def lost_race(expected, newest):
+    """Returns the Failure of an edit that another edit came before."""
+    if isinstance(newest, errors.Failure):
+        reason = f"another edit of revision {expected} came first"
+    else:
+        reason = f"another edit came first: revision {newest} is in force"
+    return errors.Failure(errors.Kind.STALE_REVISION, reason)
+
+
+def targets(tables):
+    """Returns every target by id, over all pools."""
+    return {t.id: t for pool in tables.pools.values() for t in pool.targets}
--- /dev/null
+++ b/packages/samphirepost/src/samphirepost/target.py
@@ -0,0 +1,64 @@
+"""The protocol of targets: completions, their stream and load reports."""
+
+import msgspec
+
+
+class Choice(msgspec.Struct):
+    """One choice of a completion event."""
+
+    index: int = 0
+    text: str = ""
+    finish_reason: str | None = None
+
+
+class Usage(msgspec.Struct):
+    """Token counts of a whole completion."""
+
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    cached_tokens: int = 0
+
+
+class Event(msgspec.Struct):
+    """One event of a completion stream; `position` counts tokens from 0."""
+
+    id: str
+    choices: list[Choice]
+    position: int = 0
+    usage: Usage | None = None
+
+
+class Completion(msgspec.Struct):
+    """A request to an engine; `emitted` resumes after so many tokens."""
+
+    model: str
+    prompt: str
+    max_tokens: int = 64
+    stream: bool = False
+    request_id: str = ""
+    emitted: int = 0
+    emitted_text: str = ""
+
+
+class Report(msgspec.Struct):
+    """An engine's load report; `age_s` is how old it is when sent."""
+
+    id: str
+    running: int = 0
+    waiting: int = 0
+    kv_tokens: int = 0
+    kv_tokens_max: int = 0
+    step_ms: float = 0.0
+    prefill_backlog: int = 0
+    age_s: float = 0.0
+    leaving: bool = False
+    model: str = ""
+    epoch: int = 0
+
+
+class Order(msgspec.Struct):
+    """An order to an engine with its fencing number."""
+
+    model: str
+    fencing: int
+    adapters: tuple[str, ...] = ()
