--- a/packages/samphirepost-daemon/src/samphirepost_daemon/beats.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/beats.py
@@ -1,8 +1,4 @@
-"""The thread that sends heartbeats and reads the table service."""
-
-import threading
-
-import pykka
+"""Sends heartbeats, or reads the table service for the zone."""
 
 from samphirepost import codec
 from samphirepost import errors
@@ -15,34 +11,19 @@
 ASKED_PER_ZONE = 2
 
 
-class Beats(threading.Thread):
+class Beats:
     """Tells the coordinator that this daemon lives, or coordinates."""
 
     def __init__(self, actor, services, client, clock, current, cfg):
-        super().__init__(daemon=True)
         self._actor = actor
         self._services = services
         self._client = client
         self._clock = clock
         self._current = current
-        self._interval_s = cfg.heartbeat_ms / 1000
         self._zone_key = members.ZONE_PREFIX + cfg.zone
         self._own_peer = ""
-        self._stopped = threading.Event()
-
-    def run(self):
-        while not self._stopped.is_set():
-            try:
-                self.beat()
-            except pykka.ActorDeadError:
-                return
-            self._stopped.wait(self._interval_s)
-
-    def stop(self):
-        """Ends the thread after the beat in progress."""
-        self._stopped.set()
 
-    def beat(self):
+    def step(self):
         """Follows the coordinator, else reads the table service itself."""
         plan = self._actor.ask(members.Plan())
         self._own_peer = plan.member.peer
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/wiring.py
@@ -104,7 +104,7 @@
             self.me.name, self.ledger, self.members, self.directory
         )
         self.keeper = keeper.Keeper(self.owners)
-        self.beats = beats.Beats(
+        beat = beats.Beats(
             self.members,
             self.services,
             self.client,
@@ -114,7 +114,7 @@
         )
         claim_s = cfg.ledger.claim_ms / 1000
         self.threads = [
-            self.beats,
+            pollers.Poller(cfg.heartbeat_ms / 1000, beat.step),
             self.keeper,
             self.outbox,
             pollers.Poller(cfg.report_ms / 1000, reports.step),
--- a/packages/samphirepost/src/samphirepost/hashing.py
+++ b/packages/samphirepost/src/samphirepost/hashing.py
@@ -7,7 +7,7 @@
 
 def score(*parts):
     """Returns a 64-bit hash of the parts, the same on every VM."""
-    return xxhash.xxh3_64_intdigest("\x00".join(parts))
+    return xxhash.xxh3_64_intdigest("\x00".join(parts).encode())
 
 
 def rendezvous(key, members):
@@ -30,7 +30,7 @@
 
     The partition stands in the id, so any daemon can find its owner.
     """
-    value = xxhash.xxh3_128_hexdigest(f"{caller}\x00{key}")
+    value = xxhash.xxh3_128_hexdigest(f"{caller}\x00{key}".encode())
     partition = int(value[:8], 16) % partitions
     return f"{prefix}-{partition:03x}-{value}"
 
