Bound every exchange between daemons by a timeout

Cause: pynng's blocking contexts know no timeout, so a request to a dead owner hung until the caller gave up (120 s in make demo's run). Ruled out: the ledger's replies (a fetch took 2 to 13 ms with all owners alive); waitress (requests hung at begin and at store alike, always with the dead daemon as owner). Conclusion: exchanges run in one event loop, where they are cancelled.

--- a/packages/samphirepost-bench/src/samphirepost_bench/demo.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/demo.py
@@ -246,10 +246,13 @@
     p50 = times.get_value_at_percentile(50) / 1000
     p99 = times.get_value_at_percentile(99) / 1000
     print(f"job: {json.dumps(status)}")
-    print(f"batch: {items} items, lost {lost}, doubled {doubled},"
-          f" wrong {wrong}")
-    print(f"online: {len(answers)} requests, cut {len(cut)},"
-          f" wrong {len(bad)}, unreadable elsewhere {len(unread)}")
+    print(
+        f"batch: {items} items, lost {lost}, doubled {doubled}, wrong {wrong}"
+    )
+    print(
+        f"online: {len(answers)} requests, cut {len(cut)},"
+        f" wrong {len(bad)}, unreadable elsewhere {len(unread)}"
+    )
     print(f"first token: p50 {p50:.1f} ms, p99 {p99:.1f} ms")
     _print_metrics(fleet)
     failed = lost or doubled or wrong or cut or bad or unread
@@ -269,8 +272,10 @@
         return items, 0, 0
     found = [json.loads(line) for line in text.splitlines()]
     ids = [line["custom_id"] for line in found]
-    asked = {json.loads(line)["custom_id"]: json.loads(line)["body"]
-             for line in body.splitlines()}
+    asked = {
+        json.loads(line)["custom_id"]: json.loads(line)["body"]
+        for line in body.splitlines()
+    }
     lost = len(asked.keys() - set(ids))
     doubled = len(ids) - len(set(ids))
     wrong = sum(not _item_is_right(line, asked) for line in found)
--- a/packages/samphirepost-cli/src/samphirepost_cli/commands.py
+++ b/packages/samphirepost-cli/src/samphirepost_cli/commands.py
@@ -35,7 +35,7 @@
 @cappa.command(
     name="apply",
     help="Check both tables and put them in force.",
-    description="Example: samphirepost apply routes.json pools.json --note 'add a pool'",
+    description="Example: samphirepost apply routes.json pools.json",
 )
 @dataclasses.dataclass(slots=True)
 class Apply:
@@ -127,7 +127,7 @@
 @cappa.command(
     name="complete",
     help="Ask a route for a completion and stream it.",
-    description="Example: samphirepost complete care-note 'How deep do lilies go?'",
+    description="Example: samphirepost complete care-note 'Lily depth?'",
 )
 @dataclasses.dataclass(slots=True)
 class Complete:
@@ -176,7 +176,7 @@
 @cappa.command(
     name="submit",
     help="Upload a batch job of JSON lines.",
-    description="Example: samphirepost submit orders.jsonl --key evening-12-04",
+    description="Example: samphirepost submit orders.jsonl --key evening",
 )
 @dataclasses.dataclass(slots=True)
 class Submit:
--- a/packages/samphirepost-cli/src/samphirepost_cli/environment.py
+++ b/packages/samphirepost-cli/src/samphirepost_cli/environment.py
@@ -53,5 +53,3 @@
 def standard():
     """Returns the environment of this process."""
     return Environment(sys.stdin, sys.stdout, sys.stderr, os.environ)
-
-
--- a/packages/samphirepost-cli/src/samphirepost_cli/output.py
+++ b/packages/samphirepost-cli/src/samphirepost_cli/output.py
@@ -1,6 +1,5 @@
 """Prints values: JSON for programs, aligned text for people."""
 
-
 import msgspec
 
 from samphirepost import errors
@@ -55,5 +54,3 @@
     if found.outcome is errors.Outcome.UNKNOWN:
         return exits.Exit.UNKNOWN
     return exits.Exit.REFUSED
-
-
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/commits.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/commits.py
@@ -78,8 +78,6 @@
     return outcome
 
 
-
-
 @functools.lru_cache(maxsize=64)
 def _segment(objects, name):
     data = objects.get(name)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/current.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/current.py
@@ -48,7 +48,9 @@
             }
             self.tables = chosen
         metrics.TABLES_REVISION.set(chosen.revision)
-        eliot.log_message(message_type="tables:in-force", revision=chosen.revision)
+        eliot.log_message(
+            message_type="tables:in-force", revision=chosen.revision
+        )
 
 
 def audit_key(revision):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/dispatch.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/dispatch.py
@@ -73,9 +73,7 @@
             if self._board.enter(item.pinned, item.online):
                 return item.pinned
         names = [t.id for t in self._targets(item)]
-        return self._board.pick(
-            names, item.payload.key, excluded, item.online
-        )
+        return self._board.pick(names, item.payload.key, excluded, item.online)
 
     def _targets(self, item):
         pool = self._current.tables.pools.get(item.pool)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/ledgers.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/ledgers.py
@@ -10,8 +10,8 @@
 
 from samphirepost import codec
 from samphirepost import errors
-from samphirepost import ledger
 from samphirepost import lease
+from samphirepost import ledger
 from samphirepost import messages
 from samphirepost import records
 from samphirepost_daemon import commits
@@ -198,9 +198,7 @@
         written = self._settle(row, loaded.revision)
         if written is None:
             return self._drop(False)
-        self._actor.ask(
-            Acquired(number, row, written, loaded.state, asked_s)
-        )
+        self._actor.ask(Acquired(number, row, written, loaded.state, asked_s))
         return True
 
     def _drop(self, fenced):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/members.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/members.py
@@ -356,7 +356,6 @@
 
     @_receive.register
     def _(self, message: Out):
-        now_s = self._clock.monotonic_s()
         self._set_table_out(True)
         self._confirm_by_digests(message)
         self._set_view(self._view_of(message.digests))
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/peers.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/peers.py
@@ -83,10 +83,8 @@
             return found
         waiting = asyncio.wrap_future(found)
         try:
-            return await asyncio.wait_for(
-                asyncio.shield(waiting), call.wait_s
-            )
-        except asyncio.TimeoutError:
+            return await asyncio.wait_for(asyncio.shield(waiting), call.wait_s)
+        except TimeoutError:
             return errors.Failure(
                 errors.Kind.PLATFORM_UNCERTAIN,
                 "the command is not durable yet",
@@ -106,65 +104,95 @@
         self.users = 0
         self.retired = False
 
+    def close_if_unused(self):
+        """Closes a retired connection once nobody uses it."""
+        if self.retired and self.users == 0:
+            _close_quietly(self.socket)
+
 
 class Client:
-    """Sends commands to peers by address."""
+    """Sends commands to peers by address.
+
+    All exchanges run in one event loop: pynng's blocking contexts know no
+    timeout, its asynchronous ones can be cancelled.
+    """
 
     def __init__(self):
-        self._lock = threading.Lock()
         self._connections = {}
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def _run(self):
+        asyncio.set_event_loop(self._loop)
+        self._loop.run_forever()
 
     def ask(self, address, command, wait_s):
         """Returns the peer's reply, or a Failure of unknown outcome."""
-        connection = self._enter(address)
         request = messages.Request(uuid.uuid4().hex, command)
         data = codec.pack(Call(request, wait_s))
+        exchange = self._ask(address, request.id, data, wait_s + GRACE_S)
+        future = asyncio.run_coroutine_threadsafe(exchange, self._loop)
+        return future.result()
+
+    async def _ask(self, address, request_id, data, timeout_s):
+        connection = self._connection(address)
+        connection.users += 1
         try:
-            reply = self._exchange(connection, request.id, data, wait_s)
-        except pynng.NNGException as exc:
-            self._retire(address, connection)
-            reason = f"{address}: {type(exc).__name__}"
-            reply = errors.Failure(
-                errors.Kind.PEER_UNREACHABLE, reason, errors.Outcome.UNKNOWN
+            reply = await asyncio.wait_for(
+                _exchange(connection.socket, data), timeout_s
             )
+        except (TimeoutError, pynng.NNGException) as exc:
+            self._retire(address, connection)
+            return _unreachable(address, exc)
         finally:
-            self._leave(connection)
-        return reply
-
-    def _exchange(self, connection, request_id, data, wait_s):
-        timeout_ms = int((wait_s + GRACE_S) * 1000)
-        with connection.socket.new_context() as context:
-            context.send_timeout = timeout_ms
-            context.recv_timeout = timeout_ms
-            context.send(data)
-            response = codec.unpack(context.recv(), messages.Response)
+            connection.users -= 1
+            connection.close_if_unused()
+        response = codec.unpack(reply, messages.Response)
         if response.id != request_id:
-            return errors.Failure(
-                errors.Kind.STREAM_CROSSED,
-                "a peer's reply belongs to another request",
-                errors.Outcome.UNKNOWN,
-            )
+            self._retire(address, connection)
+            return _crossed(address)
         return response.reply
 
-    def _enter(self, address):
-        with self._lock:
-            connection = self._connections.get(address)
-            if connection is None:
-                connection = Connection(address)
-                self._connections[address] = connection
-            connection.users += 1
-            return connection
+    def _connection(self, address):
+        connection = self._connections.get(address)
+        if connection is None:
+            connection = Connection(address)
+            self._connections[address] = connection
+        return connection
 
     def _retire(self, address, connection):
         metrics.PEER_CONNECTIONS_RETIRED.inc()
-        with self._lock:
-            connection.retired = True
-            if self._connections.get(address) is connection:
-                del self._connections[address]
+        connection.retired = True
+        if self._connections.get(address) is connection:
+            del self._connections[address]
 
-    def _leave(self, connection):
-        with self._lock:
-            connection.users -= 1
-            unused = connection.retired and connection.users == 0
-        if unused:
-            connection.socket.close()
+
+async def _exchange(socket, data):
+    context = socket.new_context()
+    try:
+        await context.asend(data)
+        return await context.arecv()
+    finally:
+        _close_quietly(context)
+
+
+def _close_quietly(closable):
+    try:
+        closable.close()
+    except pynng.Closed:
+        return
+
+
+def _unreachable(address, exc):
+    reason = f"{address}: {type(exc).__name__}"
+    return errors.Failure(
+        errors.Kind.PEER_UNREACHABLE, reason, errors.Outcome.UNKNOWN
+    )
+
+
+def _crossed(address):
+    reason = f"{address}: the reply belongs to another request"
+    return errors.Failure(
+        errors.Kind.STREAM_CROSSED, reason, errors.Outcome.UNKNOWN
+    )
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/pollers.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/pollers.py
@@ -184,4 +184,3 @@
             if found[partition] > MISPLACED_TICKS:
                 self._ledger_ref.tell(ledgers.Release(partition))
         self._misplaced = found
-
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/runner.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/runner.py
@@ -511,9 +511,7 @@
         """The item was sent and its answer did not come."""
         run.failures += 1
         if not run.accepted.idempotent:
-            self._finish(
-                run, jobs.Item.UNKNOWN, results.error_line(outcome)
-            )
+            self._finish(run, jobs.Item.UNKNOWN, results.error_line(outcome))
         elif run.failures >= FAILURES_MAX:
             exhausted = errors.Failure(
                 errors.Kind.ATTEMPTS_EXHAUSTED,
@@ -603,4 +601,3 @@
         body = msgspec.json.encode(asked)
         return work.Service(body, "application/json")
     return work.Generation(asked, choice.prefix(asked.prompt))
-
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/serve.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/serve.py
@@ -160,6 +160,4 @@
                 "its answer was lost",
                 errors.Outcome.UNKNOWN,
             )
-        return errors.Failure(
-            errors.Kind.NOT_FINISHED, "it is still running"
-        )
+        return errors.Failure(errors.Kind.NOT_FINISHED, "it is still running")
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/web.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/web.py
@@ -107,9 +107,7 @@
 
 def reply(start_response, value, status=200, headers=()):
     """Sends a typed value as JSON."""
-    return respond(
-        start_response, status, codec.to_json(value), JSON, headers
-    )
+    return respond(start_response, status, codec.to_json(value), JSON, headers)
 
 
 def fail(start_response, failure, work=""):
--- a/packages/samphirepost/src/samphirepost/membership.py
+++ b/packages/samphirepost/src/samphirepost/membership.py
@@ -43,9 +43,7 @@
         return tuple(self.members[name] for name in sorted(self.members))
 
 
-def make_view(
-    members, owners, suspects, coordinators, leaving, revision
-):
+def make_view(members, owners, suspects, coordinators, leaving, revision):
     """Returns the View of these parts; equal parts, equal version."""
     ordered = tuple(sorted(members, key=lambda member: member.name))
     body = (
