--- a/packages/samphirepost-daemon/src/samphirepost_daemon/commits.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/commits.py
@@ -30,11 +30,6 @@
     return int(key.rsplit("/", 1)[1], 16)
 
 
-def segment_name(partition, epoch, write):
-    """Returns the name of the object that holds a segment."""
-    return f"segments/{partition:03x}/{epoch:08x}-{write}"
-
-
 def load(services, partition, cfg, now):
     """Returns the partition as the platform has it, or a Failure."""
     found = services.table.read(row_key(partition))
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/ledgers.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/ledgers.py
@@ -8,9 +8,8 @@
 import msgspec
 import pykka
 
-from samphirepost import codec
 from samphirepost import errors
-from samphirepost import lease
+from samphirepost import holding
 from samphirepost import ledger
 from samphirepost import messages
 from samphirepost import records
@@ -53,17 +52,6 @@
     partition: int
 
 
-class Closing(msgspec.Struct, frozen=True):
-    """What a committer writes: a segment, perhaps a snapshot, the row."""
-
-    segment_name: str
-    segment: bytes
-    snapshot_name: str
-    snapshot: bytes
-    row: records.Row
-    revision: int
-
-
 class Committed(msgspec.Struct, frozen=True):
     """The closing is durable."""
 
@@ -112,53 +100,6 @@
     """Asks for the partitions that have items to hand out."""
 
 
-class Partition:
-    """A partition that this daemon owns."""
-
-    __slots__ = (
-        "assembling",
-        "committer",
-        "hold",
-        "inflight",
-        "inflight_name",
-        "number",
-        "open",
-        "outage",
-        "releasing",
-        "replies",
-        "revision",
-        "row",
-        "state",
-        "write",
-    )
-
-    def __init__(self, acquired, hold, committer):
-        self.number = acquired.partition
-        self.row = acquired.row
-        self.revision = acquired.revision
-        self.state = acquired.state
-        self.hold = hold
-        self.committer = committer
-        self.open = []
-        self.write = platform.write_id()
-        self.inflight = []
-        self.inflight_name = ""
-        self.replies = []
-        self.outage = False
-        self.releasing = False
-        self.assembling = set()
-
-    @property
-    def segment_name(self):
-        """The name of the open segment."""
-        return commits.segment_name(self.number, self.row.epoch, self.write)
-
-    @property
-    def settled(self):
-        """Whether every record is durable."""
-        return not self.open and not self.inflight
-
-
 class Committer(threading.Thread):
     """Takes one partition's lease, then commits and renews it."""
 
@@ -189,12 +130,7 @@
             return self._drop(False)
         if loaded.row.owner and loaded.revision != self._acquire.revision:
             return self._drop(False)
-        row = msgspec.structs.replace(
-            loaded.row,
-            owner=self._owner,
-            epoch=loaded.row.epoch + 1,
-            write=platform.write_id(),
-        )
+        row = holding.taken(loaded.row, self._owner, platform.write_id())
         written = self._settle(row, loaded.revision)
         if written is None:
             return self._drop(False)
@@ -265,8 +201,9 @@
         self._services = services
         self._clock = clock
         self._live = live
-        self._partitions = {}
-        self._taking = {}
+        self._held = {}
+        self._committers = {}
+        self._assembling = set()
         self._pool = concurrent.futures.ThreadPoolExecutor(4)
 
     def on_receive(self, message):
@@ -281,51 +218,25 @@
 
     @_receive.register
     def _(self, message: Handle):
-        partition = self._partitions.get(message.partition)
-        if partition is None or partition.releasing:
-            message.future.set_result(_not_owner(message.partition))
-            return
-        if self._unsaved(partition) >= self._cfg.unsaved_records_max:
-            reason = "too many records wait to be stored"
-            message.future.set_result(
-                errors.Failure(errors.Kind.PLATFORM_OUT, reason)
-            )
+        held = self._held.get(message.partition)
+        if held is None:
+            message.future.set_result(holding.not_owner(message.partition))
             return
-        now = self._clock.now()
-        decision = ledger.decide(
-            message.command, partition.state, now, self._live
+        due = held.handle(
+            message.command, message.future, self._clock.now(), self._live
         )
-        self._append(partition, decision.appended, now)
-        self._reply_later(partition, message, decision, now)
+        if due is not None:
+            due.ticket.set_result(due.reply)
+        self._wake(held)
 
-    def _unsaved(self, partition):
-        return len(partition.open) + len(partition.inflight)
-
-    def _append(self, partition, found, now):
-        for record in found:
-            reference = records.Reference(
-                partition.segment_name, len(partition.open)
-            )
-            ledger.apply(record, partition.state, reference, now)
-            partition.open.append(record)
-        if found:
-            partition.committer.wake.set()
-
-    def _reply_later(self, partition, message, decision, now):
-        if _needs_no_wait(decision, partition):
-            message.future.set_result(decision.reply)
-            return
-        if partition.settled:
-            valid = partition.hold.valid(now.monotonic_s)
-            reply = decision.reply if valid else _not_owner(partition.number)
-            message.future.set_result(reply)
-            return
-        partition.replies.append((message.future, decision.reply))
+    def _wake(self, held):
+        if held.has_open:
+            self._committers[held.number].wake.set()
 
     @_receive.register
     def _(self, message: Acquire):
         number = message.partition
-        if number in self._partitions or number in self._taking:
+        if number in self._committers:
             return
         committer = Committer(
             message,
@@ -335,16 +246,23 @@
             self._clock,
             self._name,
         )
-        self._taking[number] = committer
+        self._committers[number] = committer
         committer.start()
 
     @_receive.register
     def _(self, message: Acquired):
-        hold = lease.Hold(self._cfg.lease_ms / 1000, message.asked_s)
-        committer = self._taking.pop(message.partition)
-        partition = Partition(message, hold, committer)
-        self._partitions[message.partition] = partition
-        metrics.PARTITIONS.set(len(self._partitions))
+        self._held[message.partition] = holding.Holding(
+            message.partition,
+            message.row,
+            message.revision,
+            message.state,
+            holding.hold(self._cfg, message.asked_s),
+            holding.Limits(
+                self._cfg.unsaved_records_max, self._cfg.snapshot_segments
+            ),
+            platform.write_id,
+        )
+        metrics.PARTITIONS.set(len(self._held))
         eliot.log_message(
             message_type="partition:acquired",
             partition=message.partition,
@@ -353,143 +271,73 @@
 
     @_receive.register
     def _(self, message: Close):
-        partition = self._partitions.get(message.partition)
-        if partition is None:
-            return None
-        return self._close(partition)
-
-    def _close(self, partition):
-        row = partition.row
-        name = ""
-        data = b""
-        if partition.open:
-            name = partition.segment_name
-            segment = records.Segment(
-                partition.number, row.epoch, partition.open
-            )
-            data = codec.pack(segment)
-        segments = row.segments + ((name,) if name else ())
-        snapshot_name = ""
-        snapshot = b""
-        if len(segments) >= self._cfg.snapshot_segments:
-            snapshot_name = f"snapshots/{partition.write}"
-            snapshot = codec.pack(ledger.save(partition.state))
-            segments = ()
-        closing = msgspec.structs.replace(
-            row,
-            owner="" if partition.releasing else row.owner,
-            sequence=row.sequence + 1,
-            write=partition.write,
-            snapshot=snapshot_name or row.snapshot,
-            segments=segments,
-        )
-        partition.inflight = partition.open
-        partition.inflight_name = name
-        partition.open = []
-        partition.replies.append(None)
-        partition.write = platform.write_id()
-        return Closing(
-            name, data, snapshot_name, snapshot, closing, partition.revision
-        )
+        held = self._held.get(message.partition)
+        return None if held is None else held.close()
 
     @_receive.register
     def _(self, message: Committed):
-        partition = self._partitions[message.partition]
-        metrics.RECORDS.inc(len(partition.inflight))
-        if not partition.hold.valid(self._clock.monotonic_s()):
-            self._extend_claims(partition)
-        partition.hold.renewed(message.asked_s)
-        partition.row = message.row
-        partition.revision = message.revision
-        partition.inflight = []
-        partition.inflight_name = ""
-        partition.outage = False
-        self._send_replies(partition)
-        self._assemble(partition)
-        if partition.open:
-            partition.committer.wake.set()
-
-    def _extend_claims(self, partition):
-        """Gives every claim its full time: no runner could renew it."""
-        lapses_at = self._clock.monotonic_s() + self._cfg.claim_ms / 1000
-        for claim in partition.state.claims.values():
-            claim.lapses_at = lapses_at
-
-    def _send_replies(self, partition):
-        while partition.replies:
-            waiting = partition.replies.pop(0)
-            if waiting is None and partition.open:
-                return
-            if waiting is None:
-                continue
-            future, reply = waiting
-            future.set_result(reply)
+        held = self._held[message.partition]
+        metrics.RECORDS.inc(held.inflight_records)
+        found = held.committed(
+            message.row, message.revision, message.asked_s, self._clock.now()
+        )
+        _send(found)
+        self._assemble(held)
+        self._wake(held)
 
     @_receive.register
     def _(self, message: Unsettled):
-        partition = self._partitions.get(message.partition)
-        if partition is None or partition.outage:
+        held = self._held.get(message.partition)
+        if held is None or held.outage:
             return
-        partition.outage = True
+        held.outage = True
         eliot.log_message(
             message_type="partition:unsaved", partition=message.partition
         )
 
     @_receive.register
     def _(self, message: Dropped):
-        self._taking.pop(message.partition, None)
-        partition = self._partitions.pop(message.partition, None)
-        metrics.PARTITIONS.set(len(self._partitions))
-        if partition is None:
+        self._committers.pop(message.partition, None)
+        held = self._held.pop(message.partition, None)
+        metrics.PARTITIONS.set(len(self._held))
+        if held is None:
             return
         if message.fenced:
             metrics.FENCED.inc()
-        self._end_replies(partition, message.fenced)
+        _send(held.dropped(message.fenced))
         eliot.log_message(
             message_type="partition:dropped",
             partition=message.partition,
             fenced=message.fenced,
         )
 
-    def _end_replies(self, partition, fenced):
-        durable = not fenced
-        for waiting in partition.replies:
-            if waiting is None:
-                durable = False
-                continue
-            future, reply = waiting
-            future.set_result(
-                reply if durable else _not_owner(partition.number)
-            )
-
     @_receive.register
     def _(self, message: Release):
-        partition = self._partitions.get(message.partition)
-        if partition is not None:
-            partition.releasing = True
-            partition.committer.wake.set()
+        held = self._held.get(message.partition)
+        if held is not None:
+            held.releasing = True
+            self._committers[message.partition].wake.set()
 
     @_receive.register
     def _(self, message: Tick):
         now = self._clock.now()
-        for partition in self._partitions.values():
-            if partition.hold.valid(now.monotonic_s):
-                found = ledger.lapse(partition.state, now, results.ended_line)
-                self._append(partition, found, now)
+        for held in self._held.values():
+            held.lapse(now, results.ended_line)
+            self._wake(held)
 
-    def _assemble(self, partition):
-        for job in ledger.completed(partition.state):
+    def _assemble(self, held):
+        for job in ledger.completed(held.state):
             work = job.accepted.work
-            if work in partition.assembling:
+            if work in self._assembling:
                 continue
-            partition.assembling.add(work)
+            self._assembling.add(work)
             places = results.Places(
                 job.accepted,
                 tuple(job.names),
                 tuple(job.segments),
                 tuple(job.positions),
             )
-            self._pool.submit(self._write_results, partition.number, places)
+            self._pool.submit(self._write_results, held.number, places)
 
     def _write_results(self, number, places):
         found = results.assemble(self._services.objects, places)
@@ -499,60 +347,30 @@
 
     @_receive.register
     def _(self, message: Assembled):
-        partition = self._partitions.get(message.partition)
-        if partition is None:
-            return
-        partition.assembling.discard(message.work)
-        if not message.results:
+        self._assembling.discard(message.work)
+        held = self._held.get(message.partition)
+        if held is None or not message.results:
             return
         record = records.JobCompleted(message.work, message.results)
-        self._append(partition, (record,), self._clock.now())
+        held.append((record,), self._clock.now())
+        self._wake(held)
         eliot.log_message(message_type="job:completed", job=message.work)
 
     @_receive.register
     def _(self, message: Owned):
-        return frozenset(self._partitions) | frozenset(self._taking)
+        return frozenset(self._committers)
 
     @_receive.register
     def _(self, message: Waiting):
         return tuple(
             sorted(
                 number
-                for number, partition in self._partitions.items()
-                if any(j.waiting for j in partition.state.jobs.values())
+                for number, held in self._held.items()
+                if any(job.waiting for job in held.state.jobs.values())
             )
         )
 
 
-def _needs_no_wait(decision, partition):
-    """Whether the reply promises nothing that must be durable first."""
-    reply = decision.reply
-    if decision.appended:
-        return partition.outage and _grants_idempotent(reply)
-    if isinstance(reply, messages.RenewReply):
-        return True
-    if isinstance(reply, messages.BeginReply):
-        return _is_lasting(reply, partition)
-    return False
-
-
-def _is_lasting(reply, partition):
-    """Whether the standing holds whoever owns the partition now."""
-    if reply.standing is messages.Standing.NEW:
-        return True
-    if reply.standing is not messages.Standing.FINISHED:
-        return False
-    unsaved = (partition.segment_name, partition.inflight_name)
-    return reply.reference.segment not in unsaved
-
-
-def _grants_idempotent(reply):
-    """Whether these are grants of items that may safely run twice."""
-    if not isinstance(reply, messages.PullReply):
-        return False
-    return all(grant.accepted.idempotent for grant in reply.grants)
-
-
-def _not_owner(partition):
-    reason = f"this daemon does not own partition {partition}"
-    return errors.Failure(errors.Kind.NOT_OWNER, reason)
+def _send(found):
+    for due in found:
+        due.ticket.set_result(due.reply)
