--- a/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
@@ -1,6 +1,7 @@
 """Runs a stand-in, the demo or an experiment; see --help."""
 
 import dataclasses
+import pathlib
 import sys
 import typing
 
@@ -72,6 +73,21 @@
         return demo.run(self.items)
 
 
+@cappa.command(name="mutate", help="Checks that tests catch mutations.")
+@dataclasses.dataclass
+class Mutate:
+    """The mutation check; run from the root of a checkout."""
+
+    only: typing.Annotated[
+        str, cappa.Arg(long=True, help="Part of a mutation's name.")
+    ] = ""
+
+    def __call__(self):
+        from samphirepost_bench import mutate
+
+        return 1 if mutate.run(pathlib.Path.cwd(), self.only) else 0
+
+
 @cappa.command(
     name="samphirepost_bench",
     help="Stand-ins, load and experiments for samphirepost.",
@@ -80,7 +96,7 @@
 class Bench:
     """The bench's command line."""
 
-    command: cappa.Subcommands[Platform | Engine | Service | Demo]
+    command: cappa.Subcommands[Platform | Engine | Service | Demo | Mutate]
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/samphirepost-bench/src/samphirepost_bench/mutate.py
@@ -0,0 +1,61 @@
+"""Applies each mutation to a copy of the code and runs its tests."""
+
+import concurrent.futures
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+from samphirepost_bench import mutations
+
+WORKERS = 4
+LIMIT_S = 300
+
+
+def run(root, only):
+    """Runs the mutations whose names hold `only`; returns the survivors."""
+    chosen = [m for m in mutations.ALL if only in m.name]
+    with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
+        caught = list(pool.map(lambda m: _try(root, m), chosen))
+    survivors = 0
+    for mutation, found in zip(chosen, caught, strict=True):
+        print(f"{found:<10}{mutation.name} ({mutation.tests})")
+        survivors += found != "caught"
+    print(f"{len(chosen) - survivors} caught, {survivors} not caught")
+    return survivors
+
+
+def _try(root, mutation):
+    with tempfile.TemporaryDirectory() as folder:
+        copy = pathlib.Path(folder)
+        for name in ("packages", "tests"):
+            shutil.copytree(root / name, copy / name)
+        for name in ("pyproject.toml", "README.md"):
+            if (root / name).exists():
+                shutil.copy(root / name, copy / name)
+        path = copy / "packages" / mutation.path
+        text = path.read_text(encoding="utf-8")
+        if text.count(mutation.old) != 1:
+            return "misplaced"
+        path.write_text(
+            text.replace(mutation.old, mutation.new), encoding="utf-8"
+        )
+        return _verdict(copy, mutation)
+
+
+def _verdict(copy, mutation):
+    sources = [str(p) for p in (copy / "packages").glob("*/src")]
+    variables = dict(os.environ, PYTHONPATH=os.pathsep.join(sources))
+    argv = [sys.executable, "-m", "pytest", "-x", "-q"]
+    argv += mutation.tests.split()
+    try:
+        done = subprocess.run(
+            argv, cwd=copy, env=variables, capture_output=True, timeout=LIMIT_S
+        )
+    except subprocess.TimeoutExpired:
+        return "caught"
+    if done.returncode == 1:
+        return "caught"
+    return "survived" if done.returncode == 0 else "not run"
--- /dev/null
+++ b/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
@@ -0,0 +1,162 @@
+"""Changes to the code that must each turn a test red."""
+
+import msgspec
+
+_CORE = "samphirepost/src/samphirepost"
+_DAEMON = "samphirepost-daemon/src/samphirepost_daemon"
+
+
+class Mutation(msgspec.Struct, frozen=True):
+    """One change: in `path`, `old` becomes `new`; `tests` must fail."""
+
+    name: str
+    path: str
+    old: str
+    new: str
+    tests: str
+
+
+ALL = (
+    Mutation(
+        "drop the check of the row's revision at a commit",
+        f"{_DAEMON}/commits.py",
+        "row.write, {key: revision}, {key: codec.pack(row)}",
+        "row.write, {}, {key: codec.pack(row)}",
+        "tests/test_ledger.py",
+    ),
+    Mutation(
+        "drop the read-back after a lost answer",
+        f"{_DAEMON}/platform.py",
+        "    if row is not None and row.write == transaction.write:\n",
+        "    if False:\n",
+        "tests/test_ledger.py",
+    ),
+    Mutation(
+        "reply before the record is durable",
+        f"{_CORE}/holding.py",
+        "            return self.outage and _grants_idempotent(reply)\n",
+        "            return True\n",
+        "tests/test_ledger.py",
+    ),
+    Mutation(
+        "start an item again that was started",
+        f"{_CORE}/ledger.py",
+        "    if job.states[command.item] != jobs.Item.CLAIMED:\n",
+        "    if False:\n",
+        "tests/test_ledger.py",
+    ),
+    Mutation(
+        "send a started request again after its holder was lost",
+        f"{_CORE}/ledger.py",
+        "    return _reply(messages.BeginReply(_held(entry, now, live)))\n",
+        "    return _begin_new(command)\n",
+        "tests/test_ledger.py",
+    ),
+    Mutation(
+        "let a started item of a lost holder back into the queue",
+        f"{_CORE}/ledger.py",
+        "        if job.states[item] == jobs.Item.STARTED:\n",
+        "        if False:\n",
+        "tests/test_ledger.py",
+    ),
+    Mutation(
+        "take results after a cancel",
+        f"{_CORE}/ledger.py",
+        "    if job.phase is not jobs.Phase.RUNNING:\n"
+        '        return _fail(errors.Kind.CANCELLED, "the job takes no',
+        "    if False:\n"
+        '        return _fail(errors.Kind.CANCELLED, "the job takes no',
+        "tests/test_ledger.py",
+    ),
+    Mutation(
+        "let a second result replace the first",
+        f"{_CORE}/ledger.py",
+        "        if entry.reference is not None:\n",
+        "        if False:\n",
+        "tests/test_ledger.py",
+    ),
+    Mutation(
+        "hold a lease for longer than watchers wait",
+        f"{_CORE}/lease.py",
+        "HOLDER_MARGIN = 0.7",
+        "HOLDER_MARGIN = 1.3",
+        "tests/test_lease.py",
+    ),
+    Mutation(
+        "replace a holder at once after an outage",
+        f"{_CORE}/lease.py",
+        "        self.since_s = now_s\n\n    def lapsed",
+        "        pass\n\n    def lapsed",
+        "tests/test_lease.py",
+    ),
+    Mutation(
+        "accept an older revision of the tables",
+        f"{_CORE}/tables.py",
+        "candidate.revision > current.revision",
+        "candidate.revision != current.revision",
+        "tests/test_tables.py",
+    ),
+    Mutation(
+        "edit from a stale revision",
+        f"{_CORE}/tables.py",
+        "    if expected == current:\n",
+        "    if expected <= current:\n",
+        "tests/test_tables.py",
+    ),
+    Mutation(
+        "serve with tables that may be old",
+        f"{_CORE}/membership.py",
+        "        return self.age(now_s) < self.limit_s\n",
+        "        return True\n",
+        "tests/test_membership.py",
+    ),
+    Mutation(
+        "let a minority of zones stand in for the table service",
+        f"{_CORE}/membership.py",
+        "    return len(zones_heard & zones_known) * 2 > len(zones_known)\n",
+        "    return True\n",
+        "tests/test_membership.py",
+    ),
+    Mutation(
+        "pass on an event of another request",
+        f"{_CORE}/stream.py",
+        "        if event.id != self.work:\n",
+        "        if False:\n",
+        "tests/test_stream.py",
+    ),
+    Mutation(
+        "take a stream without its end for whole",
+        f"{_CORE}/stream.py",
+        "        if self.finish_reason is None:\n",
+        "        if False:\n",
+        "tests/test_stream.py",
+    ),
+    Mutation(
+        "pass a repeated event on",
+        f"{_CORE}/stream.py",
+        "        if event.position < self.emitted:\n",
+        "        if False:\n",
+        "tests/test_stream.py",
+    ),
+    Mutation(
+        "give work to a leaving target",
+        f"{_CORE}/choice.py",
+        "        if self.leaving or self.missed",
+        "        if self.missed",
+        "tests/test_choice.py",
+    ),
+    Mutation(
+        "retry past the budget",
+        f"{_CORE}/retries.py",
+        "        if self.credit < 1.0:\n",
+        "        if False:\n",
+        "tests/test_choice.py",
+    ),
+    Mutation(
+        "reuse a connection to a peer that timed out",
+        f"{_DAEMON}/peers.py",
+        "            del self._connections[address]\n",
+        "            pass\n",
+        "tests/test_peers.py",
+    ),
+)
