--- a/packages/samphirepost-daemon/src/samphirepost_daemon/operators.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/operators.py
@@ -122,31 +122,26 @@
         who = web.authenticate(req, self._current)
         if isinstance(who, errors.Failure):
             who = SETUP
-        written = self._write(edit, who)
-        if isinstance(written, errors.Failure):
-            return web.fail(start_response, written)
-        return web.reply(start_response, {"revision": written.revision})
+        applied = self.apply(edit, who)
+        if isinstance(applied, errors.Failure):
+            return web.fail(start_response, applied)
+        return web.reply(start_response, {"revision": applied.revision})
 
-    def _write(self, edit, who):
+    def apply(self, edit, who):
         """Returns the new tables, or the Failure that refused the edit."""
+        if who == SETUP and edit.expected != 0:
+            reason = "only an operator may edit tables that are set up"
+            return errors.Failure(errors.Kind.NOT_OPERATOR, reason)
         candidate = tables.join(edit.routes, edit.pools, edit.expected + 1)
         failure = tables.check(candidate)
         if failure is not None:
             return failure
-        if who == SETUP and edit.expected != 0:
-            reason = "only an operator may edit tables that are set up"
-            return errors.Failure(errors.Kind.NOT_OPERATOR, reason)
-        before = self._before(edit.expected)
+        before = self.before(edit.expected)
         if isinstance(before, errors.Failure):
             return before
-        transaction = self._transaction(before, candidate, edit, who)
-        failure = self._settle(transaction, edit.expected)
-        if failure is not None:
-            return failure
-        self._current.offer(candidate)
-        return candidate
+        return self.write(before, edit, who)
 
-    def _before(self, expected):
+    def before(self, expected):
         """Returns the row to edit with its tables, or a Failure."""
         row = self._table.read(current_module.CURRENT_KEY)
         if isinstance(row, errors.Failure):
@@ -160,6 +155,16 @@
             return failure
         return Before(platform.ABSENT if row is None else row.revision, found)
 
+    def write(self, before, edit, who):
+        """Writes an edit of the tables as they were read before."""
+        candidate = tables.join(edit.routes, edit.pools, edit.expected + 1)
+        transaction = self._transaction(before, candidate, edit, who)
+        failure = self._settle(transaction, edit.expected)
+        if failure is not None:
+            return failure
+        self._current.offer(candidate)
+        return candidate
+
     def _transaction(self, before, candidate, edit, who):
         head = current_module.Head(candidate.revision)
         audit_key = current_module.audit_key(candidate.revision)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/peers.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/peers.py
@@ -154,6 +154,10 @@
             return _crossed(address)
         return response.reply
 
+    def connections(self, address):
+        """Returns how many connections to the peer may be used."""
+        return int(address in self._connections)
+
     def _connection(self, address):
         connection = self._connections.get(address)
         if connection is None:
--- a/packages/samphirepost/src/samphirepost/membership.py
+++ b/packages/samphirepost/src/samphirepost/membership.py
@@ -12,7 +12,6 @@
     coordinator: str = ""
     peer: str = ""
     epoch: int = 0
-    beat: int = 0
     members: tuple[messages.Member, ...] = ()
 
 
--- a/packages/samphirepost/src/samphirepost/messages.py
+++ b/packages/samphirepost/src/samphirepost/messages.py
@@ -220,7 +220,6 @@
     revision: int
     serving: bool
     partitions_waiting: tuple[int, ...] = ()
-    online: dict[str, int] = {}
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat"):
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -287,3 +287,12 @@
     found.take(at(seconds))
     found.settle_take()
     return found
+
+
+def put(table, key, value):
+    """Writes a typed value into a row."""
+    found = table.rows.get(key)
+    revision = platform.ABSENT if found is None else found.revision
+    table.write(
+        platform.Transaction("put", {key: revision}, {key: codec.pack(value)})
+    )
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,102 @@
+"""Which target gets a request; breakers, retries and limits."""
+
+import collections
+
+import hypothesis
+from hypothesis import strategies as st
+
+from samphirepost import admission
+from samphirepost import breaker
+from samphirepost import choice
+from samphirepost import retries
+from samphirepost import target
+
+NAMES = [f"engine-{n}" for n in range(5)]
+
+
+def seen():
+    return {name: choice.Seen() for name in NAMES}
+
+
+@hypothesis.given(st.lists(st.integers(0, 40), min_size=5, max_size=5))
+def test_affinity_never_goes_past_the_bound(loads):
+    known = seen()
+    for name, load in zip(NAMES, loads, strict=True):
+        known[name].online = load
+    found = choice.candidates(NAMES, known, (), 0.0)
+    chosen = choice.choose(found, "prefix")
+    mean = sum(loads) / len(loads)
+    bound = choice.AFFINITY_BOUND * mean + choice.AFFINITY_SLACK
+    assert known[chosen].online <= bound
+
+
+def test_same_prefix_goes_to_the_same_target_while_there_is_room():
+    known = seen()
+    found = choice.candidates(NAMES, known, (), 0.0)
+    chosen = {choice.choose(found, "prefix") for _ in range(10)}
+    assert len(chosen) == 1
+
+
+def test_prefixes_spread_over_the_targets():
+    found = choice.candidates(NAMES, seen(), (), 0.0)
+    counts = collections.Counter(
+        choice.choose(found, f"prefix-{n}") for n in range(1000)
+    )
+    assert min(counts.values()) > 120
+
+
+def test_leaving_silent_and_broken_targets_get_nothing():
+    known = seen()
+    known["engine-0"].take_report(target.Report("engine-0", leaving=True), 0)
+    known["engine-1"].missed = choice.REPORTS_MISSED_MAX
+    for _ in range(breaker.FAILURES_TO_OPEN):
+        known["engine-2"].breaker.failed(0.0)
+    found = choice.candidates(NAMES, known, ("engine-3",), 0.1)
+    assert [c.id for c in found] == ["engine-4"]
+
+
+def test_old_report_counts_for_less():
+    known = choice.Seen()
+    known.take_report(target.Report("engine-0", running=16), 0.0)
+    assert known.load(0.0) == 16
+    assert known.load(4 * choice.REPORT_HALF_LIFE_S) == 1
+    known.online = 3
+    assert known.load(1e6) == 3
+
+
+def test_open_breaker_lets_one_probe_through():
+    found = breaker.Breaker()
+    for _ in range(breaker.FAILURES_TO_OPEN):
+        found.failed(0.0)
+    assert not found.allows(0.1)
+    later_s = breaker.OPEN_S
+    assert found.allows(later_s)
+    found.sent(later_s)
+    assert not found.allows(later_s)
+    found.succeeded()
+    assert found.allows(later_s)
+
+
+@hypothesis.given(st.integers(0, 2000), st.sampled_from([0.05, 0.1, 0.3]))
+def test_retries_stay_within_the_budget(requests, share):
+    """Every request fails and asks to be retried four times."""
+    budget = retries.Budget(share)
+    sent = 0
+    for _ in range(requests):
+        budget.earn()
+        sent += sum(budget.spend() for _ in range(4))
+    assert sent <= requests * share + retries.BURST_RETRIES
+
+
+@hypothesis.given(
+    st.sampled_from([1.0, 1.05, 1.5, 3.0]),
+    st.lists(st.integers(0, 200), min_size=1, max_size=60),
+)
+def test_batch_never_gets_more_than_its_bound(headroom, bursts):
+    limit = admission.Limit(headroom, 64)
+    for step, online in enumerate(bursts):
+        now_s = step * admission.GROW_EVERY_S
+        limit.see_online(online, now_s)
+        limit.see_gap(9.0)
+        limit.adjust(now_s)
+        assert 0 <= limit.room(now_s) <= 64
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,132 @@
+"""Who is live, who coordinates, and who may serve."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from samphirepost import membership
+from samphirepost import messages
+from samphirepost import placement
+from samphirepost import settings
+from samphirepost_daemon import clock
+from samphirepost_daemon import current
+from samphirepost_daemon import directory
+from samphirepost_daemon import members
+from tests import helper
+
+LIMIT_S = 3.0
+names = st.lists(
+    st.text("abcdef", min_size=1, max_size=4),
+    unique=True,
+    min_size=2,
+    max_size=20,
+)
+
+
+class Hands(clock.Clock):
+    """A clock that a test moves."""
+
+    def __init__(self):
+        self.seconds = 100.0
+
+    def monotonic_s(self):
+        return self.seconds
+
+
+def member(name, zone="a", revision=0):
+    return messages.Member(name, name, zone, f"tcp://{name}", revision, True)
+
+
+def actor(name="vm-1", zone="a"):
+    """Returns an unstarted members actor with its clock and directory."""
+    cfg = settings.Daemon(
+        name, zone, settings.Platform("http://t", "http://o", "http://v")
+    )
+    hands = Hands()
+    found = directory.Directory(cfg.confirm_ms / 1000)
+    held = current.Current()
+    made = members.MembersActor(member(name, zone), cfg, hands, found, held)
+    return made, hands, found
+
+
+@hypothesis.given(
+    st.lists(st.tuples(st.floats(0, 50), st.floats(0, 10))),
+    st.floats(0, 100),
+)
+def test_stale_word_never_lets_a_daemon_serve(words, now_s):
+    """Word of any age, in any order; only young word counts."""
+    confirmation = membership.Confirmation(LIMIT_S)
+    for asked_s, age_s in words:
+        confirmation.confirm(asked_s, age_s)
+    newest = max((a - g for a, g in words), default=None)
+    fresh = newest is not None and now_s - newest < LIMIT_S
+    assert confirmation.fresh(now_s) == fresh
+
+
+@hypothesis.given(st.sets(st.integers(0, 10)), st.sets(st.integers(0, 10)))
+def test_two_halves_cannot_both_do_without_the_table_service(known, one):
+    other = known - one
+    both = membership.outage_confirms(
+        known, one
+    ) and membership.outage_confirms(known, other)
+    assert not both
+
+
+def test_daemon_cut_off_takes_itself_out():
+    made, hands, found = actor()
+    made.on_receive(members.Observed(hands.seconds, (), (), (), 0))
+    assert found.confirmation.fresh(hands.seconds)
+    hands.seconds += LIMIT_S
+    assert not found.confirmation.fresh(hands.seconds)
+
+
+def test_daemon_behind_the_newest_revision_is_not_confirmed():
+    made, hands, found = actor()
+    made.on_receive(members.Observed(hands.seconds, (), (), (), 5))
+    assert not found.confirmation.fresh(hands.seconds)
+    reply = messages.HeartbeatReply(0.0, 5, None)
+    made.on_receive(members.Told(hands.seconds, reply))
+    assert not found.confirmation.fresh(hands.seconds)
+
+
+def test_silent_member_leaves_the_zone():
+    zone = membership.Zone(LIMIT_S)
+    zone.hear(member("vm-1"), 0.0)
+    zone.hear(member("vm-2"), 2.0)
+    zone.forget_silent(LIMIT_S + 0.1)
+    assert [m.name for m in zone.live()] == ["vm-2"]
+
+
+def test_revision_is_in_force_when_every_member_has_it():
+    found = (member("vm-1", revision=4), member("vm-2", revision=3))
+    assert membership.in_force(4, found) == ("vm-2",)
+    assert membership.in_force(3, found) == ()
+
+
+def test_first_daemon_of_a_zone_coordinates_it():
+    made, hands, _ = actor()
+    write = made.on_receive(members.Observed(hands.seconds, (), (), (), 0))
+    assert write.row.coordinator == "vm-1"
+    assert write.revision == 0
+
+
+def test_live_coordinator_is_followed_and_a_dead_one_replaced():
+    table = helper.FakeTable()
+    made, hands, _ = actor()
+    row = membership.ZoneRow("vm-2", "tcp://vm-2", 1, (member("vm-2"),))
+    helper.put(table, members.ZONE_PREFIX + "a", row)
+    rows = table.scan(members.ZONE_PREFIX)
+    seen = members.Observed(hands.seconds, rows, (), (), 0)
+    assert made.on_receive(seen) is None
+    hands.seconds += 2 * LIMIT_S + members.RANK_MAX * members.RANK_STEP_S
+    write = made.on_receive(seen)
+    assert write.row.coordinator == "vm-1"
+    assert write.row.epoch == 2
+
+
+@hypothesis.given(names, st.integers(0, 64))
+def test_loss_of_a_member_moves_only_its_partitions(found, partition):
+    owner = placement.partition_owner(partition, found)
+    lost = found[0]
+    left = found[1:]
+    moved = placement.partition_owner(partition, left)
+    assert moved == owner or owner == lost
--- /dev/null
+++ b/tests/test_stream.py
@@ -0,0 +1,105 @@
+"""Streams that are cut, crossed, repeated or late are never whole."""
+
+import hypothesis
+from hypothesis import strategies as st
+import msgspec
+
+from samphirepost import errors
+from samphirepost import stream
+from samphirepost import target
+
+WORK = "req-000-a"
+FAULTS = ("drop", "repeat", "cross", "swap", "late")
+
+
+def event(position, work=WORK, reason=None):
+    text = "" if reason else f" {position}"
+    choice = target.Choice(text=text, finish_reason=reason)
+    return msgspec.json.encode(target.Event(work, [choice], position))
+
+
+def whole(count):
+    """Returns the events of a whole stream of `count` tokens."""
+    found = [event(position) for position in range(count)]
+    return [*found, event(count, reason="stop"), stream.DONE]
+
+
+def spoil(events, fault, at):
+    """Returns the events with one fault at a place."""
+    events = list(events)
+    at %= len(events)
+    if fault == "drop":
+        del events[at]
+    elif fault == "repeat":
+        events.insert(at, events[at])
+    elif fault == "cross":
+        events.insert(at, event(at, "req-000-other"))
+    elif fault == "late":
+        events.insert(at, event(0))
+    elif at + 1 < len(events):
+        events[at], events[at + 1] = events[at + 1], events[at]
+    return events
+
+
+def follow(events):
+    """Returns the check after the events, and the failure if any."""
+    check = stream.Check(WORK)
+    for data in events:
+        if check.finished:
+            break
+        found = check.accept(data)
+        if isinstance(found, errors.Failure):
+            return check, found
+    return check, None
+
+
+@hypothesis.given(
+    st.integers(1, 12),
+    st.lists(
+        st.tuples(st.sampled_from(FAULTS), st.integers(0, 20)), max_size=3
+    ),
+)
+def test_stream_taken_for_whole_has_the_whole_text(count, faults):
+    events = whole(count)
+    for fault, at in faults:
+        events = spoil(events, fault, at)
+    check, failure = follow(events)
+    if failure is None and check.finished:
+        assert check.text == "".join(f" {n}" for n in range(count))
+        assert check.emitted == count
+
+
+@hypothesis.given(st.integers(0, 12))
+def test_cut_stream_is_not_whole(kept):
+    check, _ = follow(whole(12)[:kept])
+    assert not check.finished
+
+
+def test_repeated_event_is_dropped_and_the_stream_goes_on():
+    events = whole(3)
+    check, failure = follow([events[0], events[0], *events[1:]])
+    assert failure is None
+    assert check.finished
+    assert check.text == " 0 1 2"
+
+
+def test_event_of_another_request_fails_the_stream():
+    _, failure = follow([event(0), event(1, "req-000-other")])
+    assert failure.kind is errors.Kind.STREAM_CROSSED
+
+
+def test_end_without_a_reason_fails_the_stream():
+    _, failure = follow([event(0), stream.DONE])
+    assert failure.kind is errors.Kind.STREAM_BROKEN
+
+
+@hypothesis.given(st.lists(st.integers(1, 30)), st.integers(1, 8))
+def test_events_are_the_same_however_they_are_cut(sizes, count):
+    data = b"".join(b"data: " + e + b"\n\n" for e in whole(count))
+    found, rest, start = [], b"", 0
+    for size in [*sizes, len(data)]:
+        events, rest = stream.split(rest + data[start : start + size])
+        found.extend(events)
+        start += size
+    assert found == whole(count)
+    assert rest == b""
--- /dev/null
+++ b/tests/test_tables.py
@@ -0,0 +1,139 @@
+"""The two tables: checks, races of operators, audit, one direction."""
+
+import hypothesis
+from hypothesis import strategies as st
+import msgspec
+
+from samphirepost import codec
+from samphirepost import errors
+from samphirepost import jsonc
+from samphirepost import tables
+from samphirepost_bench import fleet
+from samphirepost_daemon import clock
+from samphirepost_daemon import current
+from samphirepost_daemon import directory
+from samphirepost_daemon import operators
+from tests import helper
+
+
+class Targetlike:
+    """What a target's row is made from."""
+
+    name = "engine-0"
+    url = "http://127.0.0.1:1"
+    zone = "krakow-a"
+
+
+def pair(note=""):
+    """Returns the demo's tables as typed values."""
+    target = Targetlike()
+    routes = msgspec.convert(fleet.routes_table(), tables.Routes)
+    pools = fleet.pools_table([target], [target], [target])
+    return routes, msgspec.convert(pools, tables.Pools)
+
+
+def app(table):
+    """Returns a daemon's operator application on a table service."""
+    return operators.Operators(
+        clock.Clock(),
+        current.Current(),
+        None,
+        directory.Directory(3.0),
+        table,
+    )
+
+
+def edit(expected, note=""):
+    routes, pools = pair()
+    return operators.Edit(expected, routes, pools, note)
+
+
+def test_route_to_a_missing_pool_is_refused():
+    routes, _ = pair()
+    failure = tables.check(tables.join(routes, tables.Pools({}), 1))
+    assert failure.kind is errors.Kind.POOL_MISSING
+    assert "routes.care-note.pool" in failure.reason
+
+
+def test_unknown_field_is_refused_with_its_path():
+    text = '{"pools": {"p": {"targets": [], "colour": 1}}}  // why'
+    failure = jsonc.parse(text, tables.Pools, "pools.json")
+    assert failure.kind is errors.Kind.BAD_SETTINGS
+    assert failure.reason.startswith("pools.json: ")
+    assert "colour" in failure.reason
+    assert "$.pools" in failure.reason
+
+
+def test_edit_from_a_stale_revision_is_refused():
+    table = helper.FakeTable()
+    assert app(table).apply(edit(0), "operator").revision == 1
+    failure = app(table).apply(edit(0), "operator")
+    assert failure.kind is errors.Kind.STALE_REVISION
+    assert failure.outcome is errors.Outcome.NOT_RUN
+    assert "revision 1" in failure.reason
+
+
+def test_loser_of_a_race_is_refused_and_told_the_winner():
+    """Two operators read revision 1; the second writes first."""
+    table = helper.FakeTable()
+    app(table).apply(edit(0), "operator")
+    first = app(table)
+    before = first.before(1)
+    assert app(table).apply(edit(1), "other").revision == 2
+    failure = first.write(before, edit(1), "operator")
+    assert failure.kind is errors.Kind.STALE_REVISION
+    assert "revision 2" in failure.reason
+
+
+def test_lost_answer_is_read_back_and_audited_once():
+    table = helper.FakeTable()
+    table.faults = ["lose"]
+    assert app(table).apply(edit(0), "operator").revision == 1
+    rows = table.scan(current.AUDIT_PREFIX)
+    assert len(rows) == 1
+    audit = codec.unpack(rows[0].value, tables.AuditRow)
+    assert (audit.revision, audit.previous) == (1, 0)
+    assert audit.who == "operator"
+    assert {c["table"] for c in audit.changes} == {
+        "callers",
+        "routes",
+        "pools",
+    }
+
+
+def test_edit_is_unknown_while_its_answer_cannot_be_had():
+    table = helper.FakeTable()
+    table.faults = ["late"] * operators.SETTLE_TRIES
+    failure = app(table).apply(edit(0), "operator")
+    assert failure.outcome is errors.Outcome.UNKNOWN
+
+
+def test_stranger_sets_up_empty_tables_alone():
+    table = helper.FakeTable()
+    app(table).apply(edit(0), "operator")
+    failure = app(table).apply(edit(1), operators.SETUP)
+    assert failure.kind is errors.Kind.NOT_OPERATOR
+
+
+@hypothesis.given(st.lists(st.integers(1, 50)))
+def test_member_moves_only_forward(revisions):
+    held = current.Current()
+    highest = 0
+    for revision in revisions:
+        held.offer(tables.Tables(revision))
+        highest = max(highest, revision)
+        assert held.revision == highest
+
+
+def test_changes_name_each_row_that_differs():
+    routes, pools = pair()
+    before = tables.join(routes, pools, 1)
+    slip = msgspec.structs.replace(routes.routes["slip"], pool="notices")
+    after = tables.join(
+        tables.Routes(routes.callers, {**routes.routes, "slip": slip}),
+        pools,
+        2,
+    )
+    (change,) = tables.changes(before, after)
+    assert (change["table"], change["name"]) == ("routes", "slip")
+    assert change["after"]["pool"] == "notices"
