--- a/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
@@ -88,6 +88,33 @@
         return 1 if mutate.run(pathlib.Path.cwd(), self.only) else 0
 
 
+@cappa.command(name="experiment", help="Compares policies under load.")
+@dataclasses.dataclass
+class Experiment:
+    """Online and batch work on one fleet, by policy."""
+
+    users: typing.Annotated[
+        str, cappa.Arg(long=True, help="Whose fleet: nurseries or umoja.")
+    ] = "nurseries"
+    daemons: typing.Annotated[
+        int, cappa.Arg(long=True, help="Daemons to start.")
+    ] = 3
+    folder: typing.Annotated[
+        str, cappa.Arg(long=True, help="Where to write JSON and plots.")
+    ] = "docs/runs"
+    only: typing.Annotated[
+        str, cappa.Arg(long=True, help="Part of a variant's name.")
+    ] = ""
+
+    def __call__(self):
+        from samphirepost_bench import experiment
+
+        return experiment.run(self.users, self.daemons, self.folder, self.only)
+
+
+Command = Platform | Engine | Service | Demo | Mutate | Experiment
+
+
 @cappa.command(
     name="samphirepost_bench",
     help="Stand-ins, load and experiments for samphirepost.",
@@ -96,7 +123,9 @@
 class Bench:
     """The bench's command line."""
 
-    command: cappa.Subcommands[Platform | Engine | Service | Demo | Mutate]
+    command: cappa.Subcommands[
+        Platform | Engine | Service | Demo | Mutate | Experiment
+    ]
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/samphirepost-bench/src/samphirepost_bench/experiment.py
@@ -0,0 +1,252 @@
+"""Online and batch work on one fleet, by policy; and runs under faults.
+
+The figures are printed, written as JSON and drawn as a plot.
+"""
+
+import asyncio
+import json
+import pathlib
+import sys
+import threading
+import time
+
+from samphirepost_bench import demo
+from samphirepost_bench import fleet as fleet_module
+from samphirepost_bench import load
+
+SCALE = 3.0
+RUN_S = 40.0
+WARM_S = 10.0
+MEAN_PER_ENGINE = 1.6
+BURST_FACTOR = 5.0
+ONLINE_TOKENS = 40
+BATCH_TOKENS = 64
+BATCH_ITEMS = 20_000
+SEED = 7
+NO_CONTROL = 256
+FIXED = 16
+FLEETS = {"nurseries": 5, "umoja": 6}
+SETTLE_S = 2.0
+
+
+class Variant:
+    """One way to run batch work beside online work."""
+
+    __slots__ = ("batch", "fixed", "headroom", "name")
+
+    def __init__(self, name, batch, headroom=1.5, fixed=0):
+        self.name = name
+        self.batch = batch
+        self.headroom = headroom
+        self.fixed = fixed
+
+
+VARIANTS = (
+    Variant("online alone", False),
+    Variant("no control", True, fixed=NO_CONTROL),
+    Variant("fixed limit 16", True, fixed=FIXED),
+    Variant("headroom 1.5 (nurseries)", True, headroom=1.5),
+    Variant("headroom 1.05 (Umoja)", True, headroom=1.05),
+)
+
+
+def start(engines, daemons, scale=SCALE, zones=demo.ZONES):
+    """Returns a fleet of engines and daemons spread over the zones."""
+    fleet = fleet_module.Fleet()
+    fleet.start_platform()
+    for index in range(engines):
+        zone = zones[index % len(zones)]
+        fleet.start_engine(f"engine-{index}", zone, scale=scale)
+    for index in range(daemons):
+        zone = zones[index % len(zones)]
+        fleet.start_daemon(f"vm-{index}", zone, wait=False)
+    for daemon in fleet.daemons:
+        fleet.wait_ready(daemon)
+    return fleet
+
+
+def apply(fleet, expected, variant):
+    """Puts a variant's pool settings in force; returns the revision."""
+    pool = {
+        "targets": fleet_module.target_rows(fleet.engines.values()),
+        "online_headroom": variant.headroom,
+        "batch_fixed_limit": variant.fixed,
+        "batch_limit_max": NO_CONTROL,
+    }
+    route = {"pool": "plants", "callers": ["nurseries"]}
+    edit = {
+        "expected": expected,
+        "routes": {
+            "callers": fleet_module.callers(),
+            "routes": {"care-note": route, "summary": route},
+        },
+        "pools": {"pools": {"plants": pool}},
+        "note": variant.name,
+    }
+    url = fleet.daemons[0].url("operator") + "/v1/tables"
+    token = fleet_module.OPERATOR
+    status, body = fleet.http.json("POST", url, edit, token=token)
+    if status != 200:
+        raise fleet_module.Gone(f"apply: {body}")
+    demo.wait_in_force(fleet, body["revision"])
+    return body["revision"]
+
+
+def submit(fleet, lines, key):
+    """Submits a job; returns its id."""
+    status, body = fleet.http.json(
+        "POST",
+        fleet.daemons[0].url("batch") + "/v1/batches",
+        lines,
+        token=fleet_module.CALLERS["nurseries"],
+        headers={"Idempotency-Key": key},
+    )
+    if status not in (200, 202):
+        raise fleet_module.Gone(f"submit: {body}")
+    return body["id"]
+
+
+def cancel(fleet, job):
+    """Cancels a job and waits until the engines are idle."""
+    url = fleet.daemons[0].url("batch") + f"/v1/batches/{job}/cancel"
+    token = fleet_module.CALLERS["nurseries"]
+    fleet.http.json("POST", url, token=token)
+    while sum(engine_counts(fleet, "running")):
+        time.sleep(fleet_module.POLL_S)
+
+
+def engine_counts(fleet, name):
+    """Returns one count of each engine that lives."""
+    return [
+        fleet.http.json("GET", engine.url + "/counts")[1].get(name, 0)
+        for engine in fleet.engines.values()
+        if engine.alive
+    ]
+
+
+def batch_tokens(fleet):
+    """Returns the batch tokens that live daemons have taken in."""
+    return sum(
+        labelled(fleet, daemon, "samphirepost_tokens_total", 'kind="batch"')
+        for daemon in fleet.daemons
+        if daemon.alive
+    )
+
+
+def labelled(fleet, daemon, name, label):
+    """Returns a metric's value under a label."""
+    url = daemon.url("operator") + "/metrics"
+    for line in fleet.http.json("GET", url)[1].splitlines():
+        if line.startswith(name + "{") and label in line:
+            return float(line.rsplit(" ", 1)[1])
+    return 0.0
+
+
+def measure(fleet, variant, shape, run_s=RUN_S):
+    """Runs one variant; returns its figures."""
+    job = None
+    if variant.batch:
+        lines = load.batch_lines(BATCH_ITEMS, BATCH_TOKENS)
+        job = submit(fleet, lines, variant.name)
+    counter = Counter(fleet)
+    client = load.Load(
+        [d.url("online") for d in fleet.daemons if d.alive],
+        fleet_module.CALLERS["nurseries"],
+        "care-note",
+        ONLINE_TOKENS,
+        WARM_S,
+    )
+    counter.start()
+    asyncio.run(client.run(shape.arrivals(run_s, SEED)))
+    figures = client.measured.summary()
+    figures["batch_tokens_per_s"] = counter.per_second()
+    figures["cached_share"] = cached_share(fleet)
+    if job is not None:
+        cancel(fleet, job)
+    return figures
+
+
+class Counter(threading.Thread):
+    """Counts batch tokens from the warm-up's end to the run's end."""
+
+    def __init__(self, fleet, run_s=RUN_S):
+        super().__init__(daemon=True)
+        self._fleet = fleet
+        self._run_s = run_s
+        self._tokens = 0.0
+        self._seconds = 1.0
+
+    def run(self):
+        time.sleep(WARM_S)
+        before, began_s = batch_tokens(self._fleet), time.monotonic()
+        time.sleep(self._run_s - WARM_S)
+        self._tokens = batch_tokens(self._fleet) - before
+        self._seconds = time.monotonic() - began_s
+
+    def per_second(self):
+        """Returns the batch tokens a second."""
+        self.join()
+        return self._tokens / self._seconds
+
+
+def cached_share(fleet):
+    """Returns the share of prompt tokens found in prefix caches so far."""
+    prompt = sum(engine_counts(fleet, "prompt_tokens"))
+    return sum(engine_counts(fleet, "cached_tokens")) / max(1, prompt)
+
+
+def compare(users, daemons, only=""):
+    """Runs all variants on one fleet; returns the figures by variant."""
+    engines = FLEETS[users]
+    shape = load.Shape(MEAN_PER_ENGINE * engines, BURST_FACTOR)
+    found = {}
+    with start(engines, daemons) as fleet:
+        revision = 0
+        for variant in VARIANTS:
+            if only and only not in variant.name and variant.batch:
+                continue
+            revision = apply(fleet, revision, variant)
+            time.sleep(SETTLE_S)
+            found[variant.name] = measure(fleet, variant, shape)
+            show(variant.name, found)
+    return found
+
+
+def show(name, found):
+    """Prints a variant's figures beside those of online alone."""
+    figures = found[name]
+    alone = found["online alone"]
+    first, gap = figures["first_ms"], figures["gap_ms"]
+    print(
+        f"{name:<26} first p50 {first['p50']:7.1f} p99 {first['p99']:7.1f}"
+        f" ({first['p99'] / alone['first_ms']['p99']:.2f}x)"
+        f"  gap p50 {gap['p50']:6.1f} p99 {gap['p99']:6.1f}"
+        f" ({gap['p99'] / alone['gap_ms']['p99']:.2f}x)"
+        f"  batch {figures['batch_tokens_per_s']:7.0f} tokens/s"
+        f"  {figures['outcomes']}",
+        flush=True,
+    )
+
+
+def run(users, daemons, folder, only=""):
+    """Runs the comparison; writes JSON and a plot; returns 0."""
+    found = compare(users, daemons, only)
+    result = {
+        "command": " ".join(sys.argv),
+        "users": users,
+        "engines": FLEETS[users],
+        "daemons": daemons,
+        "scale": SCALE,
+        "run_s": RUN_S,
+        "warm_s": WARM_S,
+        "mean_per_engine": MEAN_PER_ENGINE,
+        "burst_factor": BURST_FACTOR,
+        "variants": found,
+    }
+    path = pathlib.Path(folder) / f"policy-{users}.json"
+    path.write_text(json.dumps(result, indent=1), encoding="utf-8")
+    from samphirepost_bench import plots
+
+    plots.policy(result, path.with_suffix(".png"))
+    print(f"written: {path}")
+    return 0
--- /dev/null
+++ b/packages/samphirepost-bench/src/samphirepost_bench/load.py
@@ -0,0 +1,178 @@
+"""Open-loop online load: seeded arrivals, streams followed to their end."""
+
+import asyncio
+import json
+import random
+import time
+
+import aiohttp
+from hdrh import histogram as hdrh
+
+PREFIX_WORDS = 96
+LOWEST_US = 1
+HIGHEST_US = 120_000_000
+DIGITS = 3
+
+
+class Shape:
+    """Arrivals a second: a mean, and bursts of `factor` times the mean."""
+
+    __slots__ = ("burst_every_s", "burst_s", "factor", "mean")
+
+    def __init__(self, mean, factor=1.0, burst_every_s=10.0, burst_s=3.0):
+        self.mean = mean
+        self.factor = factor
+        self.burst_every_s = burst_every_s
+        self.burst_s = burst_s
+
+    def rate(self, at_s):
+        """Returns the arrivals a second at an instant of the run."""
+        into_s = at_s % self.burst_every_s
+        in_burst = into_s >= self.burst_every_s - self.burst_s
+        return self.mean * (self.factor if in_burst else 1.0)
+
+    def arrivals(self, run_s, seed):
+        """Returns the instants of all arrivals, by a Poisson process."""
+        chance = random.Random(seed)
+        highest = self.mean * max(1.0, self.factor)
+        found, at_s = [], 0.0
+        while True:
+            at_s += chance.expovariate(highest)
+            if at_s >= run_s:
+                return found
+            if chance.random() * highest < self.rate(at_s):
+                found.append(at_s)
+
+
+class Measured:
+    """What was measured of a run's online requests."""
+
+    def __init__(self):
+        self.first_us = hdrh.HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        self.gap_us = hdrh.HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        self.outcomes = {}
+        self.tokens = 0
+        self.late = 0
+
+    def ended(self, outcome):
+        """Counts a request's outcome."""
+        self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
+
+    def summary(self):
+        """Returns the figures by name."""
+        return {
+            "outcomes": self.outcomes,
+            "tokens": self.tokens,
+            "first_token_late": self.late,
+            "first_ms": _percentiles(self.first_us),
+            "gap_ms": _percentiles(self.gap_us),
+        }
+
+
+def _percentiles(found):
+    return {
+        f"p{share}": found.get_value_at_percentile(share) / 1000
+        for share in (50, 95, 99)
+    }
+
+
+class Load:
+    """Sends completions to daemons in turn and follows the streams."""
+
+    def __init__(self, urls, token, route, tokens, warm_s, late_s=2.0):
+        self._urls = urls
+        self._token = token
+        self._route = route
+        self._tokens = tokens
+        self._warm_s = warm_s
+        self._late_s = late_s
+        self.measured = Measured()
+
+    async def run(self, arrivals, prefixes=8):
+        """Sends a request at each instant; returns when all have ended."""
+        timeout = aiohttp.ClientTimeout(total=60)
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(
+            connector=connector, timeout=timeout, read_bufsize=4096
+        ) as session:
+            begin_s = time.monotonic()
+            tasks = []
+            for number, at_s in enumerate(arrivals):
+                wait_s = begin_s + at_s - time.monotonic()
+                if wait_s > 0:
+                    await asyncio.sleep(wait_s)
+                prompt = make_prompt(number, number % prefixes)
+                counted = at_s >= self._warm_s
+                request = self._request(session, number, prompt, counted)
+                tasks.append(asyncio.create_task(request))
+            await asyncio.gather(*tasks)
+
+    async def _request(self, session, number, prompt, counted):
+        url = self._urls[number % len(self._urls)]
+        body = {
+            "model": self._route,
+            "prompt": prompt,
+            "max_tokens": self._tokens,
+            "stream": True,
+        }
+        headers = {"Authorization": f"Bearer {self._token}"}
+        outcome = "lost"
+        started_s = time.monotonic()
+        try:
+            async with session.post(
+                f"{url}/v1/completions", json=body, headers=headers
+            ) as reply:
+                if reply.status != 200:
+                    outcome = str(reply.status)
+                else:
+                    outcome = await self._follow(reply, started_s, counted)
+        except (TimeoutError, aiohttp.ClientError) as exc:
+            outcome = type(exc).__name__
+        if counted:
+            self.measured.ended(outcome)
+
+    async def _follow(self, reply, started_s, counted):
+        """Follows a stream; the time to the first token is from sending."""
+        last_s = None
+        whole = False
+        async for data in reply.content.iter_any():
+            now_s = time.monotonic()
+            count = data.count(b'"position"')
+            whole = whole or data.endswith(b"[DONE]\n\n")
+            if counted and count:
+                self._note(now_s, last_s, started_s, count)
+            last_s = now_s
+        return "done" if whole else "cut"
+
+    def _note(self, now_s, last_s, started_s, count):
+        self.measured.tokens += count
+        if last_s is None:
+            first_s = now_s - started_s
+            self.measured.late += first_s > self._late_s
+            self.measured.first_us.record_value(max(1, int(first_s * 1e6)))
+        else:
+            gap_us = max(1, int((now_s - last_s) * 1e6 / count))
+            self.measured.gap_us.record_value(gap_us)
+
+
+def make_prompt(number, prefix):
+    """Returns a prompt: one of a few long prefixes, then its own words."""
+    words = [f"guide{prefix}-{word}" for word in range(PREFIX_WORDS)]
+    words += [f"question{number}-{word}" for word in range(16)]
+    return " ".join(words)
+
+
+def batch_lines(items, tokens, route="summary"):
+    """Returns the JSON lines of a job with one long prefix."""
+    head = " ".join(f"order-rule-{word}" for word in range(PREFIX_WORDS))
+    lines = []
+    for number in range(items):
+        tail = " ".join(f"line{number}-{word}" for word in range(16))
+        body = {
+            "model": route,
+            "prompt": f"{head} {tail}",
+            "max_tokens": tokens,
+        }
+        line = {"custom_id": f"order-{number}", "body": body}
+        lines.append(json.dumps(line))
+    return "\n".join(lines).encode()
--- /dev/null
+++ b/packages/samphirepost-bench/src/samphirepost_bench/plots.py
@@ -0,0 +1,43 @@
+"""Draws experiments' figures."""
+
+import matplotlib
+
+matplotlib.use("Agg")
+
+from matplotlib import pyplot
+
+
+def policy(result, path):
+    """Draws online harm against batch throughput, a point a variant."""
+    variants = result["variants"]
+    alone = variants["online alone"]["first_ms"]["p99"]
+    figure, axes = pyplot.subplots(figsize=(7, 4.5))
+    for name, figures in variants.items():
+        x = figures["batch_tokens_per_s"]
+        y = figures["first_ms"]["p99"] / alone
+        axes.scatter([x], [y])
+        axes.annotate(name, (x, y), textcoords="offset points", xytext=(5, 5))
+    axes.set_xlabel("batch tokens/s")
+    axes.set_ylabel("online first token p99, ratio to online alone")
+    axes.set_title(
+        f"{result['users']}: {result['engines']} engines,"
+        f" {result['daemons']} daemons"
+    )
+    axes.set_ylim(bottom=0)
+    figure.tight_layout()
+    figure.savefig(path, dpi=110)
+    pyplot.close(figure)
+
+
+def lines(series, x_label, y_label, title, path):
+    """Draws named series of points as lines."""
+    figure, axes = pyplot.subplots(figsize=(7, 4.5))
+    for name, points in series.items():
+        axes.plot(*zip(*points, strict=True), marker="o", label=name)
+    axes.set_xlabel(x_label)
+    axes.set_ylabel(y_label)
+    axes.set_title(title)
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path, dpi=110)
+    pyplot.close(figure)
--- /dev/null
+++ b/packages/samphirepost-bench/src/samphirepost_bench/slopes.py
@@ -0,0 +1,404 @@
+"""Measures how each role's cost grows; each slope at three or more sizes."""
+
+import gc
+import json
+import os
+import pathlib
+import sys
+import time
+import tracemalloc
+
+import msgspec
+
+from samphirepost import choice
+from samphirepost import codec
+from samphirepost import holding
+from samphirepost import jobs
+from samphirepost import ledger
+from samphirepost import membership
+from samphirepost import messages
+from samphirepost import records
+from samphirepost import tables
+from samphirepost import target
+from samphirepost_bench import fleet as fleet_module
+
+MEMBERS = (12, 48, 109, 300, 1200)
+TARGETS = (5, 24, 500, 12_000)
+ENTRIES = (1_000, 10_000, 50_000)
+ITEMS = (100, 3_570, 130_000)
+ROUTES = (10, 100, 1_000)
+DAEMONS = (6, 12, 24)
+IDLE_S = 10.0
+LEAST_S = 0.2
+PARTITIONS = 22
+REQUEST_RATE = 100
+ANSWER_BYTES = 1_200
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+NOW = ledger.Now(0.0, 0.0)
+
+
+def seconds_per_call(call):
+    """Returns the processor time of one call (s), over many calls."""
+    count, spent_s = 0, 0.0
+    while spent_s < LEAST_S:
+        started_s = time.process_time()
+        call()
+        spent_s += time.process_time() - started_s
+        count += 1
+    return spent_s / count
+
+
+def member(number):
+    """Returns a member as it stands in a view."""
+    return messages.Member(
+        name=f"vm-{number}.0123abcd",
+        vm=f"vm-{number}",
+        zone=f"zone-{number % 11}",
+        peer=f"tcp://10.0.{number // 250}.{number % 250}:7004",
+        revision=12_000,
+        serving=True,
+    )
+
+
+def view(count):
+    """Returns a view of so many members."""
+    owners = {n: messages.Owner(f"vm-{n}.0123abcd", 7) for n in range(22)}
+    coordinators = {f"zone-{n}": f"tcp://10.0.0.{n}:7004" for n in range(11)}
+    return membership.make_view(
+        [member(n) for n in range(count)], owners, {}, coordinators, (), 12_000
+    )
+
+
+def membership_slopes():
+    """The view's bytes, and the time to make it and to read it."""
+    found = []
+    for count in MEMBERS:
+        data = codec.pack(view(count))
+        found.append(
+            {
+                "members": count,
+                "view_bytes": len(data),
+                "make_ms": 1e3 * seconds_per_call(lambda n=count: view(n)),
+                "read_ms": 1e3
+                * seconds_per_call(
+                    lambda d=data: codec.unpack(d, messages.View)
+                ),
+            }
+        )
+    heartbeat = messages.Heartbeat(member(0), "0123456789abcdef")
+    reply = messages.HeartbeatReply(0.1, 12_000, None)
+    sizes = {
+        "heartbeat_bytes": len(codec.pack(heartbeat)),
+        "reply_bytes": len(codec.pack(reply)),
+    }
+    return {"views": found, **sizes}
+
+
+def choice_slopes():
+    """The time to choose a target among so many."""
+    found = []
+    for count in TARGETS:
+        names = [f"engine-{n}" for n in range(count)]
+        seen = {name: choice.Seen() for name in names}
+        for known in seen.values():
+            known.take_report(target.Report("e", running=9), 0.0)
+
+        def choose(names=names, seen=seen):
+            usable = choice.candidates(names, seen, (), 1.0)
+            return choice.choose(usable, "prefix")
+
+        found.append(
+            {"targets": count, "choose_ms": 1e3 * seconds_per_call(choose)}
+        )
+    return found
+
+
+def _memory(make):
+    """Returns what `make` returns and the bytes that it keeps."""
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    made = make()
+    gc.collect()
+    kept = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    return made, kept
+
+
+def _finish(number):
+    result = records.Result(200, "application/json", b"x" * ANSWER_BYTES)
+    return messages.Finish(
+        f"req-000-{number:032x}",
+        "nurseries",
+        f"{number:064x}",
+        f"{number:032x}",
+        True,
+        result,
+    )
+
+
+def ledger_slopes():
+    """The owner's time, bytes and memory for each online request."""
+    found = []
+    for count in ENTRIES:
+        segments = []
+
+        def fill(count=count, segments=segments):
+            state = ledger.State(5.0, 3)
+            for start in range(0, count, 500):
+                held = []
+                for number in range(start, min(count, start + 500)):
+                    decision = ledger.decide(_finish(number), state, NOW, bool)
+                    reference = records.Reference(f"s{start}", len(held))
+                    for record in decision.appended:
+                        ledger.apply(record, state, reference, NOW)
+                        held.append(record)
+                segments.append(codec.pack(records.Segment(0, 1, held)))
+            return state
+
+        started_s = time.process_time()
+        fill()
+        spent_s = time.process_time() - started_s
+        size = sum(len(s) for s in segments) / count
+        segments.clear()
+        state, kept = _memory(fill)
+        found.append(
+            {
+                "entries": count,
+                "decide_us": 1e6 * spent_s / count,
+                "segment_bytes": size,
+                "state_bytes": (kept - sum(len(s) for s in segments)) / count,
+                "snapshot_ms": 1e3
+                * seconds_per_call(lambda s=state: codec.pack(ledger.save(s))),
+                "replay_ms": 1e3 * _replay_s(segments),
+            }
+        )
+    return found
+
+
+def _replay_s(segments):
+    started_s = time.process_time()
+    state = ledger.State(5.0, 3)
+    for data in segments:
+        segment = codec.unpack(data, records.Segment)
+        for position, record in enumerate(segment.records):
+            reference = records.Reference("s", position)
+            ledger.apply(record, state, reference, NOW)
+    return time.process_time() - started_s
+
+
+def accepted(total):
+    """Returns a job of so many items."""
+    names = tuple(f"uploads/x-{n}" for n in range(total // 1000 + 1))
+    return records.JobAccepted(
+        "job-000-x", "c", "d", "r", True, total, 1000, names, 9e9, 0.0
+    )
+
+
+def job_slopes():
+    """The owner's memory and time for each item of a job."""
+    found = []
+    for total in ITEMS:
+        job, kept = _memory(lambda t=total: jobs.Job(accepted(t)))
+        state = ledger.State(5.0, 3)
+        state.jobs["job-000-x"] = job
+        started_s = time.process_time()
+        _run_job(state, total)
+        spent_s = time.process_time() - started_s
+        found.append(
+            {
+                "items": total,
+                "job_bytes_per_item": kept / total,
+                "item_us": 1e6 * spent_s / total,
+            }
+        )
+    return found
+
+
+def _run_job(state, total):
+    done = 0
+    while done < total:
+        pull = messages.Pull(0, "vm", f"c{done}", ("r",), 32, True)
+        for grant in _apply(state, pull).grants:
+            results = tuple(
+                messages.ItemResult(item, int(jobs.Item.DONE), b"{}")
+                for item in grant.items
+            )
+            finish = messages.ItemFinish("job-000-x", grant.claim, results)
+            _apply(state, finish)
+            done += len(results)
+
+
+def _apply(state, command):
+    decision = ledger.decide(command, state, NOW, bool)
+    reference = records.Reference("s", 0)
+    for record in decision.appended:
+        ledger.apply(record, state, reference, NOW)
+    return decision.reply
+
+
+def table_slopes():
+    """The tables' bytes, and the time to check, compare and read them."""
+    found = []
+    for count in ROUTES:
+        made = _tables(count)
+        data = codec.pack(made)
+        other = msgspec.structs.replace(made, revision=2)
+        found.append(
+            {
+                "routes": count,
+                "bytes": len(data),
+                "read_ms": 1e3
+                * seconds_per_call(
+                    lambda d=data: codec.unpack(d, tables.Tables)
+                ),
+                "check_ms": 1e3
+                * seconds_per_call(lambda m=made: tables.check(m)),
+                "compare_ms": 1e3
+                * seconds_per_call(
+                    lambda a=made, b=other: tables.changes(a, b)
+                ),
+            }
+        )
+    return found
+
+
+def _tables(count):
+    targets = tuple(
+        tables.Target(f"engine-{n}", f"http://10.0.0.1:{n}", "zone-1")
+        for n in range(12)
+    )
+    pools = {f"pool-{n}": tables.Pool(targets) for n in range(11)}
+    callers = {f"caller-{n}": tables.Caller("0" * 64) for n in range(count)}
+    routes = {
+        f"route-{n}": tables.Route(f"pool-{n % 11}", (f"caller-{n}",))
+        for n in range(count)
+    }
+    return tables.Tables(1, callers, routes, pools)
+
+
+class Counting:
+    """Counts the row writes of a holding's commits."""
+
+    def __init__(self):
+        self.writes = 0
+        self.held = holding.Holding(
+            0,
+            records.Row("vm", 1),
+            1,
+            ledger.State(5.0, 3),
+            holding.hold(self, 0.0),
+            holding.Limits(20_000, 1 << 30),
+            lambda: "write",
+        )
+
+    lease_ms = 1e12
+
+    def commit(self):
+        """Commits what is open, if anything is."""
+        if self.held.has_open:
+            closing = self.held.close()
+            self.held.committed(closing.row, 1, 0.0, NOW)
+            self.writes += 1
+
+
+def write_slopes(interval_s=0.05, total=1_000):
+    """Writes for 1,000 results: in groups, and one by one."""
+    found = []
+    for rate in (10, REQUEST_RATE, 1_000, 5_455):
+        grouped, single = Counting(), Counting()
+        due_s = 0.0
+        for number in range(total):
+            at_s = number / rate
+            if at_s >= due_s:
+                grouped.commit()
+                due_s = at_s + interval_s
+            grouped.held.handle(_finish(number), number, NOW, bool)
+            single.held.handle(_finish(number), number, NOW, bool)
+            single.commit()
+        grouped.commit()
+        found.append(
+            {
+                "results_per_s": rate,
+                "grouped_writes": grouped.writes,
+                "single_writes": single.writes,
+            }
+        )
+    return found
+
+
+def _cpu_s(process):
+    stat = pathlib.Path(f"/proc/{process.popen.pid}/stat").read_text()
+    fields = stat.rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+
+def _rss_mb(process):
+    path = pathlib.Path(f"/proc/{process.popen.pid}/status")
+    for line in path.read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def idle_slopes():
+    """Daemons of one zone with nothing to do: the cost of control."""
+    found = []
+    for count in DAEMONS:
+        with fleet_module.Fleet() as fleet:
+            fleet.start_platform()
+            for index in range(count):
+                fleet.start_daemon(
+                    f"vm-{index}", "zone-1", wait=False, online_threads=4
+                )
+            for daemon in fleet.daemons:
+                fleet.wait_ready(daemon)
+            time.sleep(IDLE_S)
+            found.append(_idle(fleet, count))
+    return found
+
+
+def _idle(fleet, count):
+    before = [_cpu_s(daemon) for daemon in fleet.daemons]
+    calls = fleet.counts()["table"]
+    time.sleep(IDLE_S)
+    spent = [
+        100 * (_cpu_s(daemon) - past) / IDLE_S
+        for daemon, past in zip(fleet.daemons, before, strict=True)
+    ]
+    now = fleet.counts()["table"]
+    spent.sort()
+    return {
+        "daemons": count,
+        "member_cpu_percent": spent[len(spent) // 2],
+        "coordinator_cpu_percent": spent[-1],
+        "rss_mb": sum(_rss_mb(d) for d in fleet.daemons) / count,
+        "table_reads_per_s": (now["reads"] - calls["reads"]) / IDLE_S,
+        "table_writes_per_s": (now["writes"] - calls["writes"]) / IDLE_S,
+    }
+
+
+def run(folder, quick):
+    """Measures all slopes; writes JSON and docs/CAPACITY.md."""
+    result = {
+        "command": " ".join(sys.argv),
+        "python": sys.version.split()[0],
+        "cores": os.cpu_count(),
+        "membership": membership_slopes(),
+        "choice": choice_slopes(),
+        "ledger": ledger_slopes(),
+        "jobs": job_slopes(),
+        "tables": table_slopes(),
+        "writes": write_slopes(),
+    }
+    path = pathlib.Path(folder) / "slopes.json"
+    if quick and path.exists():
+        result["idle"] = json.loads(path.read_text())["idle"]
+    else:
+        result["idle"] = idle_slopes()
+    path.write_text(json.dumps(result, indent=1), encoding="utf-8")
+    print(json.dumps(result, indent=1))
+    from samphirepost_bench import capacity
+
+    capacity.write(path, pathlib.Path("docs/CAPACITY.md"))
+    return 0
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/dispatch.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/dispatch.py
@@ -99,6 +99,8 @@
         kind = "online" if item.online else "batch"
         metrics.DISPATCHES.labels(name, kind).inc()
         item.tries += 1
+        if not item.dispatched_s:
+            item.dispatched_s = self._clock.monotonic_s()
         try:
             outcome = yield from _run(item.payload, self, item, destination)
         finally:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/metrics.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/metrics.py
@@ -25,10 +25,10 @@
     ["route"],
     buckets=_BUCKETS_S,
 )
-OVERHEAD = prometheus_client.Histogram(
+DISPATCH = prometheus_client.Histogram(
     "samphirepost_dispatch_seconds",
     "Time from an online request to its dispatch to a target",
-    buckets=_BUCKETS_S,
+    buckets=(0.0005, 0.001, 0.002, 0.003, 0.005, 0.01, 0.025, 0.1, 1.0),
 )
 TOKENS = prometheus_client.Counter(
     "samphirepost_tokens", "Tokens passed on", ["kind"]
@@ -93,12 +93,6 @@
 PEER_CONNECTIONS_RETIRED = prometheus_client.Counter(
     "samphirepost_peer_connections_retired", "Peer connections abandoned"
 )
-TABLE_CALLS = prometheus_client.Counter(
-    "samphirepost_table_calls", "Calls to the table service", ["call"]
-)
-OBJECT_CALLS = prometheus_client.Counter(
-    "samphirepost_object_calls", "Calls to the object store", ["call"]
-)
 
 
 def text():
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/online.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/online.py
@@ -149,6 +149,7 @@
             return [*_replay(item.id, found)]
         took_s = self._clock.monotonic_s() - started_s
         metrics.FIRST_TOKEN.labels(item.route).observe(took_s)
+        metrics.DISPATCH.observe(item.dispatched_s - started_s)
         start_response("200 OK", _stream_headers(item))
         return _relay(item, first, steps)
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/runner.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/runner.py
@@ -254,6 +254,7 @@
         engine.pools = frozenset(pools)
         engine.limit.headroom = min(p.online_headroom for p in pools.values())
         engine.limit.limit_max = min(p.batch_limit_max for p in pools.values())
+        engine.limit.fixed = max(p.batch_fixed_limit for p in pools.values())
         return engine
 
     def _measure(self, engine, now_s):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/work.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/work.py
@@ -65,6 +65,7 @@
         "deadline_s",
         "deadline_unix_s",
         "digest",
+        "dispatched_s",
         "id",
         "idempotent",
         "interrupt",
@@ -92,6 +93,7 @@
         self.check = None
         self.deadline_s = 0.0
         self.deadline_unix_s = 0.0
+        self.dispatched_s = 0.0
         self.interrupt = Interrupt()
         self.keyed = False
         self.online = True
--- a/packages/samphirepost/src/samphirepost/admission.py
+++ b/packages/samphirepost/src/samphirepost/admission.py
@@ -71,6 +71,7 @@
     __slots__ = (
         "burst_until_s",
         "changed_s",
+        "fixed",
         "gaps_ms",
         "headroom",
         "limit",
@@ -84,6 +85,7 @@
     def __init__(self, headroom, limit_max):
         self.headroom = headroom
         self.limit_max = limit_max
+        self.fixed = 0
         self.limit = float(START_LIMIT)
         self.gaps_ms = collections.deque(maxlen=SAMPLES_MAX)
         self.line = Line()
@@ -120,6 +122,8 @@
 
     def room(self, now_s):
         """Returns the number of batch sequences that the engine may run."""
+        if self.fixed:
+            return self.fixed
         room = min(self.limit, self.fitting(), self.limit_max)
         if now_s < self.burst_until_s:
             room = room / 2
--- a/packages/samphirepost/src/samphirepost/tables.py
+++ b/packages/samphirepost/src/samphirepost/tables.py
@@ -29,14 +29,13 @@
 
     `online_headroom` is the allowed ratio of the time between tokens under
     batch load to that of online work alone; 1.5 means half as long again.
+    `batch_fixed_limit` above 0 replaces the adaptive limit of sequences.
     """
 
     targets: tuple[Target, ...]
     online_headroom: float = 1.5
     batch_limit_max: int = 64
-    hedge_after_ms: int = 0
-    model: str = ""
-    adapters: tuple[str, ...] = ()
+    batch_fixed_limit: int = 0
 
 
 class Caller(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
