--- a/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
@@ -112,7 +112,64 @@
         return experiment.run(self.users, self.daemons, self.folder, self.only)
 
 
-Command = Platform | Engine | Service | Demo | Mutate | Experiment
+_Folder = typing.Annotated[
+    str, cappa.Arg(long=True, help="Where to write JSON and plots.")
+]
+
+
+@cappa.command(name="slopes", help="Measures slopes; writes CAPACITY.md.")
+@dataclasses.dataclass
+class Slopes:
+    """The slopes of every role."""
+
+    folder: _Folder = "docs/runs"
+    quick: typing.Annotated[
+        bool, cappa.Arg(long=True, help="Keep the last idle daemons' run.")
+    ] = False
+
+    def __call__(self):
+        from samphirepost_bench import slopes
+
+        return slopes.run(self.folder, self.quick)
+
+
+@cappa.command(name="relay", help="Measures the relay of tokens.")
+@dataclasses.dataclass
+class Relay:
+    """The relay alone."""
+
+    folder: _Folder = "docs/runs"
+
+    def __call__(self):
+        from samphirepost_bench import relay
+
+        return relay.run(self.folder)
+
+
+@cappa.command(name="faults", help="Runs a schedule of faults under load.")
+@dataclasses.dataclass
+class Faults:
+    """Faults under load."""
+
+    folder: _Folder = "docs/runs"
+
+    def __call__(self):
+        from samphirepost_bench import faults
+
+        return faults.run(self.folder)
+
+
+Command = (
+    Platform
+    | Engine
+    | Service
+    | Demo
+    | Mutate
+    | Experiment
+    | Slopes
+    | Relay
+    | Faults
+)
 
 
 @cappa.command(
--- /dev/null
+++ b/packages/samphirepost-bench/src/samphirepost_bench/capacity.py
@@ -0,0 +1,417 @@
+"""Writes docs/CAPACITY.md from the slopes' JSON; no figure by hand."""
+
+import json
+
+DAEMONS = 1_200
+ENGINES = 12_000
+REQUESTS_PER_S = 120_000
+ITEMS_PER_DAY = 250_000_000
+JOBS_PER_DAY = 70_000
+EDITS_PER_DAY = 12_000
+ZONES = 11
+PER_ZONE = DAEMONS // ZONES
+DAY_S = 86_400
+CONTROL_CPU_PERCENT = 1.4
+CONTROL_MB = 32
+CONTROL_BYTES_PER_S = 2_000
+TABLE_WRITES_PER_S = 300
+TABLE_READS_PER_S = 2_000
+PARTITIONS = 22
+COMMITS_PER_S = 10
+LEASE_S = 5.0
+HEARTBEATS_PER_S = 2
+VM_CHANGES_PER_S = 2_791 / DAY_S
+OWNER_CORES_MAX = 1.0
+ENTRY_MEMORY_GB = 1.0
+
+PAGE = """# Capacity
+
+What each role costs at the planned size: {daemons} daemons, {engines}
+engines, {requests} requests/s, {items} batch items and {edits} edits a day,
+{zones} zones. Every figure here comes from `docs/runs/slopes.json`, written
+by `make slopes` (`{command}`, Python {python}, {cores} cores); the page is
+written by the same command. The machine is one; what is said of the planned
+size is worked out from slopes, not run.
+
+## Roles
+
+| role | state | messages | processor | memory | mechanism | fits |
+|---|---|---|---|---|---|---|
+{roles}
+
+## Budgets
+
+| budget | allowed | worked out | fits |
+|---|---|---|---|
+{budgets}
+
+## Where it breaks first
+
+{breaks}
+
+## Outages at the planned size
+
+Worked out from the mechanism and the slopes; not run at that size.
+
+- Regions that lose each other for an hour: the table service is one. Daemons
+  that reach it go on. Those that do not reach it and hear no majority of the
+  members stop serving within `confirm_ms`; a region that is cut off alone is
+  such a minority. Its partitions and items go to the others after the lease.
+- A zone lost: {per_zone} daemons leave the view when their zone's row has
+  stood still for twice `dead_ms`. Their partitions, {zone_partitions} of
+  {partitions}, are taken over: each new owner replays at most one snapshot
+  and {snapshot_segments} segments. 1/{zones} of the partitions move; no
+  others do (rendezvous hashing).
+- A full restart with the table service out: nothing serves. A daemon serves
+  only with tables from the table service or from a peer that serves. This
+  is chosen: an old table must not come back in force.
+
+## Slopes
+
+### View of the members
+
+| members | view bytes | make ms | read ms |
+|---|---|---|---|
+{views}
+
+A heartbeat takes {heartbeat} bytes, its reply {reply} while the view stands.
+
+### Choice among targets
+
+| targets | choose ms |
+|---|---|
+{choices}
+
+### Online results at a partition's owner
+
+| entries | decide us | segment bytes | state bytes | snapshot ms | replay ms |
+|---|---|---|---|---|---|
+{ledger}
+
+### Items at a partition's owner
+
+| items of a job | state bytes an item | hand out and end, us an item |
+|---|---|---|
+{jobs}
+
+### Tables
+
+| routes | bytes | read ms | check ms | compare ms |
+|---|---|---|---|---|
+{tables}
+
+### Writes of a partition's row for 1,000 results
+
+| results/s | in groups of 50 ms | one by one |
+|---|---|---|
+{writes}
+
+### Daemons with nothing to do, one zone, as processes
+
+| daemons | member CPU % | coordinator CPU % | MB each | reads/s | writes/s |
+|---|---|---|---|---|---|
+{idle}
+"""
+
+
+def write(source, path):
+    """Writes the page at `path` from the JSON at `source`."""
+    found = json.loads(source.read_text(encoding="utf-8"))
+    path.write_text(render(found), encoding="utf-8")
+
+
+def slope(points, x, y):
+    """Returns the least-squares slope of y over x."""
+    xs = [point[x] for point in points]
+    ys = [point[y] for point in points]
+    mean_x, mean_y = sum(xs) / len(xs), sum(ys) / len(ys)
+    over = sum(
+        (a - mean_x) * (b - mean_y) for a, b in zip(xs, ys, strict=True)
+    )
+    return over / sum((a - mean_x) ** 2 for a in xs)
+
+
+def rows(points, *names):
+    """Returns table rows of the points' figures."""
+    return "\n".join(
+        "| " + " | ".join(_cell(point[name]) for name in names) + " |"
+        for point in points
+    )
+
+
+def _cell(value):
+    if isinstance(value, int) or value >= 1000:
+        return f"{value:,.0f}"
+    return f"{value:.3g}"
+
+
+def _fits(value, allowed):
+    return "yes" if value <= allowed else "**no**"
+
+
+class Worked:
+    """The figures at the planned size, worked out from the slopes."""
+
+    def __init__(self, found):
+        idle = found["idle"]
+        views = found["membership"]["views"]
+        ledger = found["ledger"][-1]
+        self.found = found
+        self.member_cpu = idle[-1]["member_cpu_percent"]
+        self.member_mb = idle[-1]["rss_mb"]
+        per_member = slope(idle, "daemons", "coordinator_cpu_percent")
+        base = idle[0]["coordinator_cpu_percent"]
+        more = PER_ZONE - idle[0]["daemons"]
+        self.coordinator_cpu = base + per_member * more
+        heartbeat = found["membership"]["heartbeat_bytes"]
+        reply = found["membership"]["reply_bytes"]
+        self.heartbeat_bytes = HEARTBEATS_PER_S * (heartbeat + reply)
+        self.view_bytes = views[-1]["view_bytes"]
+        self.view_bytes_per_s = self.view_bytes * VM_CHANGES_PER_S * 2
+        self.table_bytes = found["tables"][-1]["bytes"]
+        self.table_bytes_per_s = self.table_bytes * EDITS_PER_DAY / DAY_S
+        self.control_bytes = (
+            self.heartbeat_bytes
+            + self.view_bytes_per_s
+            + self.table_bytes_per_s
+        )
+        self.owner_rate = REQUESTS_PER_S / PARTITIONS
+        self.owner_cpu = self.owner_rate * ledger["decide_us"] / 1e6
+        self.owner_bytes = self.owner_rate * ledger["segment_bytes"]
+        self.state_gb_hour = (
+            self.owner_rate * 3600 * ledger["state_bytes"] / 1e9
+        )
+        self.item_us = found["jobs"][-1]["item_us"]
+        self.item_rate = ITEMS_PER_DAY / DAY_S / PARTITIONS
+        self.job_mb = found["jobs"][-1]["job_bytes_per_item"] * 130_000 / 1e6
+        self.commit_writes = PARTITIONS * COMMITS_PER_S
+        self.zone_writes = ZONES * HEARTBEATS_PER_S
+        self.writes = self.commit_writes + self.zone_writes
+        self.reads = ZONES * HEARTBEATS_PER_S * 3
+        self.puts = self.commit_writes + JOBS_PER_DAY * 5 / DAY_S
+        self.choose_ms = found["choice"][1]["choose_ms"]
+
+
+def render(found):
+    """Returns the page."""
+    worked = Worked(found)
+    return PAGE.format(
+        daemons=f"{DAEMONS:,}",
+        engines=f"{ENGINES:,}",
+        requests=f"{REQUESTS_PER_S:,}",
+        items=f"{ITEMS_PER_DAY:,}",
+        edits=f"{EDITS_PER_DAY:,}",
+        zones=ZONES,
+        command=found["command"].rsplit("/", 1)[-1],
+        python=found["python"],
+        cores=found["cores"],
+        roles=_roles(worked),
+        budgets=_budgets(worked),
+        breaks=_breaks(worked),
+        per_zone=PER_ZONE,
+        zone_partitions=PARTITIONS // ZONES,
+        partitions=PARTITIONS,
+        snapshot_segments=64,
+        views=rows(
+            found["membership"]["views"],
+            "members",
+            "view_bytes",
+            "make_ms",
+            "read_ms",
+        ),
+        heartbeat=found["membership"]["heartbeat_bytes"],
+        reply=found["membership"]["reply_bytes"],
+        choices=rows(found["choice"], "targets", "choose_ms"),
+        ledger=rows(
+            found["ledger"],
+            "entries",
+            "decide_us",
+            "segment_bytes",
+            "state_bytes",
+            "snapshot_ms",
+            "replay_ms",
+        ),
+        jobs=rows(found["jobs"], "items", "job_bytes_per_item", "item_us"),
+        tables=rows(
+            found["tables"],
+            "routes",
+            "bytes",
+            "read_ms",
+            "check_ms",
+            "compare_ms",
+        ),
+        writes=rows(
+            found["writes"],
+            "results_per_s",
+            "grouped_writes",
+            "single_writes",
+        ),
+        idle=rows(
+            found["idle"],
+            "daemons",
+            "member_cpu_percent",
+            "coordinator_cpu_percent",
+            "rss_mb",
+            "table_reads_per_s",
+            "table_writes_per_s",
+        ),
+    )
+
+
+def _roles(w):
+    lines = [
+        _role(
+            "daemon as entry",
+            "what runs now; 24 targets of its pools",
+            "a begin and a finish to the owner for each keyed request",
+            f"choice {w.choose_ms:.3g} ms a request among 24 targets;"
+            " the relay of tokens is in docs/MEASUREMENTS.md",
+            f"{w.member_mb:.0f} MB in all",
+            "deterministic subset of targets, own zone first",
+            _fits(w.choose_ms * 100 / 1000, 0.05),
+        ),
+        _role(
+            "member",
+            "the view",
+            f"{HEARTBEATS_PER_S} heartbeats/s, {w.control_bytes:,.0f} bytes/s"
+            " with views and tables",
+            f"{w.member_cpu:.2g}% of a core, measured idle",
+            f"{w.member_mb:.0f} MB, measured, of the whole process",
+            "heartbeat to the zone's coordinator; the view when it changed",
+            _fits(w.member_cpu, CONTROL_CPU_PERCENT),
+        ),
+        _role(
+            "zone coordinator",
+            f"{PER_ZONE} members",
+            f"{PER_ZONE * HEARTBEATS_PER_S} heartbeats/s in",
+            f"{w.coordinator_cpu:.2g}% of a core, by the slope",
+            f"view of {w.view_bytes:,} bytes",
+            "one row a zone, by compare-and-set",
+            _fits(w.coordinator_cpu, CONTROL_CPU_PERCENT),
+        ),
+        _role(
+            "partition owner",
+            f"{PARTITIONS} partitions; an entry a request",
+            f"{w.owner_rate:,.0f} results/s each",
+            f"{w.owner_cpu:.2g} cores to decide, without the network",
+            f"{w.state_gb_hour:.2g} GB for each hour of results kept",
+            "lease by epoch, group commit, snapshot",
+            _fits(
+                max(
+                    w.owner_cpu / OWNER_CORES_MAX,
+                    w.state_gb_hour / ENTRY_MEMORY_GB,
+                ),
+                1.0,
+            ),
+        ),
+        _role(
+            "job owner",
+            "an item's state and place",
+            f"{w.item_rate:,.0f} items/s each",
+            f"{w.item_us:.3g} us an item,"
+            f" {w.item_rate * w.item_us / 1e4:.2g}% of a core",
+            f"{w.job_mb:.2g} MB for a job of 130,000",
+            "chunks of 1,000 items, claims, one object of results a job",
+            _fits(w.item_rate * w.item_us / 1e6, 1.0),
+        ),
+        _role(
+            "batch admitter",
+            "10 engines",
+            "20 load reports/s; hints when online load changes by a quarter",
+            "in the member's figure for no engines; not measured with 10",
+            "small",
+            "rendezvous over members, no lease",
+            "not measured",
+        ),
+        _role(
+            "config distributor",
+            "the tables",
+            f"{w.table_bytes:,} bytes an edit and member,"
+            f" {w.table_bytes_per_s:,.0f} bytes/s",
+            f"{w.found['tables'][-1]['read_ms']:.2g} ms an edit",
+            f"{w.table_bytes / 1e6:.2g} MB",
+            "heartbeat replies name the revision; members pull",
+            _fits(w.table_bytes_per_s, CONTROL_BYTES_PER_S),
+        ),
+        _role(
+            "result store",
+            "a segment a commit, an object a job",
+            f"{w.puts:,.0f} puts/s",
+            "the platform's",
+            f"{w.owner_bytes / COMMITS_PER_S / 1e6:.2g} MB a segment",
+            "group commit",
+            _fits(w.puts, TABLE_WRITES_PER_S),
+        ),
+    ]
+    return "\n".join(lines)
+
+
+def _role(*cells):
+    return "| " + " | ".join(cells) + " |"
+
+
+def _budgets(w):
+    lines = [
+        _role(
+            "control, processor of a daemon",
+            f"{CONTROL_CPU_PERCENT}% of a core",
+            f"{w.member_cpu:.2g}%",
+            _fits(w.member_cpu, CONTROL_CPU_PERCENT),
+        ),
+        _role(
+            "control, memory of a daemon",
+            f"{CONTROL_MB} MB",
+            f"{w.member_mb:.0f} MB (the whole process, so an upper bound)",
+            _fits(w.member_mb, CONTROL_MB),
+        ),
+        _role(
+            "control, bytes of a daemon",
+            f"{CONTROL_BYTES_PER_S:,} a second",
+            f"{w.control_bytes:,.0f}: heartbeats {w.heartbeat_bytes:,},"
+            f" views {w.view_bytes_per_s:,.0f},"
+            f" tables {w.table_bytes_per_s:,.0f}",
+            _fits(w.control_bytes, CONTROL_BYTES_PER_S),
+        ),
+        _role(
+            "table service, writes",
+            "several hundred a second",
+            f"{w.writes} a second: {w.commit_writes} commits,"
+            f" {w.zone_writes} zone rows",
+            _fits(w.writes, TABLE_WRITES_PER_S),
+        ),
+        _role(
+            "table service, reads",
+            f"{TABLE_READS_PER_S:,} a second",
+            f"{w.reads} a second, by coordinators",
+            _fits(w.reads, TABLE_READS_PER_S),
+        ),
+        _role(
+            "object store, writes",
+            "several hundred a second",
+            f"{w.puts:,.0f} a second",
+            _fits(w.puts, TABLE_WRITES_PER_S),
+        ),
+    ]
+    return "\n".join(lines)
+
+
+def _breaks(w):
+    ordered = [
+        f"- The owner's memory: {w.state_gb_hour:.2g} GB for each hour of"
+        " results kept in its state. Change of mechanism: index objects by"
+        " hour in the object store, with the hour in the work id; the state"
+        " keeps the open hour alone.",
+        f"- The owner's processor: {w.owner_cpu:.2g} cores at"
+        f" {w.owner_rate:,.0f} results/s. Change: entry daemons pack their"
+        " results once and the owner joins packed parts unread; zone"
+        " coordinators gather them.",
+        f"- Tables whole at each edit: {w.table_bytes_per_s:,.0f} bytes/s a"
+        " member. Change: send the audit rows since the member's revision;"
+        " they hold the changed rows.",
+        f"- Views whole at each change: {w.view_bytes_per_s:,.0f} bytes/s."
+        " Change: send the members that differ.",
+        "- A daemon's relay: one process does not carry 21,700 tokens/s; see"
+        " docs/MEASUREMENTS.md. Change: several daemon processes a VM, each"
+        " a member.",
+    ]
+    return "\n".join(ordered)
--- /dev/null
+++ b/packages/samphirepost-bench/src/samphirepost_bench/faults.py
@@ -0,0 +1,166 @@
+"""Online and batch work under a schedule of faults."""
+
+import asyncio
+import json
+import pathlib
+import sys
+import threading
+import time
+
+from samphirepost_bench import demo
+from samphirepost_bench import engine as engine_module
+from samphirepost_bench import experiment
+from samphirepost_bench import fleet as fleet_module
+from samphirepost_bench import load
+
+ENGINES = 5
+DAEMONS = 4
+RUN_S = 60.0
+ITEMS = 3_000
+TOKENS = 40
+ONLINE_PER_S = 8.0
+TABLE_OUT_S = (10.0, 25.0)
+ENGINE_KILLED_S = 30.0
+DAEMON_KILLED_S = 36.0
+FROZEN_S = (42.0, 50.0)
+JOB_S = 240.0
+
+
+class Schedule(threading.Thread):
+    """Brings the faults about at their instants, and notes what it saw."""
+
+    def __init__(self, fleet):
+        super().__init__(daemon=True)
+        self.fleet = fleet
+        self.began_s = time.monotonic()
+        self.seen = {}
+
+    def _until(self, at_s):
+        time.sleep(max(0.0, self.began_s + at_s - time.monotonic()))
+
+    def run(self):
+        fleet = self.fleet
+        self._until(TABLE_OUT_S[0])
+        before = experiment.batch_tokens(fleet)
+        fleet.fault("table", "down")
+        self._until(TABLE_OUT_S[1])
+        during = experiment.batch_tokens(fleet) - before
+        fleet.fault("table", "ok")
+        out_s = TABLE_OUT_S[1] - TABLE_OUT_S[0]
+        self.seen["batch_tokens_per_s_table_out"] = during / out_s
+        self._until(ENGINE_KILLED_S)
+        self._kill_engine("engine-4")
+        self._until(DAEMON_KILLED_S)
+        self._kill_daemon(fleet.daemons[3])
+        self._until(FROZEN_S[0])
+        fleet.daemons[2].freeze()
+        self._until(FROZEN_S[1])
+        fleet.daemons[2].thaw()
+
+    def _kill_engine(self, name):
+        """Kills an engine; notes when the last request was sent there."""
+        self.fleet.engines[name].kill()
+        killed_s = time.monotonic()
+        last, last_s = self._sent(name), killed_s
+        while time.monotonic() - killed_s < 5.0:
+            now = self._sent(name)
+            if now != last:
+                last, last_s = now, time.monotonic()
+            time.sleep(0.1)
+        self.seen["dead_engine_last_request_s"] = last_s - killed_s
+
+    def _sent(self, name):
+        label = f'target="{name}"'
+        total = 0.0
+        for daemon in self.fleet.daemons:
+            url = daemon.url("operator") + "/metrics"
+            for line in self.fleet.http.json("GET", url)[1].splitlines():
+                if line.startswith("samphirepost_dispatches_total"):
+                    if label in line:
+                        total += float(line.rsplit(" ", 1)[1])
+        return total
+
+    def _kill_daemon(self, daemon):
+        """Kills a daemon; notes when its engines get batch work again."""
+        before = self._admitted()
+        daemon.kill()
+        killed_s = time.monotonic()
+        self.seen["engines_admitted_before"] = len(before)
+        while time.monotonic() - killed_s < 15.0:
+            if len(self._admitted()) >= len(before):
+                break
+            time.sleep(0.1)
+        took_s = time.monotonic() - killed_s
+        self.seen["dead_daemon_engines_admitted_again_s"] = took_s
+
+    def _admitted(self):
+        """Returns the engines that a live daemon admits batch work to."""
+        found = set()
+        for daemon in self.fleet.daemons:
+            if not daemon.alive:
+                continue
+            url = daemon.url("operator") + "/metrics"
+            for line in self.fleet.http.json("GET", url)[1].splitlines():
+                if line.startswith("samphirepost_batch_limit{"):
+                    if float(line.rsplit(" ", 1)[1]) > 0:
+                        found.add(line.split('"')[1])
+        return found
+
+
+def run(folder):
+    """Runs the schedule; writes JSON; returns 1 if a result is wrong."""
+    fleet = experiment.start(ENGINES, DAEMONS)
+    with fleet:
+        experiment.apply(fleet, 0, experiment.Variant("faults", True))
+        lines = load.batch_lines(ITEMS, TOKENS)
+        job = experiment.submit(fleet, lines, "faults")
+        schedule = Schedule(fleet)
+        client = load.Load(
+            [d.url("online") for d in fleet.daemons],
+            fleet_module.CALLERS["nurseries"],
+            "care-note",
+            TOKENS,
+            0.0,
+        )
+        schedule.start()
+        arrivals = load.Shape(ONLINE_PER_S).arrivals(RUN_S, experiment.SEED)
+        asyncio.run(client.run(arrivals))
+        schedule.join()
+        status = demo.wait_job(fleet, job, JOB_S)
+        wrong = check(fleet, job, lines)
+    result = {
+        "command": " ".join(sys.argv),
+        "online": client.measured.summary(),
+        "seen": schedule.seen,
+        "job": status,
+        "wrong": wrong,
+    }
+    path = pathlib.Path(folder) / "faults.json"
+    path.write_text(json.dumps(result, indent=1), encoding="utf-8")
+    print(json.dumps(result, indent=1))
+    return 1 if any(wrong.values()) else 0
+
+
+def check(fleet, job, lines):
+    """Returns how many items were lost, doubled or wrong."""
+    daemon = fleet.daemons[0]
+    url = daemon.url("batch") + f"/v1/batches/{job}/results"
+    token = fleet_module.CALLERS["nurseries"]
+    status, text = fleet.http.json("GET", url, token=token)
+    if status != 200:
+        return {"lost": ITEMS, "doubled": 0, "wrong": 0}
+    found = [json.loads(line) for line in text.splitlines()]
+    by_id = {line["custom_id"]: line for line in found}
+    wrong = 0
+    for line in lines.splitlines():
+        asked = json.loads(line)
+        got = by_id.get(asked["custom_id"], {})
+        choices = got.get("response", {}).get("body", {}).get("choices")
+        body = asked["body"]
+        right = engine_module.text(body["prompt"], body["max_tokens"])
+        wrong += bool(got) and (not choices or choices[0]["text"] != right)
+    return {
+        "lost": ITEMS - len(by_id),
+        "doubled": len(found) - len(by_id),
+        "wrong": wrong,
+    }
--- /dev/null
+++ b/packages/samphirepost-bench/src/samphirepost_bench/relay.py
@@ -0,0 +1,83 @@
+"""The relay alone: processor time for each token, by open streams."""
+
+import asyncio
+import json
+import math
+import pathlib
+import sys
+import time
+
+from samphirepost_bench import experiment
+from samphirepost_bench import fleet as fleet_module
+from samphirepost_bench import load
+from samphirepost_bench import plots
+from samphirepost_bench import slopes
+
+STREAMS = (50, 200, 400, 800)
+STREAMS_PER_ENGINE = 200
+STEP_MS = 62.0
+RUN_S = 20.0
+RAMP_S = 4.0
+TOKENS = int(RUN_S * 1000 / STEP_MS)
+
+
+def run(folder):
+    """Measures each number of streams; writes JSON and a plot."""
+    found = [measure(count) for count in STREAMS]
+    result = {"command": " ".join(sys.argv), "streams": found}
+    path = pathlib.Path(folder) / "relay.json"
+    path.write_text(json.dumps(result, indent=1), encoding="utf-8")
+    points = [(p["streams"], p["cpu_us_per_token"]) for p in found]
+    plots.lines(
+        {"one daemon": points},
+        "open streams",
+        "processor time per token (us)",
+        "Relay of one daemon",
+        path.with_suffix(".png"),
+    )
+    return 0
+
+
+def measure(count):
+    """Returns the figures of one daemon with so many open streams."""
+    engines = math.ceil(count / STREAMS_PER_ENGINE)
+    each = count / engines
+    scale = STEP_MS / (8.0 + 0.06 * each)
+    variant = experiment.Variant("relay", False)
+    fleet = fleet_module.Fleet()
+    with fleet:
+        fleet.start_platform()
+        for index in range(engines):
+            fleet.start_engine(f"engine-{index}", "zone-1", scale=scale)
+        daemon = fleet.start_daemon(
+            "vm-0", "zone-1", online_threads=count + 20
+        )
+        experiment.apply(fleet, 0, variant)
+        return _measure(fleet, daemon, count)
+
+
+def _measure(fleet, daemon, count):
+    client = load.Load(
+        [daemon.url("online")],
+        fleet_module.CALLERS["nurseries"],
+        "care-note",
+        TOKENS,
+        0.0,
+    )
+    arrivals = [RAMP_S * n / count for n in range(count)]
+    cpu_s, tokens, began_s = slopes._cpu_s(daemon), 0, time.monotonic()
+    asyncio.run(client.run(arrivals))
+    took_s = time.monotonic() - began_s
+    cpu_s = slopes._cpu_s(daemon) - cpu_s
+    tokens = client.measured.tokens
+    figures = {
+        "streams": count,
+        "tokens_per_s": tokens / took_s,
+        "cpu_us_per_token": 1e6 * cpu_s / max(1, tokens),
+        "cpu_share": cpu_s / took_s,
+        "gap_ms": client.measured.summary()["gap_ms"],
+        "first_ms": client.measured.summary()["first_ms"],
+        "outcomes": client.measured.outcomes,
+    }
+    print(json.dumps(figures), flush=True)
+    return figures
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/inbox.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/inbox.py
@@ -11,12 +11,13 @@
 class Inbox:
     """Knows the actors; returns replies or their futures."""
 
-    def __init__(self, owners, members_ref, runner_ref, current, gate):
+    def __init__(self, owners, members_ref, runner_ref, current, gate, keeper):
         self.owners = owners
         self.members_ref = members_ref
         self.runner_ref = runner_ref
         self.current = current
         self.gate = gate
+        self.keeper = keeper
 
     def handle(self, command):
         """Returns the reply to a command, or the future of it."""
@@ -48,6 +49,12 @@
     return inbox.members_ref.ask(members.Hear(command))
 
 
+@_handle.register
+def _(command: messages.Keep, inbox):
+    inbox.keeper.keep(command.finish)
+    return messages.Done()
+
+
 @_handle.register
 def _(command: messages.TablesPull, inbox):
     tables = inbox.current.tables
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/keeper.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/keeper.py
@@ -4,19 +4,26 @@
 import threading
 
 from samphirepost import errors
+from samphirepost import messages
+from samphirepost import placement
 from samphirepost_daemon import metrics
 
 KEPT_MAX = 20_000
 RETRY_S = 0.5
 WAIT_S = 2.0
+SPREAD_S = 0.3
+COPIES = 2
 
 
 class Keeper(threading.Thread):
     """Offers kept commands to their owners until they are durable."""
 
-    def __init__(self, owners):
+    def __init__(self, owners, client, directory, zone):
         super().__init__(daemon=True)
         self._owners = owners
+        self._client = client
+        self._directory = directory
+        self._zone = zone
         self._kept = collections.deque(maxlen=KEPT_MAX)
         self._stopped = threading.Event()
 
@@ -25,6 +32,16 @@
         self._kept.append(command)
         metrics.UNSAVED.set(len(self._kept))
 
+    def spread(self, finish):
+        """Has a result kept in other zones too; returns in how many."""
+        members = self._directory.view.members
+        chosen = placement.keepers(finish.work, self._zone, members, COPIES)
+        replies = [
+            self._client.ask(m.peer, messages.Keep(finish), SPREAD_S)
+            for m in chosen
+        ]
+        return sum(isinstance(r, messages.Done) for r in replies)
+
     @property
     def empty(self):
         """Whether everything is durable."""
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/peers.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/peers.py
@@ -40,6 +40,7 @@
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._socket = None
+        self._contexts = []
         self._started = threading.Event()
 
     def start(self):
@@ -49,7 +50,12 @@
 
     def stop(self):
         """Stops listening."""
-        self._loop.call_soon_threadsafe(self._socket.close)
+        self._loop.call_soon_threadsafe(self._close)
+
+    def _close(self):
+        for context in self._contexts:
+            _close_quietly(context)
+        _close_quietly(self._socket)
 
     def _run(self):
         asyncio.set_event_loop(self._loop)
@@ -60,8 +66,8 @@
         self._socket.recv_max_size = MESSAGE_BYTES_MAX
         self._socket.listen(self._address)
         self._started.set()
-        contexts = [self._socket.new_context() for _ in range(CONTEXTS)]
-        tasks = [self._serve_context(context) for context in contexts]
+        self._contexts = [self._socket.new_context() for _ in range(CONTEXTS)]
+        tasks = [self._serve_context(context) for context in self._contexts]
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _serve_context(self, context):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/serve.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/serve.py
@@ -128,6 +128,7 @@
         if isinstance(reply, messages.FinishReply):
             return self._stored(reply, result)
         self._keeper.keep(command)
+        self._keeper.spread(command)
         return Answered(result, stored=False)
 
     def _stored(self, reply, result):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/wiring.py
@@ -103,7 +103,9 @@
         self.placing = pollers.Placing(
             self.me.name, self.ledger, self.members, self.directory
         )
-        self.keeper = keeper.Keeper(self.owners)
+        self.keeper = keeper.Keeper(
+            self.owners, self.client, self.directory, cfg.zone
+        )
         beat = beats.Beats(
             self.members,
             self.services,
@@ -130,7 +132,12 @@
     def _make_listeners(self):
         cfg = self.cfg
         handler = inbox.Inbox(
-            self.owners, self.members, self.runner, self.current, self.gate
+            self.owners,
+            self.members,
+            self.runner,
+            self.current,
+            self.gate,
+            self.keeper,
         )
         self.peer_server = peers.Server(self.me.peer, handler.handle)
         listen = cfg.listen
--- a/packages/samphirepost/src/samphirepost/messages.py
+++ b/packages/samphirepost/src/samphirepost/messages.py
@@ -56,6 +56,12 @@
     reference: records.Reference | None = None
 
 
+class Keep(msgspec.Struct, frozen=True, tag="keep"):
+    """Asks a peer to hold a result in memory until it is durable."""
+
+    finish: Finish
+
+
 class NotSent(msgspec.Struct, frozen=True, tag="not_sent"):
     """Says that the attempt ended before anything was sent."""
 
@@ -297,6 +303,7 @@
 Command = (
     Begin
     | Finish
+    | Keep
     | NotSent
     | Unknowable
     | Fetch
--- a/packages/samphirepost/src/samphirepost/placement.py
+++ b/packages/samphirepost/src/samphirepost/placement.py
@@ -28,3 +28,12 @@
     far = sorted(t.id for t in targets if t.zone != zone)
     choice = hashing.ranked(daemon, near) + hashing.ranked(daemon, far)
     return tuple(choice[:size])
+
+
+def keepers(work, zone, members, count):
+    """Returns up to `count` members, each in another zone than `zone`."""
+    by_name = {m.name: m for m in members if m.serving and m.zone != zone}
+    chosen = {}
+    for name in hashing.ranked(work, list(by_name)):
+        chosen.setdefault(by_name[name].zone, by_name[name])
+    return tuple(chosen.values())[:count]
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,92 @@
+"""The command line as a person or a script meets it."""
+
+import io
+import json
+
+import pytest
+
+from samphirepost_bench import fleet as fleet_module
+from samphirepost_cli import core
+from samphirepost_cli import environment
+from samphirepost_cli import exits
+from tests import test_tables
+
+
+class Terminal(io.StringIO):
+    """Output that a person reads."""
+
+    def isatty(self):
+        return True
+
+
+def run(*argv, stdin="", stdout=None):
+    """Runs a command; returns its status and what it printed."""
+    env = environment.Environment(
+        io.StringIO(stdin), stdout or io.StringIO(), io.StringIO(), {}
+    )
+    status = core.run(env, list(argv))
+    return status, env.stdout.getvalue(), env.stderr.getvalue()
+
+
+@pytest.fixture
+def files(tmp_path):
+    """Returns the paths of two good tables."""
+    target = test_tables.Targetlike()
+    routes = tmp_path / "routes.json"
+    pools = tmp_path / "pools.json"
+    routes.write_text("// why\n" + json.dumps(fleet_module.routes_table()))
+    found = fleet_module.pools_table([target], [target], [target])
+    pools.write_text(json.dumps(found))
+    return str(routes), str(pools)
+
+
+def test_good_tables_are_told_so(files):
+    status, shown, _ = run("check", *files)
+    assert status == exits.Exit.OK
+    assert shown == "both tables are good\n"
+
+
+def test_bad_table_is_one_plain_line_with_file_path_and_reason(
+    files, tmp_path
+):
+    bad = tmp_path / "bad.json"
+    bad.write_text('{"pools": {"p": {"targets": 5}}}')
+    status, shown, told = run("check", files[0], str(bad))
+    assert status == exits.Exit.USAGE
+    assert shown == ""
+    assert told.count("\n") == 1
+    assert "bad.json" in told
+    assert "$.pools[...].targets" in told
+
+
+def test_missing_file_is_told(files):
+    status, _, told = run("check", files[0], "/nowhere/pools.json")
+    assert status == exits.Exit.USAGE
+    assert "/nowhere/pools.json" in told
+
+
+def test_unreachable_daemon_is_told_with_what_to_do(tmp_path):
+    cfg = tmp_path / "samphirepost.json"
+    port = fleet_module.free_port()
+    cfg.write_text(json.dumps({"operator": f"http://127.0.0.1:{port}"}))
+    status, _, told = run("show", "--config", str(cfg))
+    assert status == exits.Exit.UNREACHABLE
+    assert "is the daemon running?" in told
+    assert "not run" in told
+
+
+def test_unknown_field_of_the_config_is_refused(tmp_path):
+    cfg = tmp_path / "samphirepost.json"
+    cfg.write_text('{"onlin": "http://127.0.0.1:1"}')
+    status, _, told = run("show", "--config", str(cfg))
+    assert status == exits.Exit.USAGE
+    assert "onlin" in told
+
+
+@pytest.mark.parametrize("argv", [["--help"], ["submit", "--help"]])
+def test_help_has_an_example_or_the_commands(argv, capsys):
+    with pytest.raises(SystemExit) as ended:
+        run(*argv)
+    assert ended.value.code == exits.Exit.OK
+    shown = capsys.readouterr().out
+    assert "Example" in shown or "Operators use" in shown
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -3,6 +3,10 @@
 import asyncio
 import concurrent.futures
 import json
+import os
+import pathlib
+import re
+import subprocess
 import threading
 import time
 
@@ -578,6 +582,21 @@
     late.kill()
 
 
+def test_answer_given_in_an_outage_outlives_its_daemon(fleet):
+    """It is held in two more zones until it can be stored."""
+    holder = fleet.start_daemon("vm-holder", demo.ZONES[0], **settings())
+    index = fleet.daemons.index(holder)
+    eventually(lambda: members(fleet, holder) == 4)
+    fleet.fault("object", "down")
+    code, body = complete(fleet, "held", daemon=index)
+    assert code == 200
+    holder.kill()
+    fleet.fault("object", "ok")
+    url = fleet.daemons[0].url("online") + f"/v1/results/{body['id']}"
+    found = eventually(lambda: readable(fleet, url))
+    assert text_of(found) == engine.text("held", 8)
+
+
 def test_daemon_that_hears_nobody_takes_itself_out(fleet):
     """The others are frozen and the table service is out."""
     alone, *others = fleet.daemons[:3]
@@ -598,6 +617,35 @@
     return fleet.metric(daemon, "samphirepost_members")
 
 
+def test_examples_of_the_callers_page_work(fleet, tmp_path):
+    """Each example is run as it stands there."""
+    root = pathlib.Path(__file__).parent.parent
+    page = (root / "docs" / "CALLERS.md").read_text(encoding="utf-8")
+    (tmp_path / "orders.jsonl").write_bytes(demo.upload(3, tokens=4))
+    variables = {
+        "ONLINE": fleet.daemons[0].url("online"),
+        "BATCH": fleet.daemons[0].url("batch"),
+        "PATH": os.environ["PATH"],
+    }
+    for example in re.findall(r"```sh\n(.*?)```", page, re.S):
+        variables["TOKEN"] = UMOJA if "bill" in example else NURSERIES
+        if "/results" in example and "JOB" in example:
+            completed(fleet, variables["JOB"])
+        if "$ID" in example:
+            variables["ID"] = complete(fleet, "x", key="note-17b")[1]["id"]
+        shown = subprocess.run(
+            ["bash", "-c", example],
+            env=variables,
+            cwd=tmp_path,
+            capture_output=True,
+            check=True,
+        ).stdout.decode()
+        assert shown
+        assert "urn:samphirepost" not in shown
+        if "--data-binary" in example:
+            variables["JOB"] = json.loads(shown)["id"]
+
+
 def test_every_result_is_readable_at_the_end(fleet):
     """After all of the above, jobs and answers are still there."""
     lines = demo.upload(30, tokens=8)
