Read all control rows in one call; end connections when leaving

Cause: a beat read four times in a row, so a table service that answered in most of its time-out aged the word on the tables past confirm_ms, and the whole system would have refused online work. A drained daemon left callers' connections open, which a request could meet as it exited. The runner's items and engines move to a module of their own; items that wait long for room are handed back.

--- a/packages/samphirepost-bench/src/samphirepost_bench/capacity.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/capacity.py
@@ -187,7 +187,7 @@
         self.commit_writes = PARTITIONS * COMMITS_PER_S
         self.zone_writes = ZONES * HEARTBEATS_PER_S
         self.writes = self.commit_writes + self.zone_writes
-        self.reads = ZONES * HEARTBEATS_PER_S * 3
+        self.reads = ZONES * HEARTBEATS_PER_S
         self.puts = self.commit_writes + JOBS_PER_DAY * 5 / DAY_S
         self.choose_ms = found["choice"][1]["choose_ms"]
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/batches.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/batches.py
@@ -34,7 +34,8 @@
     def __call__(self, environ, start_response):
         self._gate.enter()
         try:
-            return self._answer(web.Request(environ), start_response)
+            respond = self._gate.closing(start_response)
+            return self._answer(web.Request(environ), respond)
         finally:
             self._gate.leave()
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/beats.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/beats.py
@@ -55,25 +55,18 @@
             self._current.offer(reply.tables)
 
     def _observe(self):
+        """Reads all control rows at once, and new tables if there are."""
         asked_s = self._clock.monotonic_s()
-        table = self._services.table
-        revision = current_module.read_head(table)
-        if isinstance(revision, errors.Failure):
-            return revision
+        rows = self._services.table.scan(members.CONTROL_PREFIX)
+        if isinstance(rows, errors.Failure):
+            return rows
+        revision = current_module.head_in(rows)
         if revision > self._current.revision:
-            found = current_module.read_tables(table)
+            found = current_module.read_tables(self._services.table)
             if isinstance(found, errors.Failure):
                 return found
             self._current.offer(found)
-        zones = table.scan(members.ZONE_PREFIX)
-        if isinstance(zones, errors.Failure):
-            return zones
-        partitions = table.scan(members.PARTITION_PREFIX)
-        if isinstance(partitions, errors.Failure):
-            return partitions
-        return members.Observed(
-            asked_s, zones, partitions, self._leaving(), revision
-        )
+        return members.Observed(asked_s, rows, self._leaving(), revision)
 
     def _leaving(self):
         """Returns the VMs that the platform lists as leaving."""
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/commits.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/commits.py
@@ -11,6 +11,8 @@
 from samphirepost_daemon import metrics
 from samphirepost_daemon import platform
 
+PARTITION_PREFIX = "control/partition/"
+
 
 class Loaded(msgspec.Struct, frozen=True):
     """A partition's row at a revision and the state that it stands for."""
@@ -22,7 +24,7 @@
 
 def row_key(partition):
     """Returns the key of the partition's row."""
-    return f"partition/{partition:03x}"
+    return f"{PARTITION_PREFIX}{partition:03x}"
 
 
 def partition_in(key):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/current.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/current.py
@@ -10,7 +10,7 @@
 from samphirepost import tables
 from samphirepost_daemon import metrics
 
-HEAD_KEY = "tables/head"
+HEAD_KEY = "control/head"
 CURRENT_KEY = "tables/current"
 AUDIT_PREFIX = "audit/"
 
@@ -66,6 +66,14 @@
     return 0 if row is None else codec.unpack(row.value, Head).revision
 
 
+def head_in(rows):
+    """Returns the newest revision's number among control rows."""
+    for row in rows:
+        if row.key == HEAD_KEY:
+            return codec.unpack(row.value, Head).revision
+    return 0
+
+
 def read_tables(table):
     """Returns the newest tables, or a Failure."""
     row = table.read(CURRENT_KEY)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/gate.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/gate.py
@@ -36,6 +36,16 @@
             errors.Kind.TABLES_UNCONFIRMED, reason, retry_after_s=1.0
         )
 
+    def closing(self, start_response):
+        """Returns a start_response that ends connections when leaving."""
+        if not self.leaving:
+            return start_response
+
+        def start(status, headers):
+            start_response(status, [*headers, ("Connection", "close")])
+
+        return start
+
     def enter(self):
         """Counts a request in."""
         with self._changed:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/members.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/members.py
@@ -22,8 +22,8 @@
 from samphirepost_daemon import metrics
 from samphirepost_daemon import platform
 
-ZONE_PREFIX = "zone/"
-PARTITION_PREFIX = "partition/"
+CONTROL_PREFIX = "control/"
+ZONE_PREFIX = "control/zone/"
 RANK_STEP_S = 0.5
 RANK_MAX = 10
 
@@ -55,11 +55,14 @@
 
 
 class Observed(msgspec.Struct, frozen=True):
-    """The rows of the table service as asked for at `asked_s`."""
+    """The control rows of the table service, asked for at `asked_s`.
+
+    `revision` is the newest of the tables; `leaving` has the VMs that the
+    platform's list has as leaving.
+    """
 
     asked_s: float
-    zones: tuple[platform.Versioned, ...]
-    partitions: tuple[platform.Versioned, ...]
+    rows: tuple[platform.Versioned, ...]
     leaving: tuple[str, ...]
     revision: int
 
@@ -272,13 +275,13 @@
 
     def _note_rows(self, message, now_s):
         self._zones = {}
-        for row in (*message.zones, *message.partitions):
+        for row in message.rows:
             watch = self._watches.setdefault(row.key, lease.Watch())
             watch.observe(row.revision, now_s)
-        for row in message.zones:
-            zone = row.key.removeprefix(ZONE_PREFIX)
-            value = codec.unpack(row.value, membership.ZoneRow)
-            self._zones[zone] = ZoneWrite(value, row.revision)
+            if row.key.startswith(ZONE_PREFIX):
+                zone = row.key.removeprefix(ZONE_PREFIX)
+                value = codec.unpack(row.value, membership.ZoneRow)
+                self._zones[zone] = ZoneWrite(value, row.revision)
 
     def _make_view(self, observed, now_s):
         members = {}
@@ -292,7 +295,7 @@
         if self._coordinating:
             members.update({m.name: m for m in self._zone.live()})
         members[self._me.name] = self._member()
-        owners, suspects = self._partitions(observed.partitions, now_s)
+        owners, suspects = self._partitions(observed.rows, now_s)
         return membership.make_view(
             members.values(),
             owners,
@@ -309,6 +312,8 @@
         )
         lease_s = self._cfg.ledger.lease_ms / 1000
         for versioned in rows:
+            if not versioned.key.startswith(commits.PARTITION_PREFIX):
+                continue
             number = commits.partition_in(versioned.key)
             row = codec.unpack(versioned.value, records.Row)
             owners[number] = messages.Owner(row.owner, row.epoch)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/online.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/online.py
@@ -54,7 +54,7 @@
         req = web.Request(environ)
         self._gate.enter()
         try:
-            body = self._answer(req, start_response)
+            body = self._answer(req, self._gate.closing(start_response))
         except BaseException:
             self._gate.leave()
             raise
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/runner.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/runner.py
@@ -9,8 +9,6 @@
 import msgspec
 import pykka
 
-from samphirepost import admission
-from samphirepost import choice
 from samphirepost import errors
 from samphirepost import hashing
 from samphirepost import jobs
@@ -21,6 +19,7 @@
 from samphirepost_daemon import online
 from samphirepost_daemon import outbox as outbox_module
 from samphirepost_daemon import results
+from samphirepost_daemon import runs
 from samphirepost_daemon import uploads
 from samphirepost_daemon import work
 
@@ -28,9 +27,8 @@
 PULL_WAIT_S = 3.0
 START_WAIT_S = 5.0
 UNSAVED_MAX = 2000
-HINT_S = 3.0
 BACKOFF_S = 0.5
-RESUME_S = 10.0
+QUEUE_S = 10.0
 FAILURES_MAX = 3
 _PREEMPTED = errors.Failure(
     errors.Kind.OVERLOADED, "preempted by online work", errors.Outcome.UNKNOWN
@@ -82,97 +80,6 @@
     """Asks whether items are held here."""
 
 
-class Held:
-    """The items of a claim that have not ended here."""
-
-    __slots__ = ("items", "partition")
-
-    def __init__(self, grant):
-        self.items = set(grant.items)
-        self.partition = hashing.partition_of(grant.accepted.work)
-
-
-class Run:
-    """One item that this daemon runs or will run."""
-
-    __slots__ = (
-        "accepted",
-        "claim",
-        "failures",
-        "interrupt",
-        "item",
-        "preempted_s",
-        "solo",
-        "started",
-        "target",
-        "work",
-    )
-
-    def __init__(self, grant, item):
-        self.accepted = grant.accepted
-        self.claim = grant.claim
-        self.solo = grant.solo
-        self.item = item
-        self.target = ""
-        self.work = None
-        self.interrupt = work.Interrupt()
-        self.started = False
-        self.failures = 0
-        self.preempted_s = 0.0
-
-
-class Engine:
-    """The batch work of one target that this daemon admits."""
-
-    __slots__ = (
-        "gaps",
-        "hints",
-        "limit",
-        "paused_until_s",
-        "pools",
-        "pulling",
-        "ready",
-        "running",
-    )
-
-    def __init__(self):
-        self.pools = frozenset()
-        self.limit = admission.Limit(1.0, admission.START_LIMIT)
-        self.gaps = collections.deque(maxlen=admission.SAMPLES_MAX)
-        self.hints = {}
-        self.ready = collections.deque()
-        self.running = []
-        self.pulling = False
-        self.paused_until_s = 0.0
-
-    def online(self, now_s):
-        """Returns the online requests that all daemons have there."""
-        fresh = [n for n, at_s in self.hints.values() if now_s - at_s < HINT_S]
-        return sum(fresh)
-
-
-class Inputs:
-    """Reads items' input lines; keeps the last few chunks."""
-
-    def __init__(self, objects):
-        self._objects = objects
-        self._chunk = functools.lru_cache(maxsize=16)(self._read)
-
-    def _read(self, name):
-        data = self._objects.get(name)
-        if isinstance(data, errors.Failure):
-            raise errors.Failed(data)
-        return data.splitlines()
-
-    def line(self, accepted, item):
-        """Returns an item's input line, or a Failure."""
-        chunk, offset = divmod(item, accepted.chunk_items)
-        try:
-            return self._chunk(accepted.chunks[chunk])[offset]
-        except errors.Failed as exc:
-            return exc.failure
-
-
 class Runner(pykka.ThreadingActor):
     """Admits, runs, preempts and resumes batch items."""
 
@@ -196,7 +103,7 @@
         self._directory = directory
         self._current = current
         self._dispatcher = dispatcher
-        self._inputs = Inputs(objects)
+        self._inputs = runs.Inputs(objects)
         self._outbox = outbox
         self._engines = {}
         self._claims = {}
@@ -239,7 +146,7 @@
             return
         self._placed = placed
         mine = {}
-        for name, pools in _pools_by_target(self._current.tables).items():
+        for name, pools in runs.pools_by_target(self._current.tables).items():
             if placement.admitter(name, serving) == self._name:
                 mine[name] = self._engine(name, pools)
         for name in self._engines.keys() - mine.keys():
@@ -250,7 +157,7 @@
         """Returns the engine's state; the strictest of its pools counts."""
         engine = self._engines.get(name)
         if engine is None:
-            engine = Engine()
+            engine = runs.Engine()
         engine.pools = frozenset(pools)
         engine.limit.headroom = min(p.online_headroom for p in pools.values())
         engine.limit.limit_max = min(p.batch_limit_max for p in pools.values())
@@ -284,16 +191,15 @@
     def _preempt(self, engine, over):
         """Ends the streams that were started last, to resume them later."""
         for run in engine.running[-over:]:
-            if run.accepted.idempotent and not run.preempted_s:
-                run.preempted_s = self._clock.monotonic_s()
+            if run.accepted.idempotent and not run.preempted:
+                run.preempted = True
                 run.interrupt.fire(_PREEMPTED)
                 metrics.ITEMS_PREEMPTED.inc()
 
     def _expire(self, engine, now_s):
-        """Hands back items that have waited long to be resumed."""
+        """Hands back items that have waited long for room here."""
         for run in list(engine.ready):
-            waited_s = now_s - run.preempted_s
-            if run.preempted_s and waited_s > RESUME_S:
+            if now_s - run.queued_s > QUEUE_S and not run.started:
                 engine.ready.remove(run)
                 self._return(run)
 
@@ -310,7 +216,7 @@
 
     def _start(self, name, engine, run):
         run.target = name
-        run.preempted_s = 0.0
+        run.preempted = False
         run.interrupt = work.Interrupt()
         engine.running.append(run)
         self._pool.submit(self._run, run, engine.gaps)
@@ -378,13 +284,13 @@
     def _(self, message: Pulled):
         engine = self._engines.get(message.target)
         for grant in message.grants:
-            self._claims[grant.claim] = Held(grant)
+            self._claims[grant.claim] = runs.Held(grant)
             for item in grant.items:
-                run = Run(grant, item)
+                run = runs.Run(grant, item)
                 if engine is None:
                     self._return(run)
                 else:
-                    engine.ready.append(run)
+                    self._queue(run, engine)
         if engine is None:
             return
         engine.pulling = False
@@ -455,7 +361,7 @@
         if isinstance(row, errors.Failure):
             return row
         asked = msgspec.json.decode(line, type=uploads.ItemLine).body
-        payload = _payload(self._kind(row.pool), asked)
+        payload = runs.payload(self._kind(row.pool), asked)
         work_id = f"{accepted.work}-{run.item}"
         found = work.Work(
             work_id, accepted.caller, accepted.route, row, payload, ""
@@ -504,8 +410,13 @@
         if engine is None or self._stopping:
             self._return(run)
         else:
+            run.queued_s = self._clock.monotonic_s()
             engine.ready.appendleft(run)
 
+    def _queue(self, run, engine):
+        run.queued_s = self._clock.monotonic_s()
+        engine.ready.append(run)
+
     def _lost(self, run, engine, outcome):
         """The item was sent and its answer did not come."""
         run.failures += 1
@@ -521,14 +432,14 @@
         elif engine is None:
             self._return(run)
         else:
-            engine.ready.append(run)
+            self._queue(run, engine)
 
     def _not_run(self, run, engine):
         if engine is not None:
             now_s = self._clock.monotonic_s()
             engine.paused_until_s = now_s + BACKOFF_S
         if run.started and engine is not None:
-            engine.ready.append(run)
+            self._queue(run, engine)
             return
         self._return(run)
 
@@ -593,19 +504,3 @@
         self._stopping = True
         for engine in self._engines.values():
             self._hand_back(engine)
-
-
-def _pools_by_target(found):
-    """Returns the pools by name that each target stands in."""
-    pools = {}
-    for name, row in found.pools.items():
-        for destination in row.targets:
-            pools.setdefault(destination.id, {})[name] = row
-    return pools
-
-
-def _payload(kind, asked):
-    if kind is tables.TargetKind.SERVICE:
-        body = msgspec.json.encode(asked)
-        return work.Service(body, "application/json")
-    return work.Generation(asked, choice.prefix(asked.prompt))
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -393,6 +393,16 @@
     assert bills(fleet, key) <= 1
 
 
+def test_slow_table_service_stops_no_online_work(fleet):
+    """Each call takes most of its time-out, for as long as it lasts."""
+    fleet.fault("table", "slow", delay_ms=350)
+    for number in range(40):
+        prompt = f"slow {number}"
+        code, body = complete(fleet, prompt, daemon=number % 3)
+        assert (code, text_of(body)) == (200, engine.text(prompt, 8))
+    fleet.fault("table", "ok")
+
+
 def readable(fleet, url):
     code, body = fleet.http.json("GET", url, token=NURSERIES)
     return body if code == 200 else None
