--- a/packages/samphirepost-daemon/src/samphirepost_daemon/online.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/online.py
@@ -211,8 +211,10 @@
     """Yields the tokens' events, then the ending or the problem."""
     found = None
     metrics.STREAMS_OPEN.labels("online").inc()
+    tokens = metrics.TOKENS.labels("online")
     try:
         while token is not None:
+            tokens.inc(token.count)
             yield token.data
             token, found = _step(steps)
         _count(item, found)
@@ -224,7 +226,6 @@
     finally:
         steps.close()
         metrics.STREAMS_OPEN.labels("online").dec()
-        metrics.TOKENS.labels("online").inc(item.check.emitted)
 
 
 def _ending(item, found):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/runner.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/runner.py
@@ -314,6 +314,7 @@
         if failure is not None:
             return failure
         steps = self._dispatcher.run(run.work)
+        tokens = metrics.TOKENS.labels("batch")
         last_s = None
         while True:
             try:
@@ -324,6 +325,7 @@
             if last_s is not None:
                 gaps.append((now_s - last_s) * 1000 / token.count)
             last_s = now_s
+            tokens.inc(token.count)
 
     def _prepare(self, run):
         """Reads the input and starts the item; returns a Failure or None."""
@@ -379,7 +381,6 @@
     @_receive.register
     def _(self, message: Ran):
         run = message.run
-        metrics.TOKENS.labels("batch").inc(run.new_tokens())
         engine = self._engines.get(run.target)
         if engine is not None and run in engine.running:
             engine.running.remove(run)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/runs.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/runs.py
@@ -31,7 +31,6 @@
     __slots__ = (
         "accepted",
         "claim",
-        "counted",
         "failures",
         "interrupt",
         "item",
@@ -53,18 +52,9 @@
         self.interrupt = work.Interrupt()
         self.started = False
         self.failures = 0
-        self.counted = 0
         self.preempted = False
         self.queued_s = 0.0
 
-    def new_tokens(self):
-        """Returns the tokens emitted since this was last asked."""
-        if self.work is None or self.work.check is None:
-            return 0
-        emitted = self.work.check.emitted
-        new, self.counted = emitted - self.counted, emitted
-        return new
-
 
 class Engine:
     """The batch work of one target that this daemon admits."""
