Order engines to load what the pools table says

The admitter compares an engine's report with its pool's row and orders until they agree; the fencing number is the revision; the engines of a pool load in turn, load_every_ms apart. A target that two pools order differently is refused. Dead names that a search found are removed.

--- a/packages/samphirepost-bench/src/samphirepost_bench/engine.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/engine.py
@@ -24,6 +24,7 @@
 KV_TOKENS_MAX = 120_000
 BLOCK_TOKENS = 16
 REPORT_LAG_S = 1.0
+LOAD_S = 0.3
 WORDS = ("lily", "marsh", "reed", "sedge", "rush", "iris", "mint", "fern")
 IMPOSSIBLE = "[impossible]"
 BROKEN = "[broken]"
@@ -302,7 +303,8 @@
                 prefill_backlog=sum(s.prefill_left for s in self.running),
                 leaving=self.leaving,
                 model=self.order.model,
-                epoch=self.order.fencing,
+                adapters=self.order.adapters,
+                fencing=self.order.fencing,
             )
             self.reports.append((time.monotonic(), report))
             await asyncio.sleep(0.1)
@@ -313,6 +315,7 @@
         if self.checks_orders and order.fencing < self.order.fencing:
             return web.Response(status=409)
         self.counts["orders"] += 1
+        await asyncio.sleep(LOAD_S)
         self.order = order
         return web.Response()
 
@@ -333,6 +336,7 @@
         found = dict(self.counts)
         found["running"] = len(self.running)
         found["waiting"] = len(self.waiting)
+        found["model"] = self.order.model
         return web.json_response(found)
 
 
--- a/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
@@ -153,6 +153,27 @@
         "        if False:\n",
         "tests/test_choice.py",
     ),
+    Mutation(
+        "order all engines of a pool at once",
+        f"{_CORE}/orders.py",
+        "    return now_s - since_s >= turn_s\n",
+        "    return True\n",
+        "tests/test_orders.py",
+    ),
+    Mutation(
+        "count each failure of one request against its target",
+        f"{_CORE}/breaker.py",
+        "        if work != self.last_failed:\n",
+        "        if True:\n",
+        "tests/test_choice.py",
+    ),
+    Mutation(
+        "let batch work go past what the pool allows",
+        f"{_CORE}/admission.py",
+        "        room = min(self.limit, self.fitting(), self.limit_max)\n",
+        "        room = self.limit\n",
+        "tests/test_choice.py",
+    ),
     Mutation(
         "reuse a connection to a peer that timed out",
         f"{_DAEMON}/peers.py",
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/directory.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/directory.py
@@ -8,12 +8,11 @@
 class Directory:
     """The view and the word that the tables are the newest."""
 
-    __slots__ = ("_by_name", "confirmation", "table_out", "view")
+    __slots__ = ("_by_name", "confirmation", "view")
 
     def __init__(self, confirm_s):
         self.view = EMPTY_VIEW
         self.confirmation = membership.Confirmation(confirm_s)
-        self.table_out = False
         self._by_name = {}
 
     def set_view(self, view):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/dispatch.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/dispatch.py
@@ -245,7 +245,6 @@
         stream=True,
         request_id=item.id,
         emitted=item.check.emitted,
-        emitted_text=item.check.text,
     )
 
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/gate.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/gate.py
@@ -8,10 +8,9 @@
 class Gate:
     """Counts requests in progress; closes when the daemon leaves."""
 
-    def __init__(self, clock, directory, current):
+    def __init__(self, clock, directory):
         self._clock = clock
         self._directory = directory
-        self._current = current
         self._changed = threading.Condition()
         self._count = 0
         self.leaving = False
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/members.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/members.py
@@ -408,7 +408,6 @@
         if out == self._table_out:
             return
         self._table_out = out
-        self._directory.table_out = out
         eliot.log_message(message_type="table-service:out", out=out)
 
     def _set_view(self, view):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/pollers.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/pollers.py
@@ -8,6 +8,7 @@
 
 from samphirepost import errors
 from samphirepost import messages
+from samphirepost import orders
 from samphirepost import placement
 from samphirepost import tables
 from samphirepost_daemon import ledgers
@@ -83,6 +84,56 @@
             self._board.report(destination.id, report)
 
 
+class Orders:
+    """Has the engines that this daemon admits for load their pool's model."""
+
+    def __init__(self, name, clock, current, directory, board, client):
+        self._name = name
+        self._clock = clock
+        self._current = current
+        self._directory = directory
+        self._board = board
+        self._client = client
+        self._revision = 0
+        self._since_s = 0.0
+        self._ordered = {}
+        self._pool = concurrent.futures.ThreadPoolExecutor(REPORT_THREADS)
+
+    def step(self):
+        """Orders every engine that needs it and whose turn it is."""
+        found = self._current.tables
+        now_s = self._clock.monotonic_s()
+        if found.revision != self._revision:
+            self._revision, self._since_s = found.revision, now_s
+        serving = self._directory.serving()
+        for pool in found.pools.values():
+            order = orders.wanted(pool, found.revision)
+            if order is None:
+                continue
+            for destination in pool.targets:
+                chosen = placement.admitter(destination.id, serving)
+                if chosen == self._name:
+                    self._order(pool, destination, order, now_s)
+
+    def _order(self, pool, destination, order, now_s):
+        report = self._board.last_report(destination.id)
+        if report is None or orders.is_met(order, report):
+            return
+        if not orders.may_load(pool, destination.id, self._since_s, now_s):
+            return
+        ordered = self._ordered.get(destination.id)
+        if not orders.is_due(order, ordered, now_s):
+            return
+        self._ordered[destination.id] = orders.Ordered(order.fencing, now_s)
+        eliot.log_message(
+            message_type="engine:ordered",
+            target=destination.id,
+            model=order.model,
+            fencing=order.fencing,
+        )
+        self._pool.submit(self._client.order, destination, order)
+
+
 class Hints:
     """Tells admitters of changes in this daemon's online load."""
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/serve.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/serve.py
@@ -22,7 +22,6 @@
 
     result: records.Result
     stored: bool
-    replayed: bool = False
 
 
 class Server:
@@ -145,7 +144,7 @@
         found = commits.result_record(self._objects, reference)
         if isinstance(found, errors.Failure):
             return found
-        return Answered(found.result, stored=True, replayed=True)
+        return Answered(found.result, stored=True)
 
     def fetch(self, work, caller):
         """Returns a caller's stored answer by its id, or a Failure."""
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/targets.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/targets.py
@@ -17,6 +17,7 @@
 
 CONNECT_S = 0.5
 REPORT_S = 0.4
+ORDER_S = 30.0
 CONNECTIONS_PER_TARGET = 600
 POOLS = 64
 NOT_RUN_HEADER = "Not-Run"
@@ -139,7 +140,7 @@
             destination.url + "/orders",
             codec.to_json(order),
             {"Content-Type": "application/json"},
-            CONNECT_S,
+            ORDER_S,
         )
         if isinstance(reply, errors.Failure):
             return reply
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/uploads.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/uploads.py
@@ -8,7 +8,6 @@
 from samphirepost import hashing
 
 CHUNK_ITEMS = 1000
-LINE_BYTES_MAX = 1_000_000
 
 
 class ItemBody(msgspec.Struct):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/wiring.py
@@ -35,7 +35,7 @@
         self.me = identity.member(cfg)
         self.current = current_module.Current()
         self.directory = directory_module.Directory(cfg.confirm_ms / 1000)
-        self.gate = gate_module.Gate(self.clock, self.directory, self.current)
+        self.gate = gate_module.Gate(self.clock, self.directory)
         self.services = platform.connect(cfg.platform)
         self.client = peers.Client()
         self._make_actors()
@@ -91,6 +91,14 @@
             self.board,
             targets.Client(cfg.limits.silence_ms),
         )
+        orders = pollers.Orders(
+            self.me.name,
+            self.clock,
+            self.current,
+            self.directory,
+            self.board,
+            targets.Client(cfg.limits.silence_ms),
+        )
         hints = pollers.Hints(
             self.me.name,
             self.clock,
@@ -120,6 +128,7 @@
             self.keeper,
             self.outbox,
             pollers.Poller(cfg.report_ms / 1000, reports.step),
+            pollers.Poller(cfg.report_ms / 1000, orders.step),
             pollers.Poller(pollers.HINT_S, hints.step),
             pollers.Poller(claim_s / 4, renewals.step),
             pollers.Poller(pollers.LEDGER_TICK_S, self.placing.step),
--- a/packages/samphirepost/src/samphirepost/choice.py
+++ b/packages/samphirepost/src/samphirepost/choice.py
@@ -12,7 +12,6 @@
 AFFINITY_SLACK = 2.0
 REPORT_HALF_LIFE_S = 1.0
 REPORTS_MISSED_MAX = 3
-WORK_MEMORY_S = 30.0
 
 
 class Seen:
@@ -111,10 +110,3 @@
         if loads[name] <= bound:
             return name
     return min(loads, key=loads.get)
-
-
-def least(found):
-    """Returns the id of the least loaded target, or None."""
-    if not found:
-        return None
-    return min(found, key=lambda c: (c.load, c.id)).id
--- a/packages/samphirepost/src/samphirepost/errors.py
+++ b/packages/samphirepost/src/samphirepost/errors.py
@@ -20,7 +20,6 @@
     BAD_REQUEST = "bad-request"
     BAD_SETTINGS = "bad-settings"
     BODY_TOO_LARGE = "body-too-large"
-    BREAKER_OPEN = "breaker-open"
     CALLER_MISSING = "caller-missing"
     CALLER_UNKNOWN = "caller-unknown"
     CANCELLED = "cancelled"
--- a/packages/samphirepost/src/samphirepost/tables.py
+++ b/packages/samphirepost/src/samphirepost/tables.py
@@ -30,12 +30,17 @@
     `online_headroom` is the allowed ratio of the time between tokens under
     batch load to that of online work alone; 1.5 means half as long again.
     `batch_fixed_limit` above 0 replaces the adaptive limit of sequences.
+    `model` and `adapters` are what its engines are ordered to load, one
+    engine each `load_every_ms`; no model means no orders.
     """
 
     targets: tuple[Target, ...]
     online_headroom: float = 1.5
     batch_limit_max: int = 64
     batch_fixed_limit: int = 0
+    model: str = ""
+    adapters: tuple[str, ...] = ()
+    load_every_ms: int = 1000
 
 
 class Caller(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -106,6 +111,21 @@
         failure = _check_pool(name, pool)
         if failure is not None:
             return failure
+    return _check_models(tables.pools)
+
+
+def _check_models(pools):
+    """Refuses a target that two pools order to load different models."""
+    loads = {}
+    for name, pool in pools.items():
+        for target in pool.targets:
+            load = (pool.model, pool.adapters)
+            if loads.setdefault(target.id, load) != load:
+                reason = (
+                    f"pools.{name}.model: another pool of target"
+                    f" {target.id!r} loads a different model"
+                )
+                return errors.Failure(errors.Kind.BAD_REQUEST, reason)
     return None
 
 
--- a/packages/samphirepost/src/samphirepost/target.py
+++ b/packages/samphirepost/src/samphirepost/target.py
@@ -37,7 +37,6 @@
     stream: bool = False
     request_id: str = ""
     emitted: int = 0
-    emitted_text: str = ""
 
 
 class Report(msgspec.Struct):
@@ -53,7 +52,8 @@
     age_s: float = 0.0
     leaving: bool = False
     model: str = ""
-    epoch: int = 0
+    adapters: tuple[str, ...] = ()
+    fencing: int = 0
 
 
 class Order(msgspec.Struct):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -12,17 +12,10 @@
 from tests import test_tables
 
 
-class Terminal(io.StringIO):
-    """Output that a person reads."""
-
-    def isatty(self):
-        return True
-
-
-def run(*argv, stdin="", stdout=None):
+def run(*argv):
     """Runs a command; returns its status and what it printed."""
     env = environment.Environment(
-        io.StringIO(stdin), stdout or io.StringIO(), io.StringIO(), {}
+        io.StringIO(), io.StringIO(), io.StringIO(), {}
     )
     status = core.run(env, list(argv))
     return status, env.stdout.getvalue(), env.stderr.getvalue()
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -53,7 +53,7 @@
     with fleet_module.Fleet() as made:
         made.start_platform()
         for index, zone in enumerate(demo.ZONES):
-            made.start_engine(f"engine-{index}", zone)
+            made.start_engine(f"engine-{index}", zone, index != 1)
         made.start_service("billing-0", demo.ZONES[0])
         for index, zone in enumerate(demo.ZONES):
             made.start_daemon(f"vm-{index}", zone, **settings())
@@ -61,10 +61,10 @@
         yield made
 
 
-def edit(fleet, expected, note="", plants=None, daemon=0):
-    """Applies the demo's tables; returns the status and the reply."""
+def edit_body(fleet, expected, note="", plants=None):
+    """Returns an edit to the demo's tables."""
     engines = list(fleet.engines.values())
-    body = {
+    return {
         "expected": expected,
         "routes": fleet_module.routes_table(),
         "pools": fleet_module.pools_table(
@@ -72,6 +72,10 @@
         ),
         "note": note,
     }
+
+
+def post_edit(fleet, body, daemon=0):
+    """Applies an edit; returns the status and the reply once in force."""
     url = fleet.daemons[daemon].url("operator") + "/v1/tables"
     status, reply = fleet.http.json(
         "POST", url, body, token=fleet_module.OPERATOR
@@ -81,6 +85,11 @@
     return status, reply
 
 
+def edit(fleet, expected, note="", plants=None, daemon=0):
+    """Applies the demo's tables; returns the status and the reply."""
+    return post_edit(fleet, edit_body(fleet, expected, note, plants), daemon)
+
+
 def in_force(fleet, revision):
     return all(
         demo._has(fleet, daemon, revision)
@@ -592,6 +601,31 @@
     late.kill()
 
 
+def test_engines_load_what_the_pools_table_says(fleet):
+    """One engine ignores fencing numbers and takes an old order late."""
+    body = edit_body(fleet, revision(fleet))
+    for row in body["pools"]["pools"].values():
+        if row["targets"][0]["kind"] == "engine":
+            row["model"] = "plants-2"
+    assert post_edit(fleet, body)[0] == 200
+    eventually(lambda: models(fleet) == {"plants-2"})
+    careless = fleet.engines["engine-1"]
+    old = {"model": "plants-1", "fencing": 1}
+    assert fleet.http.json("POST", careless.url + "/orders", old)[0] == 200
+    careful = fleet.engines["engine-0"]
+    assert fleet.http.json("POST", careful.url + "/orders", old)[0] == 409
+    assert models(fleet) == {"plants-1", "plants-2"}
+    eventually(lambda: models(fleet) == {"plants-2"})
+    assert edit(fleet, revision(fleet), "no orders")[0] == 200
+
+
+def models(fleet):
+    return {
+        fleet.http.json("GET", process.url + "/counts")[1]["model"]
+        for process in list(fleet.engines.values())[:3]
+    }
+
+
 def test_answer_given_in_an_outage_outlives_its_daemon(fleet):
     """It is held in two more zones until it can be stored."""
     holder = fleet.start_daemon("vm-holder", demo.ZONES[0], **settings())
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,63 @@
+"""Orders to engines: fenced, in turn, until the report agrees."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from samphirepost import errors
+from samphirepost import orders
+from samphirepost import tables
+from samphirepost import target
+
+
+def pool(model="plants-2", count=4, every_ms=1000):
+    found = tuple(
+        tables.Target(f"engine-{n}", "http://127.0.0.1:1", "zone-1")
+        for n in range(count)
+    )
+    return tables.Pool(found, model=model, load_every_ms=every_ms)
+
+
+@hypothesis.given(st.integers(0, 3), st.floats(0, 20), st.integers(1, 5000))
+def test_loads_stay_within_the_weight_stores_rate(number, now_s, every_ms):
+    found = pool(every_ms=every_ms)
+    may = orders.may_load(found, f"engine-{number}", 0.0, now_s)
+    assert may == (now_s >= number * every_ms / 1000)
+
+
+@hypothesis.given(
+    st.lists(st.tuples(st.integers(1, 9), st.booleans()), max_size=30),
+    st.booleans(),
+)
+def test_engine_ends_with_the_newest_order(deliveries, checks):
+    """Old orders arrive late, in any order; the last word is the report."""
+    newest = orders.wanted(pool("model-9"), 9)
+    report = target.Report("engine-0")
+    for revision, _ in deliveries:
+        take(report, target.Order(f"model-{revision}", revision), checks)
+    if not orders.is_met(newest, report):
+        assert orders.is_due(newest, orders.Ordered(9, 0.0), orders.AGAIN_S)
+        take(report, newest, checks)
+    assert orders.is_met(newest, report)
+
+
+def take(report, order, checks):
+    if checks and order.fencing < report.fencing:
+        return
+    report.model = order.model
+    report.fencing = order.fencing
+
+
+def test_engine_is_not_ordered_again_while_it_loads():
+    order = orders.wanted(pool(), 3)
+    ordered = orders.Ordered(3, 10.0)
+    assert not orders.is_due(order, ordered, 10.0 + orders.AGAIN_S / 2)
+    assert orders.is_due(order, orders.Ordered(2, 10.0), 10.0)
+
+
+def test_two_pools_may_not_order_one_engine_differently():
+    found = tables.Tables(
+        1, {}, {}, {"a": pool("plants-1"), "b": pool("plants-2")}
+    )
+    failure = tables.check(found)
+    assert failure.kind is errors.Kind.BAD_REQUEST
+    assert "engine-0" in failure.reason
