--- a/packages/samphirepost-daemon/src/samphirepost_daemon/ledgers.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/ledgers.py
@@ -122,9 +122,8 @@
             return
 
     def _take(self):
-        services = self._services
         number = self._partition
-        loaded = commits.load(services, number, self._cfg, self._clock.now())
+        loaded = self._load()
         asked_s = self._clock.monotonic_s()
         if isinstance(loaded, errors.Failure):
             return self._drop(False)
@@ -137,6 +136,21 @@
         self._actor.ask(Acquired(number, row, written, loaded.state, asked_s))
         return True
 
+    def _load(self):
+        """Returns the partition; what cannot be read counts as a Failure."""
+        now = self._clock.now()
+        try:
+            return commits.load(
+                self._services, self._partition, self._cfg, now
+            )
+        except msgspec.DecodeError as exc:
+            eliot.log_message(
+                message_type="partition:unreadable",
+                partition=self._partition,
+                error=str(exc),
+            )
+            return errors.Failure(errors.Kind.PLATFORM_OUT, str(exc))
+
     def _drop(self, fenced):
         self._actor.tell(Dropped(self._partition, fenced))
         return False
