--- a/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
@@ -180,9 +180,7 @@
 class Bench:
     """The bench's command line."""
 
-    command: cappa.Subcommands[
-        Platform | Engine | Service | Demo | Mutate | Experiment
-    ]
+    command: cappa.Subcommands[Command]
 
 
 if __name__ == "__main__":
