--- a/packages/samphirepost-daemon/src/samphirepost_daemon/runner.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/runner.py
@@ -151,6 +151,7 @@
                 mine[name] = self._engine(name, pools)
         for name in self._engines.keys() - mine.keys():
             self._hand_back(self._engines[name])
+            metrics.BATCH_LIMIT.remove(name)
         self._engines = mine
 
     def _engine(self, name, pools):
