--- a/packages/samphirepost-bench/src/samphirepost_bench/capacity.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/capacity.py
@@ -202,7 +202,7 @@
         items=f"{ITEMS_PER_DAY:,}",
         edits=f"{EDITS_PER_DAY:,}",
         zones=ZONES,
-        command=found["command"].rsplit("/", 1)[-1],
+        command=found["command"],
         python=found["python"],
         cores=found["cores"],
         roles=_roles(worked),
--- a/packages/samphirepost-bench/src/samphirepost_bench/experiment.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/experiment.py
@@ -6,10 +6,10 @@
 import asyncio
 import json
 import pathlib
-import sys
 import threading
 import time
 
+from samphirepost_bench import command
 from samphirepost_bench import demo
 from samphirepost_bench import fleet as fleet_module
 from samphirepost_bench import load
@@ -232,7 +232,7 @@
     """Runs the comparison; writes JSON and a plot; returns 0."""
     found = compare(users, daemons, only)
     result = {
-        "command": " ".join(sys.argv),
+        "command": command.line(),
         "users": users,
         "engines": FLEETS[users],
         "daemons": daemons,
--- a/packages/samphirepost-bench/src/samphirepost_bench/faults.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/faults.py
@@ -3,10 +3,10 @@
 import asyncio
 import json
 import pathlib
-import sys
 import threading
 import time
 
+from samphirepost_bench import command
 from samphirepost_bench import demo
 from samphirepost_bench import engine as engine_module
 from samphirepost_bench import experiment
@@ -129,7 +129,7 @@
         status = demo.wait_job(fleet, job, JOB_S)
         wrong = check(fleet, job, lines)
     result = {
-        "command": " ".join(sys.argv),
+        "command": command.line(),
         "online": client.measured.summary(),
         "seen": schedule.seen,
         "job": status,
--- a/packages/samphirepost-bench/src/samphirepost_bench/plots.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/plots.py
@@ -24,6 +24,7 @@
         f" {result['daemons']} daemons"
     )
     axes.set_ylim(bottom=0)
+    axes.margins(x=0.25, y=0.1)
     figure.tight_layout()
     figure.savefig(path, dpi=110)
     pyplot.close(figure)
--- a/packages/samphirepost-bench/src/samphirepost_bench/relay.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/relay.py
@@ -4,9 +4,9 @@
 import json
 import math
 import pathlib
-import sys
 import time
 
+from samphirepost_bench import command
 from samphirepost_bench import experiment
 from samphirepost_bench import fleet as fleet_module
 from samphirepost_bench import load
@@ -24,7 +24,7 @@
 def run(folder):
     """Measures each number of streams; writes JSON and a plot."""
     found = [measure(count) for count in STREAMS]
-    result = {"command": " ".join(sys.argv), "streams": found}
+    result = {"command": command.line(), "streams": found}
     path = pathlib.Path(folder) / "relay.json"
     path.write_text(json.dumps(result, indent=1), encoding="utf-8")
     points = [(p["streams"], p["cpu_us_per_token"]) for p in found]
--- a/packages/samphirepost-bench/src/samphirepost_bench/slopes.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/slopes.py
@@ -20,6 +20,7 @@
 from samphirepost import records
 from samphirepost import tables
 from samphirepost import target
+from samphirepost_bench import command
 from samphirepost_bench import fleet as fleet_module
 
 MEMBERS = (12, 48, 109, 300, 1200)
@@ -381,7 +382,7 @@
 def run(folder, quick):
     """Measures all slopes; writes JSON and docs/CAPACITY.md."""
     result = {
-        "command": " ".join(sys.argv),
+        "command": command.line(),
         "python": sys.version.split()[0],
         "cores": os.cpu_count(),
         "membership": membership_slopes(),
