Refuse new work at once while nothing can be stored

Cause: a job offered while the table service was out ended as unknown, since its record waited and might still be stored. An owner that knows of the outage now refuses before it writes anything, truly not run.

--- a/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
@@ -38,6 +38,13 @@
         "            return True\n",
         "tests/test_ledger.py",
     ),
+    Mutation(
+        "accept new work while nothing can be stored",
+        f"{_CORE}/holding.py",
+        "        if self.outage and _begins_work(command, decision):\n",
+        "        if False:\n",
+        "tests/test_ledger.py",
+    ),
     Mutation(
         "start an item again that was started",
         f"{_CORE}/ledger.py",
--- a/packages/samphirepost/src/samphirepost/holding.py
+++ b/packages/samphirepost/src/samphirepost/holding.py
@@ -45,6 +45,8 @@
 
 
 class _Waiting(msgspec.Struct, frozen=True):
+    """A reply that waits until so many closings are durable."""
+
     due: Due
     closing: int
 
@@ -97,6 +99,10 @@
             full = errors.Failure(errors.Kind.PLATFORM_OUT, reason)
             return Due(ticket, full)
         decision = ledger.decide(command, self.state, now, live)
+        if self.outage and _begins_work(command, decision):
+            reason = "nothing can be stored now"
+            out = errors.Failure(errors.Kind.PLATFORM_OUT, reason)
+            return Due(ticket, out)
         self.append(decision.appended, now)
         due = Due(ticket, decision.reply)
         if self._promises_nothing(decision):
@@ -209,6 +215,12 @@
         return reply.reference.segment not in unsaved
 
 
+def _begins_work(command, decision):
+    """Whether something new would be accepted that must be durable."""
+    begins = isinstance(command, messages.Begin | messages.Submit)
+    return begins and bool(decision.appended)
+
+
 def _grants_idempotent(reply):
     """Whether these are grants of items that may safely run twice."""
     if not isinstance(reply, messages.PullReply):
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -503,6 +503,25 @@
     assert entry.attempt == "2"
 
 
+def test_nothing_new_is_accepted_while_it_cannot_be_stored():
+    """Refused as not run, though the outage ends and the rest is stored."""
+    table, objects = helper.FakeTable(), helper.FakeObjects()
+    found = helper.owner(table, objects)
+    now = helper.at(0)
+    found.handle(helper.finish(idempotent=True), "t", now)
+    found.close(now)
+    table.faults = ["refuse"]
+    found.commit(now)
+    for command in (messages.Submit(helper.job()), helper.begin("req-000-b")):
+        found.handle(command, "n", now)
+        assert found.said[-1].reply.kind is errors.Kind.PLATFORM_OUT
+        assert found.said[-1].reply.outcome is errors.Outcome.NOT_RUN
+    found.run_to_end(now)
+    state = helper.load(table, objects, now)
+    assert list(state.entries) == ["req-000-a"]
+    assert not state.jobs
+
+
 def test_stale_owner_answers_no_status():
     """Its lease has lapsed by its own clock; another may have moved on."""
     table, objects = helper.FakeTable(), helper.FakeObjects()
