--- a/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
@@ -146,6 +146,19 @@
         return relay.run(self.folder)
 
 
+@cappa.command(name="dispatch", help="Measures a daemon's own delay.")
+@dataclasses.dataclass
+class Dispatch:
+    """The daemon's share of the time to the first token."""
+
+    folder: _Folder = "docs/runs"
+
+    def __call__(self):
+        from samphirepost_bench import relay
+
+        return relay.dispatch(self.folder)
+
+
 @cappa.command(name="faults", help="Runs a schedule of faults under load.")
 @dataclasses.dataclass
 class Faults:
@@ -168,6 +181,7 @@
     | Experiment
     | Slopes
     | Relay
+    | Dispatch
     | Faults
 )
 
--- a/packages/samphirepost-bench/src/samphirepost_bench/relay.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/relay.py
@@ -18,6 +18,10 @@
 STEP_MS = 62.0
 RUN_S = 12.0
 RAMP_S = 4.0
+DISPATCH_ENGINES = 2
+DISPATCH_TOKENS = 8
+DISPATCH_PER_S = 100
+DISPATCH_S = 15.0
 TOKENS = int(RUN_S * 1000 / STEP_MS)
 
 
@@ -38,6 +42,51 @@
     return 0
 
 
+def dispatch(folder):
+    """Measures the daemon's own share of the time to the first token."""
+    fleet = fleet_module.Fleet()
+    with fleet:
+        fleet.start_platform()
+        for index in range(DISPATCH_ENGINES):
+            fleet.start_engine(f"engine-{index}", "zone-1")
+        daemon = fleet.start_daemon("vm-0", "zone-1")
+        experiment.apply(fleet, 0, experiment.Variant("dispatch", False))
+        client = load.Load(
+            [daemon.url("online")],
+            fleet_module.CALLERS["nurseries"],
+            "care-note",
+            DISPATCH_TOKENS,
+            0.0,
+        )
+        shape = load.Shape(DISPATCH_PER_S)
+        arrivals = shape.arrivals(DISPATCH_S, experiment.SEED)
+        asyncio.run(client.run(arrivals))
+        found = {
+            "command": command.line(),
+            "requests_per_s": DISPATCH_PER_S,
+            "share_within_s": _buckets(fleet, daemon),
+            "first_ms": client.measured.summary()["first_ms"],
+            "outcomes": client.measured.outcomes,
+        }
+    path = pathlib.Path(folder) / "dispatch.json"
+    path.write_text(json.dumps(found, indent=1), encoding="utf-8")
+    print(json.dumps(found, indent=1))
+    return 0
+
+
+def _buckets(fleet, daemon):
+    """Returns the share of requests dispatched within each bound (s)."""
+    name = "samphirepost_dispatch_seconds"
+    total = fleet.metric(daemon, name + "_count")
+    url = daemon.url("operator") + "/metrics"
+    found = {}
+    for line in fleet.http.json("GET", url)[1].splitlines():
+        if line.startswith(name + "_bucket"):
+            bound = line.split('"')[1]
+            found[bound] = float(line.rsplit(" ", 1)[1]) / max(1.0, total)
+    return found
+
+
 def measure(count):
     """Returns the figures of one daemon with so many open streams."""
     engines = math.ceil(count / STREAMS_PER_ENGINE)
