Say of work only what is certain

Cause, found by reading: a refusal by one target after a try on another was passed on as not run; a finished request whose answer could not be read (the object store out) was said not to have run; failures to read a job or result carried not run, which speaks of the work. After: unknown, done and unknown; tests and three mutations hold it.

--- a/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
@@ -160,6 +160,28 @@
         "        if False:\n",
         "tests/test_choice.py",
     ),
+    Mutation(
+        "say not run after a try",
+        f"{_DAEMON}/dispatch.py",
+        "        if failure.kind in _FINAL:\n"
+        "            return failure.unknown() if item.sent else failure\n",
+        "        if failure.kind in _FINAL:\n            return failure\n",
+        "tests/test_dispatch.py",
+    ),
+    Mutation(
+        "say not run of finished work",
+        f"{_DAEMON}/serve.py",
+        "reason, errors.Outcome.DONE)",
+        "reason)",
+        "tests/test_dispatch.py",
+    ),
+    Mutation(
+        "send again what may have run",
+        f"{_DAEMON}/dispatch.py",
+        "        if item.sent and not item.idempotent:\n",
+        "        if False:\n",
+        "tests/test_dispatch.py",
+    ),
     Mutation(
         "order all engines of a pool at once",
         f"{_CORE}/orders.py",
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/batches.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/batches.py
@@ -10,6 +10,7 @@
 from samphirepost import messages
 from samphirepost import records
 from samphirepost_daemon import online
+from samphirepost_daemon import serve
 from samphirepost_daemon import uploads
 from samphirepost_daemon import web
 
@@ -104,7 +105,10 @@
 
     def _ask_status(self, work, caller):
         command = messages.Status(work, caller)
-        return self._owners.ask_work(work, command, ASK_S)
+        reply = self._owners.ask_work(work, command, ASK_S)
+        if isinstance(reply, errors.Failure):
+            return serve.of_known_work(reply)
+        return reply
 
     def _status(self, work, caller, start_response):
         reply = self._ask_status(work, caller)
@@ -118,18 +122,24 @@
             return web.fail(start_response, reply, work)
         if reply.phase != jobs.Phase.COMPLETED.value:
             reason = f"the job is {reply.phase}"
-            failure = errors.Failure(errors.Kind.NOT_FINISHED, reason)
+            failure = errors.Failure(
+                errors.Kind.NOT_FINISHED, reason, errors.Outcome.UNKNOWN
+            )
             return web.fail(start_response, failure, work)
         data = self._objects.get(reply.results)
         if isinstance(data, errors.Failure):
-            return web.fail(start_response, data, work)
+            failure = errors.Failure(
+                data.kind, data.reason, errors.Outcome.DONE
+            )
+            return web.fail(start_response, failure, work)
         return web.respond(start_response, 200, data, JSONL)
 
     def _cancel(self, work, caller, start_response):
         command = messages.Cancel(work, caller)
         reply = self._owners.ask_work(work, command, ASK_S)
         if isinstance(reply, errors.Failure):
-            return web.fail(start_response, reply, work)
+            failure = serve.of_known_work(reply)
+            return web.fail(start_response, failure, work)
         return web.reply(start_response, _shown(reply))
 
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/dispatch.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/dispatch.py
@@ -131,7 +131,7 @@
         if item.interrupt.failure is not None:
             return item.interrupt.failure
         if failure.kind in _FINAL:
-            return failure
+            return failure.unknown() if item.sent else failure
         if item.sent and not item.idempotent:
             return failure.unknown()
         if item.tries >= ATTEMPTS_MAX:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/serve.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/serve.py
@@ -143,7 +143,8 @@
         """Returns the stored answer at a reference, or a Failure."""
         found = commits.result_record(self._objects, reference)
         if isinstance(found, errors.Failure):
-            return found
+            reason = f"it ran; its answer can't be read: {found.reason}"
+            return errors.Failure(found.kind, reason, errors.Outcome.DONE)
         return Answered(found.result, stored=True)
 
     def fetch(self, work, caller):
@@ -151,7 +152,7 @@
         command = messages.Fetch(work, caller)
         reply = self._owners.ask_work(work, command, FETCH_S)
         if isinstance(reply, errors.Failure):
-            return reply
+            return of_known_work(reply)
         if reply.standing is messages.Standing.FINISHED:
             return self.read(reply.reference)
         if reply.standing is messages.Standing.UNKNOWN:
@@ -160,4 +161,15 @@
                 "its answer was lost",
                 errors.Outcome.UNKNOWN,
             )
-        return errors.Failure(errors.Kind.NOT_FINISHED, "it is still running")
+        return errors.Failure(
+            errors.Kind.NOT_FINISHED,
+            "it is still running",
+            errors.Outcome.UNKNOWN,
+        )
+
+
+def of_known_work(failure):
+    """Returns the failure to read work that may well have run."""
+    if failure.kind is errors.Kind.NOT_FOUND:
+        return failure
+    return failure.unknown()
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -124,6 +124,12 @@
     attempts_max = BLAMES_MAX
 
 
+class Limits:
+    """The limits that a server needs."""
+
+    store_wait_ms = 1000
+
+
 class Owner:
     """A daemon that may own partition 0, one step at a time.
 
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,91 @@
+"""What is said of work after its tries on targets."""
+
+import pytest
+
+from samphirepost import errors
+from samphirepost import records
+from samphirepost import tables
+from samphirepost_daemon import board
+from samphirepost_daemon import clock
+from samphirepost_daemon import current
+from samphirepost_daemon import dispatch
+from samphirepost_daemon import online
+from samphirepost_daemon import serve
+from samphirepost_daemon import targets
+from samphirepost_daemon import work
+from tests import helper
+
+UNREACHABLE = errors.Failure(errors.Kind.TARGET_UNREACHABLE, "refused")
+SILENT = errors.Failure(
+    errors.Kind.STREAM_SILENT, "silent", errors.Outcome.UNKNOWN
+)
+REFUSED = errors.Failure(errors.Kind.REFUSED_BY_TARGET, "never")
+ANSWER = targets.Answer(200, "application/json", b"{}")
+
+
+class Script:
+    """A client that answers as it is told, and counts what was sent."""
+
+    def __init__(self, answers):
+        self.answers = list(answers)
+        self.sent = 0
+
+    def call(self, destination, path, body, headers, wait_s):
+        answer = self.answers.pop(0)
+        self.sent += answer is not UNREACHABLE
+        return answer
+
+
+def run(answers, idempotent):
+    """Runs one call; returns what is said and how often it was sent."""
+    found = tuple(
+        tables.Target(f"service-{n}", "http://127.0.0.1:1", "zone-1")
+        for n in range(3)
+    )
+    row = tables.Route("billing", ("umoja",), idempotent=idempotent)
+    held = current.Current()
+    held.offer(
+        tables.Tables(1, {}, {"bill": row}, {"billing": tables.Pool(found)})
+    )
+    hands = clock.Clock()
+    script = Script(answers)
+    dispatcher = dispatch.Dispatcher(hands, board.Board(hands), script, held)
+    payload = work.Service(b"{}", "application/json")
+    item = work.Work("req-000-a", "umoja", "bill", row, payload, "d")
+    item.deadline_s = hands.monotonic_s() + 60
+    return online._last(dispatcher.run(item)), script.sent
+
+
+@pytest.mark.parametrize(
+    ("answers", "outcome", "sent"),
+    [
+        ([UNREACHABLE, UNREACHABLE, ANSWER], None, 1),
+        ([UNREACHABLE] * 4, errors.Outcome.NOT_RUN, 0),
+        ([SILENT], errors.Outcome.UNKNOWN, 1),
+        ([UNREACHABLE, SILENT], errors.Outcome.UNKNOWN, 1),
+        ([REFUSED], errors.Outcome.NOT_RUN, 1),
+    ],
+)
+def test_non_idempotent_call_is_sent_once(answers, outcome, sent):
+    found, count = run(answers, idempotent=False)
+    assert count == sent
+    assert getattr(found, "outcome", None) is outcome
+
+
+@pytest.mark.parametrize(
+    "answers",
+    [[SILENT, REFUSED], [SILENT, *[UNREACHABLE] * 3], [SILENT] * 4],
+)
+def test_what_may_have_run_is_never_said_not_to_have_run(answers):
+    """A refusal by one target does not undo the try on another."""
+    found, _ = run(answers, idempotent=True)
+    assert found.outcome is errors.Outcome.UNKNOWN
+
+
+def test_finished_work_whose_answer_cannot_be_read_is_done():
+    """With the object store out it was said not to have run."""
+    objects = helper.FakeObjects()
+    objects.out = True
+    server = serve.Server("vm", None, None, None, objects, None, helper.Limits)
+    found = server.read(records.Reference("segments/000/x", 0))
+    assert found.outcome is errors.Outcome.DONE
