--- a/packages/samphirepost-daemon/src/samphirepost_daemon/batches.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/batches.py
@@ -36,7 +36,7 @@
         self._gate.enter()
         try:
             respond = self._gate.closing(start_response)
-            return self._answer(web.Request(environ), respond)
+            return web.guard(self._answer, web.Request(environ), respond)
         finally:
             self._gate.leave()
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/online.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/online.py
@@ -53,11 +53,8 @@
     def __call__(self, environ, start_response):
         req = web.Request(environ)
         self._gate.enter()
-        try:
-            body = self._answer(req, self._gate.closing(start_response))
-        except BaseException:
-            self._gate.leave()
-            raise
+        start = self._gate.closing(start_response)
+        body = web.guard(self._answer, req, start)
         return Leaving(body, self._gate.leave)
 
     def _answer(self, req, start_response):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/operators.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/operators.py
@@ -61,7 +61,7 @@
         failure = self._may_operate(req)
         if failure is not None:
             return web.fail(start_response, failure)
-        return self._operate(req, start_response)
+        return web.guard(self._operate, req, start_response)
 
     def _readyz(self, start_response):
         ready = self._gate.ready
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/web.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/web.py
@@ -2,6 +2,7 @@
 
 import http
 
+import eliot
 import msgspec
 
 from samphirepost import codec
@@ -143,6 +144,22 @@
     return int(value) / 1000
 
 
+def guard(answer, req, start_response):
+    """Answers a request; a fault of the program is a typed problem too."""
+    try:
+        return answer(req, start_response)
+    except Exception as exc:
+        eliot.log_message(
+            message_type="request:error", path=req.path, error=repr(exc)
+        )
+        failure = errors.Failure(
+            errors.Kind.INTERNAL,
+            "the daemon failed; report it with its log",
+            errors.Outcome.UNKNOWN,
+        )
+        return fail(start_response, failure)
+
+
 def not_found(path):
     """Returns the failure of a path that leads nowhere."""
     return errors.Failure(errors.Kind.NOT_FOUND, f"there is no {path}")
--- a/packages/samphirepost/src/samphirepost/errors.py
+++ b/packages/samphirepost/src/samphirepost/errors.py
@@ -25,7 +25,7 @@
     CANCELLED = "cancelled"
     DEADLINE_PASSED = "deadline-passed"
     DUPLICATE_ITEM = "duplicate-item"
-    ITEM_REFUSED = "item-refused"
+    INTERNAL = "internal"
     ITEM_WITHOUT_ID = "item-without-id"
     ATTEMPTS_EXHAUSTED = "attempts-exhausted"
     KEY_REUSED = "key-reused"
@@ -64,7 +64,7 @@
     Kind.CANCELLED: 409,
     Kind.DEADLINE_PASSED: 504,
     Kind.DUPLICATE_ITEM: 400,
-    Kind.ITEM_REFUSED: 422,
+    Kind.INTERNAL: 500,
     Kind.ITEM_WITHOUT_ID: 400,
     Kind.KEY_REUSED: 409,
     Kind.NOT_FINISHED: 409,
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -256,6 +256,13 @@
     assert reply["outcome"] == "not_run"
 
 
+def test_fault_of_the_program_is_a_typed_problem(fleet):
+    """A revision that is no number was answered with a bare 500."""
+    url = fleet.daemons[0].url("operator") + "/v1/tables?revision=x"
+    code, body = fleet.http.json("GET", url, token=fleet_module.OPERATOR)
+    assert (code, body["outcome"]) == (500, "unknown")
+
+
 def test_oversized_body_is_refused(fleet):
     found, _ = complete(fleet, "x" * 5_000_000)
     assert found == 413
