--- a/packages/samphirepost-daemon/src/samphirepost_daemon/operators.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/operators.py
@@ -93,8 +93,12 @@
 
     def _show(self, req, start_response):
         query = urllib.parse.parse_qs(req.query)
-        revision = int(query.get("revision", ["0"])[0])
-        revision = revision or self._current.revision
+        asked = query.get("revision", ["0"])[0]
+        if not asked.isdigit():
+            reason = "revision must be a whole number"
+            failure = errors.Failure(errors.Kind.BAD_REQUEST, reason)
+            return web.fail(start_response, failure)
+        revision = int(asked) or self._current.revision
         lacking = membership.in_force(revision, self._directory.view.members)
         brief = "brief" in query
         shown = Shown(
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -256,11 +256,10 @@
     assert reply["outcome"] == "not_run"
 
 
-def test_fault_of_the_program_is_a_typed_problem(fleet):
-    """A revision that is no number was answered with a bare 500."""
+def test_revision_that_is_no_number_is_refused(fleet):
     url = fleet.daemons[0].url("operator") + "/v1/tables?revision=x"
     code, body = fleet.http.json("GET", url, token=fleet_module.OPERATOR)
-    assert (code, body["outcome"]) == (500, "unknown")
+    assert (code, body["outcome"]) == (400, "not_run")
 
 
 def test_oversized_body_is_refused(fleet):
