--- a/packages/samphirepost-bench/src/samphirepost_bench/faults.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/faults.py
@@ -51,11 +51,13 @@
         self._until(ENGINE_KILLED_S)
         self._kill_engine("engine-4")
         self._until(DAEMON_KILLED_S)
-        self._kill_daemon(fleet.daemons[3])
+        busiest = max(fleet.daemons[1:], key=lambda d: len(self._limits(d)))
+        self._kill_daemon(busiest)
+        frozen = next(d for d in fleet.daemons[1:] if d is not busiest)
         self._until(FROZEN_S[0])
-        fleet.daemons[2].freeze()
+        frozen.freeze()
         self._until(FROZEN_S[1])
-        fleet.daemons[2].thaw()
+        frozen.thaw()
 
     def _kill_engine(self, name):
         """Kills an engine; notes when the last request was sent there."""
@@ -83,6 +85,7 @@
     def _kill_daemon(self, daemon):
         """Kills a daemon; notes when its engines get batch work again."""
         before = self._admitted()
+        self.seen["engines_of_the_dead_daemon"] = len(self._limits(daemon))
         daemon.kill()
         killed_s = time.monotonic()
         self.seen["engines_admitted_before"] = len(before)
@@ -97,13 +100,18 @@
         """Returns the engines that a live daemon admits batch work to."""
         found = set()
         for daemon in self.fleet.daemons:
-            if not daemon.alive:
-                continue
-            url = daemon.url("operator") + "/metrics"
-            for line in self.fleet.http.json("GET", url)[1].splitlines():
-                if line.startswith("samphirepost_batch_limit{"):
-                    if float(line.rsplit(" ", 1)[1]) > 0:
-                        found.add(line.split('"')[1])
+            if daemon.alive:
+                found |= self._limits(daemon)
+        return found
+
+    def _limits(self, daemon):
+        """Returns the engines that a daemon admits batch work to."""
+        found = set()
+        url = daemon.url("operator") + "/metrics"
+        for line in self.fleet.http.json("GET", url)[1].splitlines():
+            if line.startswith("samphirepost_batch_limit{"):
+                if float(line.rsplit(" ", 1)[1]) > 0:
+                    found.add(line.split('"')[1])
         return found
 
 
