--- a/packages/samphirepost-bench/src/samphirepost_bench/plots.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/plots.py
@@ -1,20 +1,17 @@
 """Draws experiments' figures."""
 
-import matplotlib
-
-matplotlib.use("Agg")
-
-from matplotlib import pyplot
+from matplotlib import figure as figures
 
 
 def policy(result, path):
     """Draws online harm against batch throughput, a point a variant."""
     variants = result["variants"]
     alone = variants["online alone"]["first_ms"]["p99"]
-    figure, axes = pyplot.subplots(figsize=(7, 4.5))
-    for name, figures in variants.items():
-        x = figures["batch_tokens_per_s"]
-        y = figures["first_ms"]["p99"] / alone
+    figure = figures.Figure(figsize=(7, 4.5))
+    axes = figure.subplots()
+    for name, found in variants.items():
+        x = found["batch_tokens_per_s"]
+        y = found["first_ms"]["p99"] / alone
         axes.scatter([x], [y])
         axes.annotate(name, (x, y), textcoords="offset points", xytext=(5, 5))
     axes.set_xlabel("batch tokens/s")
@@ -27,12 +24,12 @@
     axes.margins(x=0.25, y=0.1)
     figure.tight_layout()
     figure.savefig(path, dpi=110)
-    pyplot.close(figure)
 
 
 def lines(series, x_label, y_label, title, path):
     """Draws named series of points as lines."""
-    figure, axes = pyplot.subplots(figsize=(7, 4.5))
+    figure = figures.Figure(figsize=(7, 4.5))
+    axes = figure.subplots()
     for name, points in series.items():
         axes.plot(*zip(*points, strict=True), marker="o", label=name)
     axes.set_xlabel(x_label)
@@ -41,4 +38,3 @@
     axes.legend()
     figure.tight_layout()
     figure.savefig(path, dpi=110)
-    pyplot.close(figure)
