Make public what other modules call

Cause, found by reading as a newcomer: the relay's run, the tests and the fleet called names that were marked private.

--- a/packages/samphirepost-bench/src/samphirepost_bench/demo.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/demo.py
@@ -84,13 +84,16 @@
     """Waits until all live daemons have a revision."""
     until_s = time.monotonic() + wait_s
     while time.monotonic() < until_s:
-        if all(_has(fleet, d, revision) for d in fleet.daemons if d.alive):
+        if all(
+            has_revision(fleet, d, revision) for d in fleet.daemons if d.alive
+        ):
             return
         time.sleep(fleet_module.POLL_S)
     raise fleet_module.Gone(f"revision {revision} is not in force")
 
 
-def _has(fleet, daemon, revision):
+def has_revision(fleet, daemon, revision):
+    """Whether a daemon tells that the revision is in force."""
     url = daemon.url("operator") + f"/v1/tables?brief=1&revision={revision}"
     status, body = fleet.http.json("GET", url, token=fleet_module.OPERATOR)
     return status == 200 and body["in_force"]
--- a/packages/samphirepost-bench/src/samphirepost_bench/relay.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/relay.py
@@ -114,10 +114,10 @@
         0.0,
     )
     arrivals = [RAMP_S * n / count for n in range(count)]
-    cpu_s, tokens, began_s = slopes._cpu_s(daemon), 0, time.monotonic()
+    cpu_s, tokens, began_s = slopes.cpu_s_of(daemon), 0, time.monotonic()
     asyncio.run(client.run(arrivals))
     took_s = time.monotonic() - began_s
-    cpu_s = slopes._cpu_s(daemon) - cpu_s
+    cpu_s = slopes.cpu_s_of(daemon) - cpu_s
     tokens = client.measured.tokens
     figures = {
         "streams": count,
--- a/packages/samphirepost-bench/src/samphirepost_bench/slopes.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/slopes.py
@@ -337,13 +337,15 @@
     return found
 
 
-def _cpu_s(process):
+def cpu_s_of(process):
+    """Returns the processor time that a process has used (s)."""
     stat = pathlib.Path(f"/proc/{process.popen.pid}/stat").read_text()
     fields = stat.rsplit(")", 1)[1].split()
     return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
 
 
-def _rss_mb(process):
+def rss_mb(process):
+    """Returns the memory that a process holds (MB)."""
     path = pathlib.Path(f"/proc/{process.popen.pid}/status")
     for line in path.read_text().splitlines():
         if line.startswith("VmRSS:"):
@@ -369,11 +371,11 @@
 
 
 def _idle(fleet, count):
-    before = [_cpu_s(daemon) for daemon in fleet.daemons]
+    before = [cpu_s_of(daemon) for daemon in fleet.daemons]
     calls = fleet.counts()["table"]
     time.sleep(IDLE_S)
     spent = [
-        100 * (_cpu_s(daemon) - past) / IDLE_S
+        100 * (cpu_s_of(daemon) - past) / IDLE_S
         for daemon, past in zip(fleet.daemons, before, strict=True)
     ]
     now = fleet.counts()["table"]
@@ -382,7 +384,7 @@
         "daemons": count,
         "member_cpu_percent": spent[len(spent) // 2],
         "coordinator_cpu_percent": spent[-1],
-        "rss_mb": sum(_rss_mb(d) for d in fleet.daemons) / count,
+        "rss_mb": sum(rss_mb(d) for d in fleet.daemons) / count,
         "table_reads_per_s": (now["reads"] - calls["reads"]) / IDLE_S,
         "table_writes_per_s": (now["writes"] - calls["writes"]) / IDLE_S,
     }
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/online.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/online.py
@@ -128,7 +128,7 @@
         return item
 
     def _plain(self, item, start_response):
-        found = _last(self._server.serve(item))
+        found = last(self._server.serve(item))
         _count(item, found)
         if isinstance(found, errors.Failure):
             return web.fail(start_response, found, item.id)
@@ -189,7 +189,8 @@
         return None, stop.value
 
 
-def _last(steps):
+def last(steps):
+    """Takes all steps; returns what they return."""
     while True:
         token, found = _step(steps)
         if token is None:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -53,7 +53,7 @@
     payload = work.Service(b"{}", "application/json")
     item = work.Work("req-000-a", "umoja", "bill", row, payload, "d")
     item.deadline_s = hands.monotonic_s() + 60
-    return online._last(dispatcher.run(item)), script.sent
+    return online.last(dispatcher.run(item)), script.sent
 
 
 @pytest.mark.parametrize(
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -92,7 +92,7 @@
 
 def in_force(fleet, revision):
     return all(
-        demo._has(fleet, daemon, revision)
+        demo.has_revision(fleet, daemon, revision)
         for daemon in fleet.daemons
         if daemon.alive
     )
