Read metrics in one place in the bench

Cause, found by reading the whole change: five places of the bench parsed the metrics' text each in its own way, and the relay made its load twice. Fleet.samples serves all five now. A dead constant goes, a docstring comes.

--- a/packages/samphirepost-bench/src/samphirepost_bench/experiment.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/experiment.py
@@ -135,11 +135,8 @@
 
 def labelled(fleet, daemon, name, label):
     """Returns a metric's value under a label."""
-    url = daemon.url("operator") + "/metrics"
-    for line in fleet.http.json("GET", url)[1].splitlines():
-        if line.startswith(name + "{") and label in line:
-            return float(line.rsplit(" ", 1)[1])
-    return 0.0
+    found = fleet.samples(daemon, name)
+    return sum(value for labels, value in found if label in labels)
 
 
 def measure(fleet, variant, shape, run_s=RUN_S):
--- a/packages/samphirepost-bench/src/samphirepost_bench/faults.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/faults.py
@@ -72,15 +72,15 @@
         self.seen["dead_engine_last_request_s"] = last_s - killed_s
 
     def _sent(self, name):
-        label = f'target="{name}"'
-        total = 0.0
-        for daemon in self.fleet.daemons:
-            url = daemon.url("operator") + "/metrics"
-            for line in self.fleet.http.json("GET", url)[1].splitlines():
-                if line.startswith("samphirepost_dispatches_total"):
-                    if label in line:
-                        total += float(line.rsplit(" ", 1)[1])
-        return total
+        return sum(
+            experiment.labelled(
+                self.fleet,
+                daemon,
+                "samphirepost_dispatches_total",
+                f'target="{name}"',
+            )
+            for daemon in self.fleet.daemons
+        )
 
     def _kill_daemon(self, daemon):
         """Kills a daemon; notes when its engines get batch work again."""
@@ -106,13 +106,8 @@
 
     def _limits(self, daemon):
         """Returns the engines that a daemon admits batch work to."""
-        found = set()
-        url = daemon.url("operator") + "/metrics"
-        for line in self.fleet.http.json("GET", url)[1].splitlines():
-            if line.startswith("samphirepost_batch_limit{"):
-                if float(line.rsplit(" ", 1)[1]) > 0:
-                    found.add(line.split('"')[1])
-        return found
+        found = self.fleet.samples(daemon, "samphirepost_batch_limit")
+        return {labels.split('"')[1] for labels, limit in found if limit > 0}
 
 
 def run(folder):
--- a/packages/samphirepost-bench/src/samphirepost_bench/fleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/fleet.py
@@ -251,15 +251,17 @@
         body = {"name": name, "count": count, "seconds": seconds}
         self.http.json("POST", f"{process.url}/control", body)
 
-    def metric(self, daemon, name):
-        """Returns the sum of a metric's samples at a daemon."""
+    def samples(self, daemon, name):
+        """Yields the labels, as text, and the value of a metric's samples."""
         url = daemon.url("operator") + "/metrics"
-        text = self.http.json("GET", url)[1]
-        total = 0.0
-        for line in text.splitlines():
+        for line in self.http.json("GET", url)[1].splitlines():
             if line.startswith((name + "{", name + " ")):
-                total += float(line.rsplit(" ", 1)[1])
-        return total
+                labels, value = line.removeprefix(name).rsplit(" ", 1)
+                yield labels, float(value)
+
+    def metric(self, daemon, name):
+        """Returns the sum of a metric's samples at a daemon."""
+        return sum(value for _, value in self.samples(daemon, name))
 
 
 def callers():
--- a/packages/samphirepost-bench/src/samphirepost_bench/relay.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/relay.py
@@ -51,13 +51,7 @@
             fleet.start_engine(f"engine-{index}", "zone-1")
         daemon = fleet.start_daemon("vm-0", "zone-1")
         experiment.apply(fleet, 0, experiment.Variant("dispatch", False))
-        client = load.Load(
-            [daemon.url("online")],
-            fleet_module.CALLERS["nurseries"],
-            "care-note",
-            DISPATCH_TOKENS,
-            0.0,
-        )
+        client = _client(daemon, DISPATCH_TOKENS)
         shape = load.Shape(DISPATCH_PER_S)
         arrivals = shape.arrivals(DISPATCH_S, experiment.SEED)
         asyncio.run(client.run(arrivals))
@@ -78,13 +72,21 @@
     """Returns the share of requests dispatched within each bound (s)."""
     name = "samphirepost_dispatch_seconds"
     total = fleet.metric(daemon, name + "_count")
-    url = daemon.url("operator") + "/metrics"
-    found = {}
-    for line in fleet.http.json("GET", url)[1].splitlines():
-        if line.startswith(name + "_bucket"):
-            bound = line.split('"')[1]
-            found[bound] = float(line.rsplit(" ", 1)[1]) / max(1.0, total)
-    return found
+    return {
+        labels.split('"')[1]: count / max(1.0, total)
+        for labels, count in fleet.samples(daemon, name + "_bucket")
+    }
+
+
+def _client(daemon, tokens):
+    """Returns a load that asks one daemon for so many tokens a request."""
+    return load.Load(
+        [daemon.url("online")],
+        fleet_module.CALLERS["nurseries"],
+        "care-note",
+        tokens,
+        0.0,
+    )
 
 
 def measure(count):
@@ -106,15 +108,9 @@
 
 
 def _measure(fleet, daemon, count):
-    client = load.Load(
-        [daemon.url("online")],
-        fleet_module.CALLERS["nurseries"],
-        "care-note",
-        TOKENS,
-        0.0,
-    )
+    client = _client(daemon, TOKENS)
     arrivals = [RAMP_S * n / count for n in range(count)]
-    cpu_s, tokens, began_s = slopes.cpu_s_of(daemon), 0, time.monotonic()
+    cpu_s, began_s = slopes.cpu_s_of(daemon), time.monotonic()
     asyncio.run(client.run(arrivals))
     took_s = time.monotonic() - began_s
     cpu_s = slopes.cpu_s_of(daemon) - cpu_s
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/runs.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/runs.py
@@ -118,6 +118,7 @@
 
 
 def payload(kind, asked):
+    """Returns what is sent to a target of this kind for an item."""
     if kind is tables.TargetKind.SERVICE:
         body = msgspec.json.encode(asked)
         return work.Service(body, "application/json")
