--- /dev/null
+++ b/deploy/entry.py
@@ -0,0 +1,13 @@
+"""Runs the entry daemon from a checkout: entry.py SETTINGS."""
+
+import pathlib
+import sys
+
+_PACKAGES = pathlib.Path(__file__).resolve().parent.parent / "packages"
+for _name in ("samphirepost", "samphirepost-daemon"):
+    sys.path.insert(0, str(_PACKAGES / _name / "src"))
+
+from samphirepost_daemon.entry import core  # noqa: E402
+
+if __name__ == "__main__":
+    core.main(sys.argv[1])
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/beats.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/beats.py
@@ -3,9 +3,9 @@
 from samphirepost import codec
 from samphirepost import errors
 from samphirepost import messages
+from samphirepost_daemon import backing
 from samphirepost_daemon import current as current_module
 from samphirepost_daemon import members
-from samphirepost_daemon import platform
 
 WAIT_S = 0.4
 ASKED_PER_ZONE = 2
@@ -74,17 +74,17 @@
         vms = self._services.vms.read()
         if isinstance(vms, errors.Failure):
             return ()
-        leaving = platform.VmState.LEAVING
+        leaving = backing.VmState.LEAVING
         return tuple(vm.id for vm in vms if vm.state is leaving)
 
     def _write_zone(self, write):
-        transaction = platform.Transaction(
-            platform.write_id(),
+        transaction = backing.Transaction(
+            backing.write_id(),
             {self._zone_key: write.revision},
             {self._zone_key: codec.pack(write.row)},
         )
-        outcome = platform.settle(self._services.table, transaction)
-        ours = isinstance(outcome, platform.Written)
+        outcome = backing.settle(self._services.table, transaction)
+        ours = isinstance(outcome, backing.Written)
         if not isinstance(outcome, errors.Failure):
             self._actor.tell(members.ZoneWritten(ours))
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/commits.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/commits.py
@@ -8,8 +8,8 @@
 from samphirepost import errors
 from samphirepost import ledger
 from samphirepost import records
+from samphirepost_daemon import backing
 from samphirepost_daemon import metrics
-from samphirepost_daemon import platform
 
 PARTITION_PREFIX = "control/partition/"
 
@@ -39,7 +39,7 @@
         return found
     state = ledger.State(cfg.claim_ms / 1000, cfg.attempts_max)
     if found is None:
-        return Loaded(records.Row(), platform.ABSENT, state)
+        return Loaded(records.Row(), backing.ABSENT, state)
     row = codec.unpack(found.value, records.Row)
     failure = _replay(services.objects, row, state, now)
     if failure is not None:
@@ -67,10 +67,10 @@
 def write_row(table, partition, row, revision):
     """Writes the row if it is at the revision; returns what is known."""
     key = row_key(partition)
-    transaction = platform.Transaction(
+    transaction = backing.Transaction(
         row.write, {key: revision}, {key: codec.pack(row)}
     )
-    outcome = platform.settle(table, transaction)
+    outcome = backing.settle(table, transaction)
     metrics.COMMITS.labels(type(outcome).__name__.lower()).inc()
     return outcome
 
--- /dev/null
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -0,0 +1,403 @@
+"""Holds batch jobs: runs their items, writes results, takes jobs over.
+
+The actor's thread decides; items run and writes happen on other threads,
+which tell the actor how they ended.
+"""
+
+import concurrent.futures
+import time
+
+import msgspec
+import pykka
+
+from samphirepost import batchjob
+from samphirepost import errors
+from samphirepost import routing
+from samphirepost_daemon.entry import items
+from samphirepost_daemon.entry import jobs
+from samphirepost_daemon.entry import store
+
+TICK_S = 0.1
+# How often open jobs are looked for (s): an ended job has to stop within
+# 3 s wherever it is held.
+SCAN_S = 1.0
+# Items that one daemon runs at a time.
+RUNS_MAX = 12
+# Slots of an engine that batch items leave free for online requests.
+SPARE_SLOTS = 2
+# Pause before an item that did not end is run again (s).
+RETRY_S = 0.3
+# Jobs that are taken over at one look, so that others take some too.
+TAKES_MAX = 2
+
+
+class Hold(msgspec.Struct, frozen=True):
+    """Hold a job whose progress names this daemon."""
+
+    opened: jobs.Open
+    record: batchjob.Record
+
+
+class Drop(msgspec.Struct, frozen=True):
+    """Stop a job that is not this daemon's any more."""
+
+    host: str
+    job: str
+    reason: str
+
+
+class Tick(msgspec.Struct, frozen=True):
+    """Do what is due."""
+
+
+class ItemEnded(msgspec.Struct, frozen=True):
+    """A run of an item ended."""
+
+    key: tuple[str, str]
+    index: int
+    engine: str
+    partial: items.Partial
+    outcome: object
+
+
+class CommitEnded(msgspec.Struct, frozen=True):
+    """A write ended."""
+
+    key: tuple[str, str]
+    commit: batchjob.Commit
+    outcome: object
+
+
+class Seen(msgspec.Struct, frozen=True):
+    """What a look at the open jobs found; all of them if `full`."""
+
+    opened: list[jobs.Open]
+    closed: list[tuple[str, str]]
+    revision: int | None
+    full: bool
+
+
+class Unseen(msgspec.Struct, frozen=True):
+    """A look at the open jobs failed; `lost` if history is gone."""
+
+    reason: str
+    lost: bool = False
+
+
+class Taken(msgspec.Struct, frozen=True):
+    """This daemon became a job's holder."""
+
+    opened: jobs.Open
+    record: batchjob.Record
+
+
+class Holder(pykka.ThreadingActor):
+    """Owns the state of the held jobs."""
+
+    def __init__(self, parts, kept):
+        super().__init__()
+        self._parts = parts
+        self._jobs = kept
+        self._works = {}
+        self._dead = set()
+        self._watch = batchjob.Watch()
+        self._after = None
+        self._scan_due_s = 0.0
+        self._scanning = False
+        self._runs = 0
+        self._stopping = False
+        self._pool = concurrent.futures.ThreadPoolExecutor(
+            RUNS_MAX + 6, thread_name_prefix="batch"
+        )
+
+    def on_receive(self, message):
+        """Handles one message."""
+        handler = getattr(self, _HANDLERS[type(message)])
+        handler(message)
+
+    def _hold(self, message):
+        self._adopt(message.opened, message.record, "submitted")
+
+    def _taken(self, message):
+        self._adopt(message.opened, message.record, "taken over")
+
+    def _adopt(self, opened, record, why):
+        key = (opened.host, opened.job)
+        work = batchjob.Work(
+            record, opened.progress, opened.revision, time.monotonic()
+        )
+        self._works[key] = work
+        self._parts.metrics.held_jobs.set(len(self._works))
+        self._parts.log.event(
+            "job.held", job=opened.job, why=why, revision=opened.revision
+        )
+        self._start_items()
+
+    def _drop(self, message):
+        key = (message.host, message.job)
+        work = self._works.pop(key, None)
+        self._watch.gone(key)
+        if work is None:
+            return
+        self._parts.metrics.held_jobs.set(len(self._works))
+        self._parts.log.event(
+            "job.dropped", job=message.job, reason=message.reason
+        )
+
+    def _tick(self, _):
+        now_s = time.monotonic()
+        if now_s >= self._scan_due_s and not self._scanning:
+            self._scanning = True
+            self._scan_due_s = now_s + SCAN_S
+            self._submit(self._look, self._after)
+        self._give_up_late()
+        self._start_items()
+        for key, work in list(self._works.items()):
+            self._write(key, work, now_s)
+
+    def _submit(self, function, *args):
+        self._pool.submit(self._guard, function, *args)
+
+    def _guard(self, function, *args):
+        try:
+            function(*args)
+        except Exception as exc:
+            self._parts.log.failure(
+                "fault", where=function.__name__, error=repr(exc)
+            )
+            raise
+
+    # Items.
+
+    def _give_up_late(self):
+        """Ends items whose time is up or whose route is gone."""
+
+    def _start_items(self):
+        if self._stopping:
+            return
+        now_s = time.monotonic()
+        works = sorted(
+            self._works.items(), key=lambda pair: pair[1].progress.give_up_ms
+        )
+        for key, work in works:
+            for index in work.runnable(now_s):
+                if self._runs >= RUNS_MAX:
+                    return
+                if not self._start_item(key, work, index, now_s):
+                    break
+
+    def _start_item(self, key, work, index, now_s):
+        """Starts an item; returns whether an engine had room."""
+        route = self._route(work)
+        if route is None:
+            return False
+        pool = routing.pick_pool(route)
+        board = self._parts.board
+        engine = board.choose_batch(
+            self._parts.state.engines(pool), (), now_s, SPARE_SLOTS
+        )
+        if engine is None:
+            return False
+        work.running.add(index)
+        partial = work.partial.setdefault(index, items.Partial())
+        board.started(engine.id, batch=True)
+        self._runs += 1
+        self._submit(self._run_item, key, work, index, engine, partial)
+        return True
+
+    def _route(self, work):
+        table = self._parts.state.table
+        if table is None:
+            return None
+        return table.find(work.record.host, work.record.path)
+
+    def _run_item(self, key, work, index, engine, partial):
+        outcome = items.Interrupted("a fault of the daemon", False)
+        try:
+            outcome = items.run(
+                work.record,
+                work.record.items[index],
+                engine,
+                partial,
+                lambda: self._stopping or self._works.get(key) is not work,
+            )
+        finally:
+            self.actor_ref.tell(
+                ItemEnded(key, index, engine.id, partial, outcome)
+            )
+
+    def _item_ended(self, message):
+        self._runs -= 1
+        board = self._parts.board
+        board.ended(message.engine, batch=True)
+        outcome = message.outcome
+        name = type(outcome).__name__.lower()
+        self._parts.metrics.items.labels(name).inc()
+        work = self._works.get(message.key)
+        if work is None or work.partial.get(message.index) is not (
+            message.partial
+        ):
+            return
+        item = work.record.items[message.index]
+        self._settle_item(work, message, item, outcome)
+        if not isinstance(outcome, items.Whole):
+            self._parts.log.event(
+                "item.not_done",
+                job=work.record.id,
+                item=item.id,
+                engine=message.engine,
+                outcome=name,
+                reason=getattr(outcome, "reason", ""),
+                failures=work.failures(message.index),
+                **self._parts.state.ages(),
+            )
+        self._write(message.key, work, time.monotonic())
+        self._start_items()
+
+    def _settle_item(self, work, message, item, outcome):
+        index = message.index
+        now_s = time.monotonic()
+        if isinstance(outcome, items.Whole):
+            self._parts.board.succeeded(message.engine)
+            work.finish(
+                index,
+                batchjob.Result(
+                    item.id, batchjob.End.DONE, message.partial.text
+                ),
+            )
+        elif isinstance(outcome, items.Impossible):
+            work.give_up(index)
+        elif isinstance(outcome, items.Failed):
+            route = self._route(work)
+            work.fail(index, route.attempts_max if route else 3)
+        else:
+            work.running.discard(index)
+            if outcome.fault:
+                self._parts.board.failed(message.engine, now_s)
+        work.retry_at_s[index] = now_s + RETRY_S
+
+    # Writes.
+
+    def _write(self, key, work, now_s):
+        if not work.due(now_s):
+            return
+        commit = work.next_commit(
+            jobs.COMMIT_RESULTS_MAX, jobs.COMMIT_BYTES_MAX, now_s
+        )
+        self._submit(self._commit, key, work.record, commit)
+
+    def _commit(self, key, record, commit):
+        outcome = self._jobs.commit(record, commit)
+        self.actor_ref.tell(CommitEnded(key, commit, outcome))
+
+    def _commit_ended(self, message):
+        work = self._works.get(message.key)
+        if work is None or work.committing is not message.commit:
+            return
+        outcome = message.outcome
+        if isinstance(outcome, int):
+            work.committed(outcome)
+            if work.complete:
+                host, job = message.key
+                self._drop(Drop(host, job, "complete"))
+                return
+            self._write(message.key, work, time.monotonic())
+        elif isinstance(outcome, jobs.Missing):
+            host, job = message.key
+            self._drop(Drop(host, job, "ended or taken over"))
+        else:
+            self._parts.log.failure(
+                "job.unsaved", job=work.record.id, reason=outcome.reason
+            )
+            self._submit(
+                self._commit_later, message.key, work.record, message.commit
+            )
+
+    def _commit_later(self, key, record, commit):
+        time.sleep(RETRY_S)
+        self._commit(key, record, commit)
+
+    # Takeovers.
+
+    def _look(self, after):
+        if after is None:
+            found = self._jobs.open_jobs()
+            if not isinstance(found, errors.Failure):
+                opened, revision = found
+                self.actor_ref.tell(Seen(opened, [], revision, True))
+                return
+        else:
+            found = self._jobs.changes(after)
+            if isinstance(found, tuple):
+                opened, closed, revision = found
+                self.actor_ref.tell(Seen(opened, closed, revision, False))
+                return
+        lost = isinstance(found, store.HistoryLost)
+        reason = "history is gone" if lost else found.reason
+        self.actor_ref.tell(Unseen(reason, lost))
+
+    def _seen(self, message):
+        self._scanning = False
+        now_s = time.monotonic()
+        self._after = message.revision
+        closed = list(message.closed)
+        if message.full:
+            listed = {(one.host, one.job) for one in message.opened}
+            closed = [key for key in self._watch.keys() if key not in listed]
+        for one in message.opened:
+            key = (one.host, one.job)
+            self._watch.see(key, one.revision, one.progress, now_s)
+            self._check_held(key, one)
+        for host, job in closed:
+            self._drop(Drop(host, job, "closed"))
+        self._take_over(now_s)
+
+    def _check_held(self, key, one):
+        if key in self._works and one.progress.holder != self._parts.me:
+            host, job = key
+            self._drop(Drop(host, job, f"held by {one.progress.holder}"))
+
+    def _unseen(self, message):
+        self._scanning = False
+        if message.lost:
+            self._after = None
+        self._watch.blind(time.monotonic())
+
+    def _take_over(self, now_s):
+        if self._stopping:
+            return
+        found = self._watch.abandoned(now_s, self._works)
+        for key in found[:TAKES_MAX]:
+            known = self._watch.get(key)
+            host, job = key
+            opened = jobs.Open(host, job, known.revision, known.progress)
+            self._watch.see(key, -1, known.progress, now_s)
+            self._submit(self._take, opened)
+
+    def _take(self, opened):
+        record = self._jobs.record(opened.host, opened.job)
+        if not isinstance(record, batchjob.Record):
+            return
+        found = self._jobs.take(opened)
+        if isinstance(found, jobs.Open):
+            self.actor_ref.tell(Taken(found, record))
+
+    def _stop_work(self, _):
+        self._stopping = True
+
+
+class Stop(msgspec.Struct, frozen=True):
+    """Start nothing new; what runs is left for another daemon."""
+
+
+_HANDLERS = {
+    Hold: "_hold",
+    Taken: "_taken",
+    Drop: "_drop",
+    Tick: "_tick",
+    ItemEnded: "_item_ended",
+    CommitEnded: "_commit_ended",
+    Seen: "_seen",
+    Unseen: "_unseen",
+    Stop: "_stop_work",
+}
--- /dev/null
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/metrics.py
@@ -0,0 +1,54 @@
+"""Counters and histograms of the entry daemon."""
+
+import prometheus_client
+
+_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0)
+
+
+class Metrics:
+    """All metrics, in a registry of their own."""
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self.requests = self._counter(
+            "requests", "Online requests ended", ["route", "outcome"]
+        )
+        self.attempts = self._counter(
+            "attempts", "Attempts at engines ended", ["outcome"]
+        )
+        self.store_calls = self._counter(
+            "store_calls", "Calls to the store", ["call", "result"]
+        )
+        self.jobs = self._counter(
+            "jobs", "Decisions about batch jobs", ["decision"]
+        )
+        self.items = self._counter(
+            "items", "Runs of batch items ended", ["outcome"]
+        )
+        self.first_event = prometheus_client.Histogram(
+            "samphirepost_first_event_seconds",
+            "Time from a request to its first event",
+            buckets=_SECONDS,
+            registry=self.registry,
+        )
+        self.running = self._gauge("running", "Online requests in progress")
+        self.held_jobs = self._gauge("held_jobs", "Batch jobs held")
+        self.revision = self._gauge("revision", "Revision of the tables")
+        self.engines = self._gauge("engines", "Engines listed")
+        self.registry_age = self._gauge(
+            "registry_age_seconds", "Age of the list of engines"
+        )
+
+    def _counter(self, name, text, labels):
+        return prometheus_client.Counter(
+            f"samphirepost_{name}", text, labels, registry=self.registry
+        )
+
+    def _gauge(self, name, text):
+        return prometheus_client.Gauge(
+            f"samphirepost_{name}", text, registry=self.registry
+        )
+
+    def text(self):
+        """Returns the metrics as text."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/platform/wire.py
@@ -0,0 +1,251 @@
+"""The platform's HTTP: what callers send, what engines take and answer."""
+
+import base64
+import urllib.parse
+
+import msgspec
+
+from samphirepost import batchjob
+from samphirepost import errors
+
+READINESS_PATH = "/readiness"
+JOBS_PREFIX = "/lots/"
+ITEMS_PREFIX = "/items/"
+
+REQUEST_ID = "Request-Id"
+DEADLINE = "Deadline-Ms"
+TARGET_ID = "Target-Instance"
+RESUME_AFTER = "Last-Event-Id"
+NOT_EXECUTED = "not-executed"
+SEAL = "response-seal"
+WAIT = "Wait-Ms"
+
+# Headers that concern one connection, and those the daemon sets itself.
+_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+    )
+)
+_OWN = frozenset(
+    (
+        "content-length",
+        DEADLINE.lower(),
+        TARGET_ID.lower(),
+        RESUME_AFTER.lower(),
+    )
+)
+_STATES = {
+    batchjob.End.DONE: "done",
+    batchjob.End.GIVEN_UP: "dead_letter",
+}
+
+
+class Request(msgspec.Struct, frozen=True):
+    """A request as it goes to an engine.
+
+    `resume_after` is the id of the last event that the caller has.
+    """
+
+    id: str
+    method: str
+    path: str
+    host: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    resume_after: int | None = None
+    patience_s: float | None = None
+
+
+class _Item(msgspec.Struct):
+    id: str
+    path: str
+    headers: dict[str, str] = {}
+    body: str = ""
+    tokens: int = 0
+
+
+class _Submission(msgspec.Struct):
+    requests: list[_Item]
+
+
+def request(environ):
+    """Returns the request in a WSGI environment, or a Failure."""
+    headers = []
+    for name, value in environ.items():
+        if name.startswith("HTTP_"):
+            headers.append((name[5:].replace("_", "-").title(), value))
+    if environ.get("CONTENT_TYPE"):
+        headers.append(("Content-Type", environ["CONTENT_TYPE"]))
+    known = {name.lower(): value for name, value in headers}
+    try:
+        resume_after = _number(known, RESUME_AFTER)
+        patience_ms = _number(known, DEADLINE)
+    except ValueError as exc:
+        return errors.Failure(errors.Kind.BAD_REQUEST, str(exc))
+    return Request(
+        id=known.get(REQUEST_ID.lower(), ""),
+        method=environ["REQUEST_METHOD"],
+        path=environ["REQUEST_URI"],
+        host=known.get("host", ""),
+        headers=_forwarded(headers),
+        body=environ["wsgi.input"].read(),
+        resume_after=resume_after,
+        patience_s=None if patience_ms is None else patience_ms / 1000,
+    )
+
+
+def _number(known, name):
+    value = known.get(name.lower())
+    if value is None:
+        return None
+    if not value.strip().isdigit():
+        raise ValueError(f"{name} is not a whole number: {value!r}")
+    return int(value)
+
+
+def _forwarded(headers):
+    named = {"host"}
+    for name, value in headers:
+        if name.lower() == "connection":
+            named.update(part.strip().lower() for part in value.split(","))
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name.lower() not in _HOP
+        and name.lower() not in _OWN
+        and name.lower() not in named
+    )
+
+
+def engine_headers(req, engine, left_s, resume_after):
+    """Returns the headers of a request to one engine."""
+    headers = [("Host", req.host), *req.headers]
+    headers.append((TARGET_ID, engine.id))
+    headers.append((DEADLINE, str(max(1, int(left_s * 1000)))))
+    if resume_after is not None:
+        headers.append((RESUME_AFTER, str(resume_after)))
+    if req.body or req.method in ("POST", "PUT", "PATCH"):
+        headers.append(("Content-Length", str(len(req.body))))
+    headers.append(("Connection", "close"))
+    return headers
+
+
+def answers(head, req):
+    """Whether an engine's answer is the one to this request."""
+    return head.get(REQUEST_ID.lower()) == req.id
+
+
+def refused(head):
+    """Whether an engine says that it has not run the request."""
+    return NOT_EXECUTED in head.headers or head.status == 421
+
+
+def answer_headers(head):
+    """Returns the headers of an engine's answer that go to the caller."""
+    named = set()
+    for value in head.all("connection"):
+        named.update(part.strip().lower() for part in value.split(","))
+    return [
+        (name.title(), value)
+        for name, values in head.headers.items()
+        for value in values
+        if name not in _HOP and name not in named and name != "content-length"
+    ]
+
+
+def item_request(record, item):
+    """Returns the request that runs one item of a batch job."""
+    headers = [(REQUEST_ID, item.id)]
+    for name, value in item.headers.items():
+        if name.lower() not in _HOP and name.lower() not in _OWN:
+            if name.lower() not in ("host", REQUEST_ID.lower()):
+                headers.append((name, value))
+    return Request(
+        item.id, "POST", item.path, record.host, tuple(headers), item.body
+    )
+
+
+def submission(req, host, route):
+    """Returns the record of a submitted job, or a Failure."""
+    try:
+        found = msgspec.json.decode(req.body, type=_Submission)
+        items = tuple(
+            batchjob.Item(
+                item.id,
+                item.path,
+                item.headers,
+                base64.b64decode(item.body),
+                item.tokens,
+            )
+            for item in found.requests
+        )
+    except (msgspec.DecodeError, ValueError) as exc:
+        return errors.Failure(errors.Kind.BAD_JSON, str(exc))
+    return batchjob.Record(req.id, host, route.name, req.path, items)
+
+
+class _Result(msgspec.Struct):
+    id: str
+    state: str
+    text: str
+
+
+class _Results(msgspec.Struct):
+    total: int
+    next: int
+    results: list[_Result]
+
+
+def results(total, after, found):
+    """Returns the body that lists results from position `after`."""
+    listed = [
+        _Result(
+            result.id, _STATES[result.end], result.text.decode(errors="replace")
+        )
+        for result in found
+    ]
+    return msgspec.json.encode(
+        _Results(total, after + len(listed), listed)
+    )
+
+
+def job_call(path):
+    """Returns the job's id if a path (without query) reads or ends one."""
+    if path.startswith(JOBS_PREFIX):
+        return urllib.parse.unquote(path[len(JOBS_PREFIX) :])
+    return None
+
+
+def item_call(path):
+    """Returns the job's id if a path (without query) reads an item."""
+    if path.startswith(ITEMS_PREFIX):
+        return urllib.parse.unquote(path[len(ITEMS_PREFIX) :])
+    return None
+
+
+def after(environ):
+    """Returns the position from which results are read."""
+    query = urllib.parse.parse_qs(environ.get("QUERY_STRING", ""))
+    value = query.get("after", ["0"])[0]
+    return int(value) if value.isdigit() else 0
+
+
+def item_id(environ):
+    """Returns the id of the item whose body is read."""
+    query = urllib.parse.parse_qs(environ.get("QUERY_STRING", ""))
+    return query.get("id", [""])[0]
+
+
+def wait_s(environ):
+    """Returns how long a reader lets an empty answer wait (s)."""
+    value = environ.get("HTTP_" + WAIT.upper().replace("-", "_"), "0")
+    return int(value) / 1000 if value.isdigit() else 0.0
--- /dev/null
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -0,0 +1,73 @@
+"""The composition root of the entry daemon."""
+
+import secrets
+
+from samphirepost import selection
+from samphirepost_daemon.entry import batch
+from samphirepost_daemon.entry import holder
+from samphirepost_daemon.entry import jobs
+from samphirepost_daemon.entry import listener
+from samphirepost_daemon.entry import log as log_module
+from samphirepost_daemon.entry import metrics
+from samphirepost_daemon.entry import online
+from samphirepost_daemon.entry import state
+from samphirepost_daemon.entry import watch
+from samphirepost_daemon.entry import web
+from samphirepost_daemon.entry.platform import client
+from samphirepost_daemon.entry.platform import registry
+
+READINESS_THREADS = 2
+BODY_BYTES_MAX = 8_000_000
+
+
+class Parts:
+    """What most parts need: beliefs, counts, log and metrics."""
+
+    __slots__ = ("board", "log", "me", "metrics", "state")
+
+    def __init__(self, me, zone):
+        self.me = me
+        self.log = log_module.Log(me)
+        self.metrics = metrics.Metrics()
+        self.state = state.State()
+        self.board = selection.Board(zone)
+
+
+class Daemon:
+    """The parts of one daemon that are started and stopped."""
+
+    def __init__(self, cfg):
+        self.cfg = cfg
+        me = f"{cfg.id}-{secrets.token_hex(4)}"
+        parts = Parts(me, cfg.zone)
+        self.log = parts.log
+        self.state = parts.state
+        calls = client.Client(cfg.store.address, parts.metrics)
+        kept = jobs.Jobs(calls, me)
+        self.actor = holder.Holder.start(parts, kept)
+        self.watches = [
+            watch.Watch(
+                calls,
+                registry.CONFIG_TABLE,
+                watch.Tables(parts.state, parts.log),
+                parts.log,
+            ),
+            watch.Watch(
+                calls,
+                registry.ENGINE_TABLE,
+                watch.Engines(parts.state, parts.log),
+                parts.log,
+            ),
+        ]
+        app = web.App(
+            parts, online.Online(parts), batch.Batch(parts, kept, self.actor)
+        )
+        self.callers = listener.Listener(
+            app, cfg.listen.callers, cfg.listen.threads, BODY_BYTES_MAX
+        )
+        self.readiness = listener.Listener(
+            web.Readiness(parts),
+            cfg.listen.readiness,
+            READINESS_THREADS,
+            BODY_BYTES_MAX,
+        )
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/ledgers.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/ledgers.py
@@ -13,9 +13,9 @@
 from samphirepost import ledger
 from samphirepost import messages
 from samphirepost import records
+from samphirepost_daemon import backing
 from samphirepost_daemon import commits
 from samphirepost_daemon import metrics
-from samphirepost_daemon import platform
 from samphirepost_daemon import results
 
 RETRY_S = 0.1
@@ -129,7 +129,7 @@
             return self._drop(False)
         if loaded.row.owner and loaded.revision != self._acquire.revision:
             return self._drop(False)
-        row = holding.taken(loaded.row, self._owner, platform.write_id())
+        row = holding.taken(loaded.row, self._owner, backing.write_id())
         written = self._settle(row, loaded.revision)
         if written is None:
             return self._drop(False)
@@ -162,9 +162,9 @@
             outcome = commits.write_row(
                 self._services.table, self._partition, row, revision
             )
-            if isinstance(outcome, platform.Written):
+            if isinstance(outcome, backing.Written):
                 return outcome.revisions[key]
-            if isinstance(outcome, platform.Conflict):
+            if isinstance(outcome, backing.Conflict):
                 return None
             self._actor.tell(Unsettled(self._partition))
             self.wake.wait(RETRY_S)
@@ -274,7 +274,7 @@
             holding.Limits(
                 self._cfg.unsaved_records_max, self._cfg.snapshot_segments
             ),
-            platform.write_id,
+            backing.write_id,
         )
         metrics.PARTITIONS.set(len(self._held))
         eliot.log_message(
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/members.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/members.py
@@ -18,9 +18,9 @@
 from samphirepost import membership
 from samphirepost import messages
 from samphirepost import records
+from samphirepost_daemon import backing
 from samphirepost_daemon import commits
 from samphirepost_daemon import metrics
-from samphirepost_daemon import platform
 
 CONTROL_PREFIX = "control/"
 ZONE_PREFIX = "control/zone/"
@@ -62,7 +62,7 @@
     """
 
     asked_s: float
-    rows: tuple[platform.Versioned, ...]
+    rows: tuple[backing.Versioned, ...]
     leaving: tuple[str, ...]
     revision: int
 
@@ -308,7 +308,7 @@
     def _partitions(self, rows, now_s):
         owners = {}
         suspects = dict.fromkeys(
-            range(self._cfg.ledger.partitions), platform.ABSENT
+            range(self._cfg.ledger.partitions), backing.ABSENT
         )
         lease_s = self._cfg.ledger.lease_ms / 1000
         for versioned in rows:
@@ -328,7 +328,7 @@
         """Returns the row to write if this daemon (now) coordinates."""
         found = self._zones.get(self._me.zone)
         if found is None:
-            return self._new_row(0, platform.ABSENT)
+            return self._new_row(0, backing.ABSENT)
         row = found.row
         if row.coordinator == self._me.name:
             self._set_coordinating(True)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/operators.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/operators.py
@@ -8,9 +8,9 @@
 from samphirepost import errors
 from samphirepost import membership
 from samphirepost import tables
+from samphirepost_daemon import backing
 from samphirepost_daemon import current as current_module
 from samphirepost_daemon import metrics
-from samphirepost_daemon import platform
 from samphirepost_daemon import web
 
 TABLES = "/v1/tables"
@@ -157,7 +157,7 @@
         failure = tables.admit(expected, found.revision)
         if failure is not None:
             return failure
-        return Before(platform.ABSENT if row is None else row.revision, found)
+        return Before(backing.ABSENT if row is None else row.revision, found)
 
     def write(self, before, edit, who):
         """Writes an edit of the tables as they were read before."""
@@ -180,11 +180,11 @@
             edit.note,
             tables.changes(before.tables, candidate),
         )
-        return platform.Transaction(
-            platform.write_id(),
+        return backing.Transaction(
+            backing.write_id(),
             {
                 current_module.CURRENT_KEY: before.row_revision,
-                audit_key: platform.ABSENT,
+                audit_key: backing.ABSENT,
             },
             {
                 current_module.CURRENT_KEY: codec.pack(candidate),
@@ -196,10 +196,10 @@
     def _settle(self, transaction, expected):
         uncertain = False
         for _ in range(SETTLE_TRIES):
-            outcome = platform.settle(self._table, transaction)
-            if isinstance(outcome, platform.Written):
+            outcome = backing.settle(self._table, transaction)
+            if isinstance(outcome, backing.Written):
                 return None
-            if isinstance(outcome, platform.Conflict):
+            if isinstance(outcome, backing.Conflict):
                 newest = current_module.read_head(self._table)
                 return tables.lost_race(expected, newest)
             uncertain |= outcome.outcome is errors.Outcome.UNKNOWN
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/wiring.py
@@ -1,5 +1,6 @@
 """The composition root: makes a daemon's parts and joins them."""
 
+from samphirepost_daemon import backing
 from samphirepost_daemon import batches
 from samphirepost_daemon import beats
 from samphirepost_daemon import board
@@ -19,7 +20,6 @@
 from samphirepost_daemon import outbox
 from samphirepost_daemon import owners
 from samphirepost_daemon import peers
-from samphirepost_daemon import platform
 from samphirepost_daemon import pollers
 from samphirepost_daemon import runner
 from samphirepost_daemon import serve
@@ -36,7 +36,7 @@
         self.current = current_module.Current()
         self.directory = directory_module.Directory(cfg.confirm_ms / 1000)
         self.gate = gate_module.Gate(self.clock, self.directory)
-        self.services = platform.connect(cfg.platform)
+        self.services = backing.connect(cfg.platform)
         self.client = peers.Client()
         self._make_actors()
         self._make_threads()
--- /dev/null
+++ b/packages/samphirepost/src/samphirepost/attempts.py
@@ -0,0 +1,82 @@
+"""What follows an attempt at an engine: another one, or which answer."""
+
+import enum
+
+import msgspec
+
+# Engines that only refuse or cannot be reached are tried up to this many
+# times; each costs a round trip, and a caller waits meanwhile.
+SENDS_MAX = 4
+# Time below which another attempt cannot end in time (s): a connection, the
+# prompt and the first event take longer on an idle engine.
+LEFT_MIN_S = 0.05
+
+
+class Seen(enum.Enum):
+    """How an attempt ended without a usable answer."""
+
+    UNREACHABLE = "unreachable"
+    REFUSED = "refused"
+    BROKEN = "broken"
+    SILENT = "silent"
+    FAILED = "failed"
+
+
+NOT_RUN = frozenset((Seen.UNREACHABLE, Seen.REFUSED))
+
+
+class Next(enum.Enum):
+    """What to do after an attempt."""
+
+    RETRY = "retry"
+    REFUSE = "refuse"
+    FAIL = "fail"
+
+
+class History:
+    """The attempts made for one request."""
+
+    __slots__ = ("_repeatable", "_runs_max", "excluded", "runs", "sends")
+
+    def __init__(self, repeatable, runs_max):
+        self._repeatable = repeatable
+        self._runs_max = runs_max
+        self.excluded = set()
+        self.runs = 0
+        self.sends = 0
+
+    def note(self, engine, seen):
+        """Notes an attempt that gave no usable answer."""
+        self.excluded.add(engine)
+        self.sends += 1
+        if seen not in NOT_RUN:
+            self.runs += 1
+
+    @property
+    def may_repeat(self):
+        """Whether one more run is allowed after what may have run."""
+        if self.runs == 0:
+            return True
+        return self._repeatable and self.runs < self._runs_max
+
+    @property
+    def last_run(self):
+        """Whether the run under way is the last that is allowed."""
+        return not self._repeatable or self.runs + 1 >= self._runs_max
+
+    def next(self, left_s):
+        """Returns what to do, with `left_s` until the deadline."""
+        final = Next.REFUSE if self.runs == 0 else Next.FAIL
+        if not self.may_repeat or left_s < LEFT_MIN_S:
+            return final
+        if self.sends - self.runs >= SENDS_MAX:
+            return final
+        return Next.RETRY
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """An answer of the daemon's own; `run` if the request may have run."""
+
+    status: int
+    reason: str
+    retry_after_s: float | None = None
--- /dev/null
+++ b/packages/samphirepost/src/samphirepost/routing.py
@@ -0,0 +1,114 @@
+"""Routes in force: which pool serves a host and path, and how."""
+
+import enum
+import random
+
+import msgspec
+
+
+class Kind(enum.Enum):
+    """What a route carries, which decides what may be repeated."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
+    STREAM = "stream"
+    BATCH = "batch"
+
+
+class Share(msgspec.Struct, frozen=True):
+    """The part of a route's requests that goes to one pool."""
+
+    pool: str
+    weight: float
+
+
+class Route(msgspec.Struct, frozen=True):
+    """One row of the routes table; times are in seconds.
+
+    `first_byte_s` is the latency objective, `completion_s` the one of a
+    batch job's last result. `waiting_tokens_max` of 0 means no limit.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: Kind
+    shares: tuple[Share, ...]
+    timeout_s: float = 5.0
+    first_byte_s: float = 0.3
+    attempts_max: int = 1
+    resumable: bool = False
+    priority: int = 0
+    waiting_tokens_max: int = 0
+    retention_s: float = 60.0
+    completion_s: float = 18.0
+
+    @property
+    def repeatable(self):
+        """Whether a request may run a second time after it may have run."""
+        if self.kind is Kind.STREAM:
+            return self.resumable
+        return self.kind in (Kind.IDEMPOTENT, Kind.BATCH)
+
+    @property
+    def pools(self):
+        """The names of the pools that may serve the route."""
+        return tuple(share.pool for share in self.shares)
+
+
+class Pool(msgspec.Struct, frozen=True):
+    """One row of the pools table."""
+
+    name: str
+    slots: int = 8
+
+
+class Limits(msgspec.Struct, frozen=True):
+    """What a caller may send (bytes) and how long it may stay idle (s)."""
+
+    body_bytes_max: int = 4_194_304
+    idle_s: float = 15.0
+
+
+class Table(msgspec.Struct, frozen=True):
+    """Routes and pools of one revision."""
+
+    revision: int
+    routes: tuple[Route, ...]
+    pools: dict[str, Pool]
+    limits: Limits = Limits()
+
+    def find(self, host, path):
+        """Returns the host's route with the longest prefix, or None."""
+        best = None
+        for route in self.routes:
+            if route.host != host or not path.startswith(route.prefix):
+                continue
+            if best is None or len(route.prefix) > len(best.prefix):
+                best = route
+        return best
+
+    def named(self, name):
+        """Returns the route with this name, or None."""
+        for route in self.routes:
+            if route.name == name:
+                return route
+        return None
+
+
+def newer(current, offered):
+    """Returns the table that holds: revisions only move forward."""
+    if current is None or offered.revision > current.revision:
+        return offered
+    return current
+
+
+def pick_pool(route, draw=random.random):
+    """Returns one of the route's pools, by weight."""
+    total = sum(share.weight for share in route.shares)
+    point = draw() * total
+    for share in route.shares:
+        point -= share.weight
+        if point < 0:
+            return share.pool
+    return route.shares[-1].pool
--- /dev/null
+++ b/packages/samphirepost/src/samphirepost/selection.py
@@ -0,0 +1,129 @@
+"""Chooses engines by what this daemon and its peers have running there.
+
+All instants are monotonic seconds.
+"""
+
+import random
+
+import msgspec
+
+# What a request sent to another zone must gain, in running requests: less
+# than one, so that it only decides between engines of equal load.
+OTHER_ZONE_COST = 0.4
+# An engine that failed is avoided this long, doubled up to the longest.
+AVOID_S = 0.5
+AVOID_MAX_S = 4.0
+# A peer's count is dropped after this many seconds without news of it.
+PEER_STALE_S = 3.0
+
+
+class Health:
+    """What attempts at one engine have shown."""
+
+    __slots__ = ("avoid_until_s", "failures")
+
+    def __init__(self):
+        self.failures = 0
+        self.avoid_until_s = 0.0
+
+
+class PeerCounts(msgspec.Struct, frozen=True):
+    """How many requests one peer runs at each engine, and since when."""
+
+    seen_s: float
+    running: dict[str, int]
+
+
+class Board:
+    """Running requests by engine, and each engine's health."""
+
+    __slots__ = ("_batch", "_health", "_online", "_peers", "_zone")
+
+    def __init__(self, zone):
+        self._zone = zone
+        self._online = {}
+        self._batch = {}
+        self._health = {}
+        self._peers = {}
+
+    def started(self, name, batch=False):
+        """Counts a request that goes to an engine."""
+        counts = self._batch if batch else self._online
+        counts[name] = counts.get(name, 0) + 1
+
+    def ended(self, name, batch=False):
+        """Counts a request that left an engine."""
+        counts = self._batch if batch else self._online
+        left = counts.get(name, 0) - 1
+        if left > 0:
+            counts[name] = left
+        else:
+            counts.pop(name, None)
+
+    def own(self):
+        """Returns this daemon's running requests by engine."""
+        found = dict(self._online)
+        for name, count in self._batch.items():
+            found[name] = found.get(name, 0) + count
+        return found
+
+    def take_peer(self, peer, running, now_s):
+        """Notes a peer's running requests by engine."""
+        self._peers[peer] = PeerCounts(now_s, running)
+
+    def load(self, name, now_s):
+        """Returns the requests known to run at an engine."""
+        total = self._online.get(name, 0) + self._batch.get(name, 0)
+        for peer, counts in list(self._peers.items()):
+            if now_s - counts.seen_s > PEER_STALE_S:
+                self._peers.pop(peer, None)
+                continue
+            total += counts.running.get(name, 0)
+        return total
+
+    def succeeded(self, name):
+        """Notes an answer of an engine."""
+        self._health.pop(name, None)
+
+    def failed(self, name, now_s):
+        """Notes a failure; the engine is avoided for a while."""
+        health = self._health.setdefault(name, Health())
+        pause_s = min(AVOID_S * 2**health.failures, AVOID_MAX_S)
+        health.failures += 1
+        health.avoid_until_s = now_s + pause_s
+
+    def avoided(self, name, now_s):
+        """Whether recent failures speak against an engine."""
+        health = self._health.get(name)
+        return health is not None and now_s < health.avoid_until_s
+
+    def choose(self, engines, excluded, now_s, draw=random.random):
+        """Returns the least loaded engine, or None.
+
+        Engines that failed lately are taken only when no other is left.
+        """
+        best = None
+        best_cost = None
+        for engine in engines:
+            if engine.id in excluded:
+                continue
+            cost = self._cost(engine, now_s, draw())
+            if best_cost is None or cost < best_cost:
+                best, best_cost = engine, cost
+        return best
+
+    def choose_batch(self, engines, excluded, now_s, spare):
+        """Returns an engine with more than `spare` free slots, or None."""
+        roomy = [
+            engine
+            for engine in engines
+            if self.load(engine.id, now_s) < engine.slots - spare
+            and not self.avoided(engine.id, now_s)
+        ]
+        return self.choose(roomy, excluded, now_s)
+
+    def _cost(self, engine, now_s, luck):
+        load = self.load(engine.id, now_s) * 8 / max(engine.slots, 1)
+        zone = 0.0 if engine.zone == self._zone else OTHER_ZONE_COST
+        avoided = self.avoided(engine.id, now_s)
+        return (avoided, load + zone + 0.1 * luck)
