--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/platform/client.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/platform/client.py
@@ -173,7 +173,7 @@
         try:
             conn.request(method, path, body=body, headers=sent)
             resp = conn.getresponse()
-            data = resp.read()
+            data = resp.data
         except (OSError, urllib3.exceptions.HTTPError, ValueError) as exc:
             reason = f"the store's answer was lost: {exc!r}"
             return errors.Failure(
