--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/platform/client.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/platform/client.py
@@ -167,7 +167,7 @@
             conn.connect()
         except (OSError, urllib3.exceptions.HTTPError) as exc:
             return _refused(f"the store cannot be reached: {exc}")
-        conn.sock.settimeout(timeout_s)
+        conn.timeout = timeout_s
         sent = {"Content-Type": "application/json", "Connection": "close"}
         sent.update(headers or {})
         try:
