--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/core.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/core.py
@@ -12,7 +12,7 @@
 from samphirepost_daemon.entry import wiring
 
 EXIT_BAD_SETTINGS = 2
-POLL_S = 0.1
+POLL_S = 0.05
 # Time left before SIGKILL when the process exits whatever runs (s).
 EXIT_MARGIN_S = 0.5
 
@@ -45,6 +45,8 @@
     daemon.log.event("daemon.started", zone=daemon.cfg.zone)
     for watch in daemon.watches:
         watch.start()
+    daemon.peers.start()
+    daemon.membership.start()
     daemon.readiness.start()
     daemon.callers.start()
 
@@ -65,6 +67,7 @@
     daemon.state.stopping_s = began_s
     daemon.actor.tell(holder.Stop())
     daemon.log.event("daemon.stopping")
+    daemon.membership.leave()
     last_s = began_s + cfg.stop_s - EXIT_MARGIN_S
     pause = threading.Event()
     while time.monotonic() < last_s:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -12,7 +12,7 @@
 
 # How often a waiting request looks whether its caller has left (s); a run
 # has to be ended half a second after that.
-SLICE_S = 0.15
+SLICE_S = 0.1
 CONNECT_TIMEOUT_S = 0.3
 # An engine that says nothing for this long is left, if the request may run
 # again elsewhere (s). Callers give up after 2 s without an event.
@@ -125,9 +125,7 @@
         if broken is not None:
             return Broken(attempts.Seen.UNREACHABLE, broken.reason)
         req = self._req
-        headers = wire.engine_headers(
-            req, engine, self.left_s(), resume_after
-        )
+        headers = wire.engine_headers(req, engine, self.left_s(), resume_after)
         broken = call.send(req.method, req.path, headers, req.body)
         if broken is not None:
             seen = attempts.Seen.UNREACHABLE
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -23,8 +23,10 @@
 SCAN_S = 1.0
 # Items that one daemon runs at a time.
 RUNS_MAX = 12
-# Slots of an engine that batch items leave free for online requests.
-SPARE_SLOTS = 2
+# Slots of an engine that must stay free for a batch item to start, and
+# below which items are stopped for online requests.
+SPARE_TO_START = 2
+SPARE_TO_KEEP = 1
 # Pause before an item that did not end is run again (s).
 RETRY_S = 0.3
 # Jobs that are taken over at one look, so that others take some too.
@@ -50,13 +52,23 @@
     """Do what is due."""
 
 
+class ItemRun:
+    """An item's run at an engine; setting `stopped` ends it."""
+
+    __slots__ = ("engine", "index", "key", "partial", "stopped")
+
+    def __init__(self, key, index, engine, partial):
+        self.key = key
+        self.index = index
+        self.engine = engine
+        self.partial = partial
+        self.stopped = False
+
+
 class ItemEnded(msgspec.Struct, frozen=True):
     """A run of an item ended."""
 
-    key: tuple[str, str]
-    index: int
-    engine: str
-    partial: items.Partial
+    run: ItemRun
     outcome: object
 
 
@@ -104,7 +116,7 @@
         self._after = None
         self._scan_due_s = 0.0
         self._scanning = False
-        self._runs = 0
+        self._running = {}
         self._stopping = False
         self._pool = concurrent.futures.ThreadPoolExecutor(
             RUNS_MAX + 6, thread_name_prefix="batch"
@@ -150,7 +162,7 @@
             self._scanning = True
             self._scan_due_s = now_s + SCAN_S
             self._submit(self._look, self._after)
-        self._give_up_late()
+        self._yield_slots(now_s)
         self._start_items()
         for key, work in list(self._works.items()):
             self._write(key, work, now_s)
@@ -169,8 +181,31 @@
 
     # Items.
 
-    def _give_up_late(self):
-        """Ends items whose time is up or whose route is gone."""
+    def _yield_slots(self, now_s):
+        """Stops items at engines that online requests need."""
+        for name in {run.engine for run in self._running.values()}:
+            engine = self._parts.state.roster.get(name)
+            if engine is None:
+                continue
+            count = self._parts.board.batch_to_stop(
+                engine, SPARE_TO_KEEP, now_s
+            )
+            self._stop_items(name, count)
+
+    def _stop_items(self, name, count):
+        """Stops the items at an engine that have put out the least."""
+        found = [
+            run
+            for run in self._running.values()
+            if run.engine == name and not run.stopped
+        ]
+        found.sort(key=lambda run: len(run.partial.texts))
+        stopping = sum(
+            run.engine == name and run.stopped
+            for run in self._running.values()
+        )
+        for run in found[: max(0, count - stopping)]:
+            run.stopped = True
 
     def _start_items(self):
         if self._stopping:
@@ -181,7 +216,7 @@
         )
         for key, work in works:
             for index in work.runnable(now_s):
-                if self._runs >= RUNS_MAX:
+                if len(self._running) >= RUNS_MAX:
                     return
                 if not self._start_item(key, work, index, now_s):
                     break
@@ -194,15 +229,16 @@
         pool = routing.pick_pool(route)
         board = self._parts.board
         engine = board.choose_batch(
-            self._parts.state.engines(pool), (), now_s, SPARE_SLOTS
+            self._parts.state.engines(pool), (), now_s, SPARE_TO_START
         )
         if engine is None:
             return False
         work.running.add(index)
         partial = work.partial.setdefault(index, items.Partial())
         board.started(engine.id, batch=True)
-        self._runs += 1
-        self._submit(self._run_item, key, work, index, engine, partial)
+        run = ItemRun(key, index, engine.id, partial)
+        self._running[id(run)] = run
+        self._submit(self._run_item, run, work, engine)
         return True
 
     def _route(self, work):
@@ -211,59 +247,62 @@
             return None
         return table.find(work.record.host, work.record.path)
 
-    def _run_item(self, key, work, index, engine, partial):
+    def _run_item(self, run, work, engine):
+        def stopped():
+            return (
+                run.stopped
+                or self._stopping
+                or self._works.get(run.key) is not work
+            )
+
         outcome = items.Interrupted("a fault of the daemon", False)
         try:
             outcome = items.run(
                 work.record,
-                work.record.items[index],
+                work.record.items[run.index],
                 engine,
-                partial,
-                lambda: self._stopping or self._works.get(key) is not work,
+                run.partial,
+                stopped,
             )
         finally:
-            self.actor_ref.tell(
-                ItemEnded(key, index, engine.id, partial, outcome)
-            )
+            self.actor_ref.tell(ItemEnded(run, outcome))
 
     def _item_ended(self, message):
-        self._runs -= 1
+        run = message.run
+        del self._running[id(run)]
         board = self._parts.board
-        board.ended(message.engine, batch=True)
+        board.ended(run.engine, batch=True)
         outcome = message.outcome
         name = type(outcome).__name__.lower()
         self._parts.metrics.items.labels(name).inc()
-        work = self._works.get(message.key)
-        if work is None or work.partial.get(message.index) is not (
-            message.partial
-        ):
+        work = self._works.get(run.key)
+        if work is None or work.partial.get(run.index) is not run.partial:
             return
-        item = work.record.items[message.index]
-        self._settle_item(work, message, item, outcome)
+        item = work.record.items[run.index]
+        self._settle_item(work, run, item, outcome)
         if not isinstance(outcome, items.Whole):
             self._parts.log.event(
                 "item.not_done",
                 job=work.record.id,
                 item=item.id,
-                engine=message.engine,
+                engine=run.engine,
                 outcome=name,
                 reason=getattr(outcome, "reason", ""),
-                failures=work.failures(message.index),
+                events=len(run.partial.texts),
+                failures=work.failures(run.index),
                 **self._parts.state.ages(),
             )
-        self._write(message.key, work, time.monotonic())
+        self._write(run.key, work, time.monotonic())
         self._start_items()
 
-    def _settle_item(self, work, message, item, outcome):
-        index = message.index
+    def _settle_item(self, work, run, item, outcome):
+        index = run.index
         now_s = time.monotonic()
         if isinstance(outcome, items.Whole):
-            self._parts.board.succeeded(message.engine)
+            self._parts.board.succeeded(run.engine)
             work.finish(
                 index,
-                batchjob.Result(
-                    item.id, batchjob.End.DONE, message.partial.text
-                ),
+                batchjob.Result(item.id, batchjob.End.DONE, run.partial.text),
             )
         elif isinstance(outcome, items.Impossible):
             work.give_up(index)
@@ -273,7 +312,7 @@
         else:
             work.running.discard(index)
             if outcome.fault:
-                self._parts.board.failed(message.engine, now_s)
+                self._parts.board.failed(run.engine, now_s)
         work.retry_at_s[index] = now_s + RETRY_S
 
     # Writes.
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/jobs.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/jobs.py
@@ -307,9 +307,7 @@
         if isinstance(found, store.Conflict):
             row = found.get(key)
             if row is not None and row.value == codec.pack(progress):
-                return Open(
-                    watched.host, watched.job, row.revision, progress
-                )
+                return Open(watched.host, watched.job, row.revision, progress)
             return Missing()
         return found
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/log.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/log.py
@@ -53,7 +53,9 @@
         if len(queue) >= LINES_MAX:
             self._dropped += 1
             return
-        stamp = datetime.datetime.now(datetime.UTC).isoformat("T", "milliseconds")
+        stamp = datetime.datetime.now(datetime.UTC).isoformat(
+            "T", "milliseconds"
+        )
         queue.append(
             {"at": stamp, "level": level, "vm": self._vm, "event": name}
             | fields
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/platform/wire.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/platform/wire.py
@@ -207,15 +207,11 @@
 
 def results(total, after, found):
     """Returns the body that lists results from position `after`."""
-    listed = [
-        _Result(
-            result.id, _STATES[result.end], result.text.decode(errors="replace")
-        )
-        for result in found
-    ]
-    return msgspec.json.encode(
-        _Results(total, after + len(listed), listed)
-    )
+    listed = []
+    for result in found:
+        text = result.text.decode(errors="replace")
+        listed.append(_Result(result.id, _STATES[result.end], text))
+    return msgspec.json.encode(_Results(total, after + len(listed), listed))
 
 
 def job_call(path):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/watch.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/watch.py
@@ -18,8 +18,9 @@
 class Watch(threading.Thread):
     """Reads one table of the registry, then follows its changes."""
 
-    def __init__(self, client, table, sink, log):
+    def __init__(self, client, table, sink, log, wait_s=FEED_WAIT_S):
         super().__init__(daemon=True, name=f"watch-{table}")
+        self._wait_s = wait_s
         self._client = client
         self._table = table
         self._sink = sink
@@ -39,7 +40,7 @@
             found = registry.read(self._client, self._table)
         else:
             found = self._client.changes(
-                self._table, self._after, FEED_WAIT_S
+                self._table, self._after, self._wait_s
             )
         if isinstance(found, errors.Failure):
             self._failed(found)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -10,6 +10,7 @@
 from samphirepost_daemon.entry import log as log_module
 from samphirepost_daemon.entry import metrics
 from samphirepost_daemon.entry import online
+from samphirepost_daemon.entry import peers
 from samphirepost_daemon.entry import state
 from samphirepost_daemon.entry import watch
 from samphirepost_daemon.entry import web
@@ -17,6 +18,9 @@
 from samphirepost_daemon.entry.platform import registry
 
 READINESS_THREADS = 2
+# Longest wait of one look at the members (s): a new one only adds to what
+# is known of loads.
+MEMBERS_WAIT_S = 5.0
 BODY_BYTES_MAX = 8_000_000
 
 
@@ -45,6 +49,12 @@
         calls = client.Client(cfg.store.address, parts.metrics)
         kept = jobs.Jobs(calls, me)
         self.actor = holder.Holder.start(parts, kept)
+        self.peers = peers.Peers(
+            me, cfg.peer_address, cfg.peer_port, parts.board, parts.log
+        )
+        self.membership = peers.Membership(
+            calls, me, cfg.peer_address, cfg.peer_port, parts.log
+        )
         self.watches = [
             watch.Watch(
                 calls,
@@ -58,6 +68,13 @@
                 watch.Engines(parts.state, parts.log),
                 parts.log,
             ),
+            watch.Watch(
+                calls,
+                peers.TABLE,
+                peers.Members(self.peers.ranking, parts.log),
+                parts.log,
+                MEMBERS_WAIT_S,
+            ),
         ]
         app = web.App(
             parts, online.Online(parts), batch.Batch(parts, kept, self.actor)
--- a/packages/samphirepost/src/samphirepost/selection.py
+++ b/packages/samphirepost/src/samphirepost/selection.py
@@ -5,7 +5,7 @@
 
 import random
 
-import msgspec
+from samphirepost import loadshare
 
 # What a request sent to another zone must gain, in running requests: less
 # than one, so that it only decides between engines of equal load.
@@ -13,8 +13,8 @@
 # An engine that failed is avoided this long, doubled up to the longest.
 AVOID_S = 0.5
 AVOID_MAX_S = 4.0
-# A peer's count is dropped after this many seconds without news of it.
-PEER_STALE_S = 3.0
+# What others run is forgotten after this many seconds without news of it.
+OTHERS_STALE_S = 1.5
 
 
 class Health:
@@ -27,24 +27,25 @@
         self.avoid_until_s = 0.0
 
 
-class PeerCounts(msgspec.Struct, frozen=True):
-    """How many requests one peer runs at each engine, and since when."""
-
-    seen_s: float
-    running: dict[str, int]
-
-
 class Board:
     """Running requests by engine, and each engine's health."""
 
-    __slots__ = ("_batch", "_health", "_online", "_peers", "_zone")
+    __slots__ = (
+        "_batch",
+        "_health",
+        "_online",
+        "_others",
+        "_others_s",
+        "_zone",
+    )
 
     def __init__(self, zone):
         self._zone = zone
         self._online = {}
         self._batch = {}
         self._health = {}
-        self._peers = {}
+        self._others = {}
+        self._others_s = 0.0
 
     def started(self, name, batch=False):
         """Counts a request that goes to an engine."""
@@ -62,24 +63,47 @@
 
     def own(self):
         """Returns this daemon's running requests by engine."""
-        found = dict(self._online)
-        for name, count in self._batch.items():
-            found[name] = found.get(name, 0) + count
-        return found
-
-    def take_peer(self, peer, running, now_s):
-        """Notes a peer's running requests by engine."""
-        self._peers[peer] = PeerCounts(now_s, running)
+        names = [*self._online, *self._batch]
+        return {
+            name: loadshare.Count(
+                self._online.get(name, 0), self._batch.get(name, 0)
+            )
+            for name in names
+        }
+
+    def take_others(self, counts, now_s):
+        """Notes what all other daemons run, by engine."""
+        self._others = counts
+        self._others_s = now_s
+
+    def count(self, name, now_s):
+        """Returns the requests known to run at an engine."""
+        others = loadshare.NONE
+        if now_s - self._others_s <= OTHERS_STALE_S:
+            others = self._others.get(name, loadshare.NONE)
+        return loadshare.Count(
+            self._online.get(name, 0) + others.online,
+            self._batch.get(name, 0) + others.batch,
+        )
 
     def load(self, name, now_s):
-        """Returns the requests known to run at an engine."""
-        total = self._online.get(name, 0) + self._batch.get(name, 0)
-        for peer, counts in list(self._peers.items()):
-            if now_s - counts.seen_s > PEER_STALE_S:
-                self._peers.pop(peer, None)
-                continue
-            total += counts.running.get(name, 0)
-        return total
+        """Returns the number of requests known to run at an engine."""
+        count = self.count(name, now_s)
+        return count.online + count.batch
+
+    def batch_to_stop(self, engine, spare, now_s, draw=random.random):
+        """Returns how many of its batch items this daemon stops there.
+
+        Items are stopped so that `spare` slots stay free for online work;
+        the daemons share the stops by what each runs.
+        """
+        count = self.count(engine.id, now_s)
+        excess = count.online + count.batch - (engine.slots - spare)
+        mine = self._batch.get(engine.id, 0)
+        if excess <= 0 or mine == 0:
+            return 0
+        part = min(excess, count.batch) * mine / count.batch
+        return min(mine, int(part + draw()))
 
     def succeeded(self, name):
         """Notes an answer of an engine."""
