Keep a global reserve of slots, refuse early, run late items last

Cause: spare slots were kept at each engine (12 of 48 idle), queues behind full engines made all online requests late, and items past their target took slots from those that could still make it. Ruled out: the hub's lag alone; refusals and late answers cluster in peaks.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/batch.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/batch.py
@@ -76,7 +76,11 @@
         )
         if found.fresh:
             opened = jobs.Open(
-                record.host, record.id, found.revision, found.progress
+                record.host,
+                record.id,
+                found.revision,
+                found.progress,
+                found.store_ms,
             )
             self._actor.tell(holder.Hold(opened, record))
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -17,6 +17,9 @@
 # An engine that says nothing for this long is left, if the request may run
 # again elsewhere (s). Callers give up after 2 s without an event.
 SILENCE_S = 1.0
+# Share of the latency objective that may pass in an engine's queue; the rest
+# is for the connection, the prompt and the first event on a full engine.
+QUEUE_SHARE = 0.7
 
 
 class Gone(Exception):
@@ -33,6 +36,7 @@
     parser: events.Parser
     body: bytes = b""
     done: bool = False
+    began_s: float = 0.0
 
 
 class Broken(msgspec.Struct, frozen=True):
@@ -71,6 +75,8 @@
             engine = self._choose()
             if engine is None:
                 return self._final()
+            if self._too_late(engine):
+                return self._busy(engine)
             found = self._attempt(engine, resume_after)
             if isinstance(found, Opened):
                 return found
@@ -84,6 +90,25 @@
             engines, self.history.excluded, time.monotonic()
         )
 
+    def _too_late(self, engine):
+        """Whether even the best engine would begin too late.
+
+        Only for a request that is new: one that has waited already does
+        not get earlier by being sent away.
+        """
+        if self.history.sends or self._req.resume_after is not None:
+            return False
+        wait_s = self._board.wait_s(engine, time.monotonic())
+        return wait_s > QUEUE_SHARE * self._route.first_byte_s
+
+    def _busy(self, engine):
+        wait_s = self._board.wait_s(engine, time.monotonic())
+        return attempts.Refusal(
+            503,
+            f"all engines are busy for {wait_s:.2f} s",
+            attempts.retry_after_s(wait_s),
+        )
+
     def _failed(self, name, found):
         self.history.note(name, found.seen)
         self.last = found
@@ -105,7 +130,7 @@
         if self.history.runs:
             status = 504 if self.left_s() < attempts.LEFT_MIN_S else 502
             return attempts.Refusal(status, reason)
-        return attempts.Refusal(503, reason, retry_after_s())
+        return attempts.Refusal(503, reason, attempts.retry_after_s(0.0))
 
     def _attempt(self, engine, resume_after):
         self.tried.append(engine.id)
@@ -166,6 +191,7 @@
         if opened.done and opened.parser.rest:
             return Broken(attempts.Seen.BROKEN, "the stream ended early")
         self._board.succeeded(opened.engine)
+        opened.began_s = time.monotonic()
         return opened
 
     def _whole(self, opened):
@@ -211,10 +237,7 @@
 
     def close(self, opened):
         """Ends an attempt."""
+        if opened.done and opened.began_s:
+            self._board.served(time.monotonic() - opened.began_s)
         opened.call.close()
         self._board.ended(opened.engine)
-
-
-def retry_after_s():
-    """Returns when a refused caller does best to come again (s)."""
-    return 0.3
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -23,10 +23,8 @@
 SCAN_S = 1.0
 # Items that one daemon runs at a time.
 RUNS_MAX = 12
-# Slots of an engine that must stay free for a batch item to start, and
-# below which items are stopped for online requests.
-SPARE_TO_START = 2
-SPARE_TO_KEEP = 1
+# Items started at one tick, for the counts of others lag behind.
+STARTS_MAX = 2
 # Pause before an item that did not end is run again (s).
 RETRY_S = 0.3
 # Jobs that are taken over at one look, so that others take some too.
@@ -55,9 +53,19 @@
 class ItemRun:
     """An item's run at an engine; setting `stopped` ends it."""
 
-    __slots__ = ("engine", "index", "key", "partial", "stopped")
-
-    def __init__(self, key, index, engine, partial):
+    __slots__ = (
+        "engine",
+        "index",
+        "key",
+        "late",
+        "partial",
+        "pool",
+        "stopped",
+    )
+
+    def __init__(self, key, index, engine, pool, late, partial):
+        self.pool = pool
+        self.late = late
         self.key = key
         self.index = index
         self.engine = engine
@@ -136,14 +144,17 @@
     def _adopt(self, opened, record, why):
         key = (opened.host, opened.job)
         work = batchjob.Work(
-            record, opened.progress, opened.revision, time.monotonic()
+            record,
+            opened.progress,
+            opened.revision,
+            opened.store_ms,
+            time.monotonic(),
         )
         self._works[key] = work
         self._parts.metrics.held_jobs.set(len(self._works))
         self._parts.log.event(
             "job.held", job=opened.job, why=why, revision=opened.revision
         )
-        self._start_items()
 
     def _drop(self, message):
         key = (message.host, message.job)
@@ -163,7 +174,10 @@
             self._scan_due_s = now_s + SCAN_S
             self._submit(self._look, self._after)
         self._yield_slots(now_s)
+        self._give_up(now_s)
         self._start_items()
+        if self._stopping:
+            return
         for key, work in list(self._works.items()):
             self._write(key, work, now_s)
 
@@ -182,44 +196,63 @@
     # Items.
 
     def _yield_slots(self, now_s):
-        """Stops items at engines that online requests need."""
-        for name in {run.engine for run in self._running.values()}:
-            engine = self._parts.state.roster.get(name)
-            if engine is None:
-                continue
-            count = self._parts.board.batch_to_stop(
-                engine, SPARE_TO_KEEP, now_s
+        """Stops items whose slots online requests need."""
+        by_pool = {}
+        for run in self._running.values():
+            by_pool.setdefault(run.pool, []).append(run)
+        for pool, runs in by_pool.items():
+            engines = self._parts.state.engines(pool)
+            count = self._parts.board.batch_to_stop(engines, now_s)
+            stopping = sum(run.stopped for run in runs)
+            self._stop_runs(runs, count - stopping, now_s)
+
+    def _stop_runs(self, runs, count, now_s):
+        """Stops late items first, then those at the fullest engines."""
+        board = self._parts.board
+        left = [run for run in runs if not run.stopped]
+        left.sort(
+            key=lambda run: (
+                not run.late,
+                -board.load(run.engine, now_s),
+                len(run.partial.texts),
             )
-            self._stop_items(name, count)
-
-    def _stop_items(self, name, count):
-        """Stops the items at an engine that have put out the least."""
-        found = [
-            run
-            for run in self._running.values()
-            if run.engine == name and not run.stopped
-        ]
-        found.sort(key=lambda run: len(run.partial.texts))
-        stopping = sum(
-            run.engine == name and run.stopped
-            for run in self._running.values()
         )
-        for run in found[: max(0, count - stopping)]:
+        for run in left[: max(0, count)]:
             run.stopped = True
 
+    def _give_up(self, now_s):
+        """Ends items whose time is up or whose route is gone."""
+        for work in self._works.values():
+            known = self._parts.state.table is not None
+            gone = known and self._route(work) is None
+            if not gone and now_s < work.give_up_s:
+                continue
+            for index in work.unfinished():
+                work.give_up(index)
+                self._parts.log.failure(
+                    "item.given_up",
+                    job=work.record.id,
+                    item=work.record.items[index].id,
+                    reason="its route is gone" if gone else "its time is up",
+                    **self._parts.state.ages(),
+                )
+
     def _start_items(self):
         if self._stopping:
             return
         now_s = time.monotonic()
         works = sorted(
-            self._works.items(), key=lambda pair: pair[1].progress.give_up_ms
+            self._works.items(),
+            key=lambda pair: (pair[1].due_s < now_s, pair[1].due_s),
         )
+        started = 0
         for key, work in works:
             for index in work.runnable(now_s):
-                if len(self._running) >= RUNS_MAX:
+                if len(self._running) >= RUNS_MAX or started >= STARTS_MAX:
                     return
                 if not self._start_item(key, work, index, now_s):
                     break
+                started += 1
 
     def _start_item(self, key, work, index, now_s):
         """Starts an item; returns whether an engine had room."""
@@ -228,15 +261,16 @@
             return False
         pool = routing.pick_pool(route)
         board = self._parts.board
+        late = now_s > work.due_s
         engine = board.choose_batch(
-            self._parts.state.engines(pool), (), now_s, SPARE_TO_START
+            self._parts.state.engines(pool), now_s, late
         )
         if engine is None:
             return False
         work.running.add(index)
         partial = work.partial.setdefault(index, items.Partial())
         board.started(engine.id, batch=True)
-        run = ItemRun(key, index, engine.id, partial)
+        run = ItemRun(key, index, engine.id, pool, late, partial)
         self._running[id(run)] = run
         self._submit(self._run_item, run, work, engine)
         return True
@@ -293,7 +327,6 @@
                 **self._parts.state.ages(),
             )
         self._write(run.key, work, time.monotonic())
-        self._start_items()
 
     def _settle_item(self, work, run, item, outcome):
         index = run.index
@@ -334,7 +367,10 @@
         if work is None or work.committing is not message.commit:
             return
         outcome = message.outcome
-        if isinstance(outcome, int):
+        offered = not message.commit.progress.holder
+        if offered or (self._stopping and isinstance(outcome, int)):
+            self._offered(message, work, outcome, offered)
+        elif isinstance(outcome, int):
             work.committed(outcome)
             if work.complete:
                 host, job = message.key
@@ -352,6 +388,18 @@
                 self._commit_later, message.key, work.record, message.commit
             )
 
+    def _offered(self, message, work, outcome, offered):
+        host, job = message.key
+        if offered:
+            self._drop(Drop(host, job, "offered to others"))
+            return
+        work.committed(outcome)
+        if work.complete:
+            self._drop(Drop(host, job, "complete"))
+            return
+        commit = work.offer()
+        self._submit(self._commit, message.key, work.record, commit)
+
     def _commit_later(self, key, record, commit):
         time.sleep(RETRY_S)
         self._commit(key, record, commit)
@@ -409,7 +457,7 @@
         for key in found[:TAKES_MAX]:
             known = self._watch.get(key)
             host, job = key
-            opened = jobs.Open(host, job, known.revision, known.progress)
+            opened = jobs.Open(host, job, known.revision, known.progress, 0)
             self._watch.see(key, -1, known.progress, now_s)
             self._submit(self._take, opened)
 
@@ -423,6 +471,14 @@
 
     def _stop_work(self, _):
         self._stopping = True
+        self._offer_jobs()
+
+    def _offer_jobs(self):
+        """Lets other daemons take the held jobs at once."""
+        for key, work in self._works.items():
+            commit = work.offer()
+            if commit is not None:
+                self._submit(self._commit, key, work.record, commit)
 
 
 class Stop(msgspec.Struct, frozen=True):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/jobs.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/jobs.py
@@ -45,6 +45,7 @@
     fresh: bool
     progress: batchjob.Progress | None = None
     revision: int = 0
+    store_ms: int = 0
 
 
 class OverQuota(msgspec.Struct, frozen=True):
@@ -61,6 +62,7 @@
     job: str
     revision: int
     progress: batchjob.Progress
+    store_ms: int
 
 
 class Reading(msgspec.Struct, frozen=True):
@@ -152,6 +154,7 @@
             holder=self._me,
             beat=0,
             waiting_tokens=own,
+            due_ms=store_ms + int(route.completion_s * 1000),
             give_up_ms=store_ms + int(route.retention_s * 1000),
         )
         return self._write(record, gate, row, head, progress, pieces)
@@ -172,7 +175,7 @@
         found = self._store.commit(store.Transaction(expected, puts))
         if isinstance(found, store.Written):
             self._heads.put((host, record.id), head)
-            return Accepted(True, progress, found.revision)
+            return Accepted(True, progress, found.revision, head.submitted_ms)
         if isinstance(found, store.Conflict):
             if found.get(job) is not None:
                 return Accepted(False)
@@ -260,15 +263,6 @@
             return page
         return b"".join(row.value for row in page.rows)
 
-    def progress(self, host, job):
-        """Returns an open job, Missing if it is not open, or a Failure."""
-        row = store.read_one(self._store, store.Key("open", host, job))
-        if isinstance(row, errors.Failure):
-            return row
-        if row is None:
-            return Missing()
-        return _open(row)
-
     def end(self, host, job):
         """Closes a job; returns None once that is durable, else a Failure."""
         key = store.Key("open", host, job)
@@ -303,7 +297,12 @@
             )
         )
         if isinstance(found, store.Written):
-            return Open(watched.host, watched.job, found.revision, progress)
+            return msgspec.structs.replace(
+                watched,
+                revision=found.revision,
+                progress=progress,
+                store_ms=found.store_ms,
+            )
         if isinstance(found, store.Conflict):
             row = found.get(key)
             if row is not None and row.value == codec.pack(progress):
@@ -352,7 +351,7 @@
                 return page
             if revision is None or page.revision < revision:
                 revision = page.revision
-            found.extend(_open(row) for row in page.rows)
+            found.extend(_open(row, page.store_ms) for row in page.rows)
         return found, revision
 
     def changes(self, after):
@@ -360,16 +359,18 @@
         found = self._store.changes("open", after, 0.0)
         if isinstance(found, (errors.Failure, store.HistoryLost)):
             return found
-        opened = [_open(row) for row in found.rows if not row.deleted]
+        opened = [
+            _open(row, found.store_ms) for row in found.rows if not row.deleted
+        ]
         closed = [
             (row.key.part, row.key.key) for row in found.rows if row.deleted
         ]
         return opened, closed, found.revision
 
 
-def _open(row):
+def _open(row, store_ms):
     progress = codec.unpack(row.value, batchjob.Progress)
-    return Open(row.key.part, row.key.key, row.revision, progress)
+    return Open(row.key.part, row.key.key, row.revision, progress, store_ms)
 
 
 def _position(job, position):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/platform/client.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/platform/client.py
@@ -83,7 +83,7 @@
         if isinstance(found, (errors.Failure, store.HistoryLost)):
             return found
         rows = tuple(_row(row) for row in found.rows)
-        return store.Changes(rows, found.ver)
+        return store.Changes(rows, found.ver, int(found.nowMs))
 
     def commit(self, transaction):
         """Writes a transaction."""
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/store.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/store.py
@@ -44,6 +44,7 @@
 
     rows: tuple[Row, ...]
     revision: int
+    store_ms: int
 
 
 class HistoryLost(msgspec.Struct, frozen=True):
--- a/packages/samphirepost/src/samphirepost/attempts.py
+++ b/packages/samphirepost/src/samphirepost/attempts.py
@@ -1,6 +1,7 @@
 """What follows an attempt at an engine: another one, or which answer."""
 
 import enum
+import random
 
 import msgspec
 
@@ -10,6 +11,11 @@
 # Time below which another attempt cannot end in time (s): a connection, the
 # prompt and the first event take longer on an idle engine.
 LEFT_MIN_S = 0.05
+# Shortest time after which a refused caller is told to return, and by how
+# much the times are spread (s): about one request's time at an engine, so
+# that those refused together do not come back together.
+RETRY_MIN_S = 0.3
+RETRY_SPREAD_S = 0.7
 
 
 class Seen(enum.Enum):
@@ -80,3 +86,8 @@
     status: int
     reason: str
     retry_after_s: float | None = None
+
+
+def retry_after_s(wait_s, draw=random.random):
+    """Returns when a refused caller does best to come again (s)."""
+    return round(wait_s + RETRY_MIN_S + RETRY_SPREAD_S * draw(), 2)
--- a/packages/samphirepost/src/samphirepost/batchjob.py
+++ b/packages/samphirepost/src/samphirepost/batchjob.py
@@ -60,14 +60,17 @@
 class Progress(msgspec.Struct, frozen=True):
     """The state of an open job.
 
-    `listed` holds the items' indexes by the position of their results.
-    `failures` counts failed runs by index.
+    An empty `holder` offers the job to any daemon. Items that are done after
+    `due_ms` are late, and after `give_up_ms` they are given up (both on the
+    store's clock). `listed` holds the items' indexes by the position of
+    their results. `failures` counts failed runs by index.
     """
 
     route: str
     holder: str
     beat: int
     waiting_tokens: int
+    due_ms: int
     give_up_ms: int
     listed: tuple[int, ...] = ()
     failures: dict[int, int] = {}
@@ -105,18 +108,24 @@
 
     __slots__ = (
         "beat_due_s",
+        "commit_began_s",
         "committing",
+        "due_s",
         "ended",
+        "give_up_s",
         "partial",
         "progress",
         "record",
         "revision",
-        "running",
         "retry_at_s",
+        "running",
         "unsaved_failures",
     )
 
-    def __init__(self, record, progress, revision, now_s):
+    def __init__(self, record, progress, revision, store_ms, now_s):
+        self.due_s = now_s + (progress.due_ms - store_ms) / 1000
+        self.give_up_s = now_s + (progress.give_up_ms - store_ms) / 1000
+        self.commit_began_s = now_s
         self.record = record
         self.progress = progress
         self.revision = revision
@@ -128,8 +137,18 @@
         self.committing = None
         self.beat_due_s = now_s + BEAT_S
 
-    def runnable(self, now_s):
-        """Returns the indexes that may be started, in order."""
+    def lapsed(self, now_s):
+        """Whether others may take this job for abandoned.
+
+        Its writes have not been settled for nearly as long as others wait.
+        """
+        return (
+            self.committing is not None
+            and now_s - self.commit_began_s > TAKEOVER_S - BEAT_S
+        )
+
+    def unfinished(self):
+        """Returns the indexes that neither run nor have ended."""
         listed = set(self.progress.listed)
         return [
             index
@@ -137,9 +156,19 @@
             if index not in listed
             and index not in self.running
             and index not in self.ended
-            and self.retry_at_s.get(index, 0.0) <= now_s
         ]
 
+    def runnable(self, now_s):
+        """Returns the indexes that may be started, those begun first."""
+        if self.lapsed(now_s):
+            return []
+        found = [
+            index
+            for index in self.unfinished()
+            if self.retry_at_s.get(index, 0.0) <= now_s
+        ]
+        return sorted(found, key=lambda index: index not in self.partial)
+
     def failures(self, index):
         """Returns how often the item's runs failed."""
         saved = self.progress.failures.get(index, 0)
@@ -185,6 +214,7 @@
             chosen.append(Ended(index, result))
             size += len(result.text)
         listed = (*self.progress.listed, *(one.index for one in chosen))
+        self.commit_began_s = now_s
         self.committing = Commit(
             self.revision,
             len(self.progress.listed),
@@ -222,6 +252,18 @@
         self.progress = commit.progress
         self.revision = revision
 
+    def offer(self):
+        """Returns the write that offers the job to other daemons, if any."""
+        if self.committing is not None:
+            return None
+        progress = msgspec.structs.replace(
+            self._progress(self.progress.listed), holder=""
+        )
+        self.committing = Commit(
+            self.revision, len(self.progress.listed), (), progress
+        )
+        return self.committing
+
     @property
     def complete(self):
         """Whether every item is listed."""
@@ -268,7 +310,10 @@
         found = [
             (job.changed_s, key)
             for key, job in self._jobs.items()
-            if key not in held and now_s - job.changed_s >= TAKEOVER_S
+            if key not in held
+            and (
+                not job.progress.holder or now_s - job.changed_s >= TAKEOVER_S
+            )
         ]
         return [key for _, key in sorted(found)]
 
--- a/packages/samphirepost/src/samphirepost/selection.py
+++ b/packages/samphirepost/src/samphirepost/selection.py
@@ -17,6 +17,19 @@
 OTHERS_STALE_S = 1.5
 
 
+# Shares of a pool's slots that stay free for online requests: below the
+# first, batch items are stopped; above the second, they are started, and
+# above the third also those that are late. A pool that online requests fill
+# takes a seventh of its slots anew in the 0.1 s that counts travel.
+KEEP_FREE_SHARE = 0.06
+START_FREE_SHARE = 0.12
+LATE_FREE_SHARE = 0.2
+# How long an online request holds a slot (s) until some have ended, and the
+# weight of each that ends.
+SERVICE_FIRST_S = 0.7
+SERVICE_GAIN = 0.05
+
+
 class Health:
     """What attempts at one engine have shown."""
 
@@ -37,6 +50,7 @@
         "_others",
         "_others_s",
         "_zone",
+        "service_s",
     )
 
     def __init__(self, zone):
@@ -46,6 +60,7 @@
         self._health = {}
         self._others = {}
         self._others_s = 0.0
+        self.service_s = SERVICE_FIRST_S
 
     def started(self, name, batch=False):
         """Counts a request that goes to an engine."""
@@ -91,18 +106,36 @@
         count = self.count(name, now_s)
         return count.online + count.batch
 
-    def batch_to_stop(self, engine, spare, now_s, draw=random.random):
-        """Returns how many of its batch items this daemon stops there.
+    def free(self, engines, now_s):
+        """Returns the free slots of a pool's engines."""
+        return sum(
+            max(0, engine.slots - self.load(engine.id, now_s))
+            for engine in engines
+            if not self.avoided(engine.id, now_s)
+        )
+
+    def wait_s(self, engine, now_s):
+        """Returns how long a request sent there now waits for a slot."""
+        ahead = self.load(engine.id, now_s) - engine.slots + 1
+        return max(0, ahead) * self.service_s / engine.slots
 
-        Items are stopped so that `spare` slots stay free for online work;
-        the daemons share the stops by what each runs.
+    def served(self, took_s):
+        """Notes how long an online request held its slot."""
+        self.service_s += SERVICE_GAIN * (took_s - self.service_s)
+
+    def batch_to_stop(self, engines, now_s, draw=random.random):
+        """Returns how many of its batch items this daemon stops.
+
+        Items are stopped so that slots stay free for online work; the
+        daemons share the stops by what each runs.
         """
-        count = self.count(engine.id, now_s)
-        excess = count.online + count.batch - (engine.slots - spare)
-        mine = self._batch.get(engine.id, 0)
-        if excess <= 0 or mine == 0:
+        slots = sum(engine.slots for engine in engines)
+        need = KEEP_FREE_SHARE * slots - self.free(engines, now_s)
+        mine = sum(self._batch.get(engine.id, 0) for engine in engines)
+        if need <= 0 or mine == 0:
             return 0
-        part = min(excess, count.batch) * mine / count.batch
+        total = sum(self.count(engine.id, now_s).batch for engine in engines)
+        part = min(need, total) * mine / total
         return min(mine, int(part + draw()))
 
     def succeeded(self, name):
@@ -136,15 +169,23 @@
                 best, best_cost = engine, cost
         return best
 
-    def choose_batch(self, engines, excluded, now_s, spare):
-        """Returns an engine with more than `spare` free slots, or None."""
+    def choose_batch(self, engines, now_s, late):
+        """Returns an engine for a batch item, or None.
+
+        Slots stay free for online work, more of them for an item that is
+        late already.
+        """
+        share = LATE_FREE_SHARE if late else START_FREE_SHARE
+        slots = sum(engine.slots for engine in engines)
+        if self.free(engines, now_s) <= share * slots:
+            return None
         roomy = [
             engine
             for engine in engines
-            if self.load(engine.id, now_s) < engine.slots - spare
+            if self.load(engine.id, now_s) < engine.slots
             and not self.avoided(engine.id, now_s)
         ]
-        return self.choose(roomy, excluded, now_s)
+        return self.choose(roomy, (), now_s)
 
     def _cost(self, engine, now_s, luck):
         load = self.load(engine.id, now_s) * 8 / max(engine.slots, 1)
