--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/core.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/core.py
@@ -46,6 +46,7 @@
     for watch in daemon.watches:
         watch.start()
     daemon.peers.start()
+    daemon.relay.start()
     daemon.membership.start()
     daemon.readiness.start()
     daemon.callers.start()
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -17,9 +17,6 @@
 # An engine that says nothing for this long is left, if the request may run
 # again elsewhere (s). Callers give up after 2 s without an event.
 SILENCE_S = 1.0
-# Share of the latency objective that may pass in an engine's queue; the rest
-# is for the connection, the prompt and the first event on a full engine.
-QUEUE_SHARE = 0.7
 
 
 class Gone(Exception):
@@ -91,15 +88,14 @@
         )
 
     def _too_late(self, engine):
-        """Whether even the best engine would begin too late.
-
-        Only for a request that is new: one that has waited already does
-        not get earlier by being sent away.
-        """
+        """Whether a new request would wait too long at the best engine."""
         if self.history.sends or self._req.resume_after is not None:
             return False
+        patience_s = self._req.patience_s
+        if attempts.returning(patience_s, self._route.timeout_s):
+            return False
         wait_s = self._board.wait_s(engine, time.monotonic())
-        return wait_s > QUEUE_SHARE * self._route.first_byte_s
+        return wait_s > attempts.QUEUE_SHARE * self._route.first_byte_s
 
     def _busy(self, engine):
         wait_s = self._board.wait_s(engine, time.monotonic())
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -21,8 +21,14 @@
 # How often open jobs are looked for (s): an ended job has to stop within
 # 3 s wherever it is held.
 SCAN_S = 1.0
-# Items that one daemon runs at a time.
-RUNS_MAX = 12
+# Items that one daemon runs at a time: two thirds of the slots that a fleet
+# of today has, as one daemon may hold most of the open jobs.
+RUNS_MAX = 32
+# An item counts as late when this share of the time that it should still
+# take does not fit before it is due; sizes are known by their limit only.
+FEASIBLE_SHARE = 0.8
+# How often the loads are logged while jobs are held (s).
+LOADS_LOG_S = 2.0
 # Items started at one tick, for the counts of others lag behind.
 STARTS_MAX = 2
 # Pause before an item that did not end is run again (s).
@@ -54,7 +60,9 @@
     """An item's run at an engine; setting `stopped` ends it."""
 
     __slots__ = (
+        "began_s",
         "engine",
+        "events_before",
         "index",
         "key",
         "late",
@@ -64,6 +72,8 @@
     )
 
     def __init__(self, key, index, engine, pool, late, partial):
+        self.began_s = time.monotonic()
+        self.events_before = len(partial.texts)
         self.pool = pool
         self.late = late
         self.key = key
@@ -105,10 +115,11 @@
 
 
 class Taken(msgspec.Struct, frozen=True):
-    """This daemon became a job's holder."""
+    """This daemon became a job's holder; `partial` by item's index."""
 
     opened: jobs.Open
     record: batchjob.Record
+    partial: dict[int, batchjob.Partial]
 
 
 class Holder(pykka.ThreadingActor):
@@ -125,6 +136,8 @@
         self._scan_due_s = 0.0
         self._scanning = False
         self._running = {}
+        self._pace = batchjob.Pace()
+        self._log_due_s = 0.0
         self._stopping = False
         self._pool = concurrent.futures.ThreadPoolExecutor(
             RUNS_MAX + 6, thread_name_prefix="batch"
@@ -139,9 +152,11 @@
         self._adopt(message.opened, message.record, "submitted")
 
     def _taken(self, message):
-        self._adopt(message.opened, message.record, "taken over")
+        self._adopt(
+            message.opened, message.record, "taken over", message.partial
+        )
 
-    def _adopt(self, opened, record, why):
+    def _adopt(self, opened, record, why, partial=None):
         key = (opened.host, opened.job)
         work = batchjob.Work(
             record,
@@ -150,11 +165,14 @@
             opened.store_ms,
             time.monotonic(),
         )
+        work.partial.update(partial or {})
         self._works[key] = work
         self._parts.metrics.held_jobs.set(len(self._works))
         self._parts.log.event(
             "job.held", job=opened.job, why=why, revision=opened.revision
         )
+        if self._stopping:
+            self._offer_jobs()
 
     def _drop(self, message):
         key = (message.host, message.job)
@@ -173,6 +191,7 @@
             self._scanning = True
             self._scan_due_s = now_s + SCAN_S
             self._submit(self._look, self._after)
+        self._log_loads(now_s)
         self._yield_slots(now_s)
         self._give_up(now_s)
         self._start_items()
@@ -195,6 +214,25 @@
 
     # Items.
 
+    def _log_loads(self, now_s):
+        if not self._works or now_s < self._log_due_s:
+            return
+        self._log_due_s = now_s + LOADS_LOG_S
+        board = self._parts.board
+        counts = {
+            engine.id: board.count(engine.id, now_s)
+            for pool in self._parts.state.pools()
+            for engine in self._parts.state.engines(pool)
+        }
+        self._parts.log.event(
+            "loads",
+            engines=counts,
+            jobs=len(self._works),
+            running=len(self._running),
+            waiting=sum(len(w.unfinished()) for w in self._works.values()),
+            late=sum(w.due_s < now_s for w in self._works.values()),
+        )
+
     def _yield_slots(self, now_s):
         """Stops items whose slots online requests need."""
         by_pool = {}
@@ -261,20 +299,28 @@
             return False
         pool = routing.pick_pool(route)
         board = self._parts.board
-        late = now_s > work.due_s
+        late = self._late(work, index, now_s)
         engine = board.choose_batch(
             self._parts.state.engines(pool), now_s, late
         )
         if engine is None:
             return False
         work.running.add(index)
-        partial = work.partial.setdefault(index, items.Partial())
+        partial = work.partial.setdefault(index, batchjob.Partial())
         board.started(engine.id, batch=True)
         run = ItemRun(key, index, engine.id, pool, late, partial)
         self._running[id(run)] = run
         self._submit(self._run_item, run, work, engine)
         return True
 
+    def _late(self, work, index, now_s):
+        """Whether an item can no longer end in time."""
+        item = work.record.items[index]
+        partial = work.partial.get(index)
+        events = len(partial.texts) if partial else 0
+        left_s = self._pace.left_s(item.tokens, events)
+        return now_s + FEASIBLE_SHARE * left_s > work.due_s
+
     def _route(self, work):
         table = self._parts.state.table
         if table is None:
@@ -333,6 +379,10 @@
         now_s = time.monotonic()
         if isinstance(outcome, items.Whole):
             self._parts.board.succeeded(run.engine)
+            took_s = now_s - run.began_s
+            events = len(run.partial.texts) - run.events_before
+            if not run.events_before:
+                self._pace.learn(item.tokens, events, took_s)
             work.finish(
                 index,
                 batchjob.Result(item.id, batchjob.End.DONE, run.partial.text),
@@ -397,7 +447,7 @@
         if work.complete:
             self._drop(Drop(host, job, "complete"))
             return
-        commit = work.offer()
+        commit = work.offer(time.monotonic())
         self._submit(self._commit, message.key, work.record, commit)
 
     def _commit_later(self, key, record, commit):
@@ -466,8 +516,19 @@
         if not isinstance(record, batchjob.Record):
             return
         found = self._jobs.take(opened)
-        if isinstance(found, jobs.Open):
-            self.actor_ref.tell(Taken(found, record))
+        if isinstance(found, errors.Failure):
+            self._parts.log.failure(
+                "job.not_taken", job=opened.job, reason=found.reason
+            )
+        if not isinstance(found, jobs.Open):
+            return
+        partial = self._jobs.partial(opened.host, opened.job)
+        if isinstance(partial, errors.Failure):
+            self._parts.log.failure(
+                "job.partial_lost", job=opened.job, reason=partial.reason
+            )
+            partial = {}
+        self.actor_ref.tell(Taken(found, record, partial))
 
     def _stop_work(self, _):
         self._stopping = True
@@ -476,7 +537,7 @@
     def _offer_jobs(self):
         """Lets other daemons take the held jobs at once."""
         for key, work in self._works.items():
-            commit = work.offer()
+            commit = work.offer(time.monotonic())
             if commit is not None:
                 self._submit(self._commit, key, work.record, commit)
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
@@ -16,31 +16,6 @@
 RUN_MAX_S = 30.0
 
 
-class Partial:
-    """What an item's runs have put out so far."""
-
-    __slots__ = ("last_id", "texts")
-
-    def __init__(self):
-        self.last_id = None
-        self.texts = []
-
-    def take(self, event):
-        """Adds an event; returns whether it is the next one."""
-        if event.id is None:
-            return False
-        if self.last_id is not None and event.id != self.last_id + 1:
-            return False
-        self.last_id = event.id
-        self.texts.append(event.data)
-        return True
-
-    @property
-    def text(self):
-        """The output so far: the events' data, a line each."""
-        return b"\n".join(self.texts)
-
-
 class Whole(msgspec.Struct, frozen=True):
     """The item has its whole output."""
 
@@ -105,7 +80,7 @@
         if not isinstance(found, upstream.Data):
             return _early(found)
         for event in parser.feed(found.data):
-            if not partial.take(event):
+            if not partial.take(event.id, event.data):
                 return Interrupted("an event is out of order", True)
 
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/jobs.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/jobs.py
@@ -6,6 +6,7 @@
 - `pieces/ID/N`: the record in pieces (a large one is an object instead);
 - `open/ID`: its progress, while it is open; each write of results replaces
   it under a condition on its revision;
+- `partials/ID/INDEX/N`: output of unfinished items, for a next holder;
 - `results/ID/POSITION/N`: the results, in pieces.
 
 `admissions/ROUTE` changes with each accepted job, so that two daemons can
@@ -263,6 +264,20 @@
             return page
         return b"".join(row.value for row in page.rows)
 
+    def partial(self, host, job):
+        """Returns the saved output of unfinished items, or a Failure."""
+        page = store.read_all(
+            self._store, "partials", host, f"{job}/", f"{job}0"
+        )
+        if isinstance(page, errors.Failure):
+            return page
+        found = {}
+        for row in page.rows:
+            one = codec.unpack(row.value, batchjob.Checkpoint)
+            partial = found.setdefault(one.index, batchjob.Partial())
+            partial.restore(one)
+        return found
+
     def end(self, host, job):
         """Closes a job; returns None once that is durable, else a Failure."""
         key = store.Key("open", host, job)
@@ -325,9 +340,15 @@
             for number, piece in enumerate(_split(codec.pack(result))):
                 name = f"{_position(record.id, position)}/{number:03d}"
                 puts[store.Key("results", record.host, name)] = piece
-        removes = (key,) if complete else ()
+        for one in commit.checkpoints:
+            name = _checkpoint(record.id, one.index, one.number)
+            puts[store.Key("partials", record.host, name)] = codec.pack(one)
+        removes = [key] if complete else []
+        for index, number in commit.stale:
+            name = _checkpoint(record.id, index, number)
+            removes.append(store.Key("partials", record.host, name))
         found = self._store.commit(
-            store.Transaction({key: commit.revision}, puts, removes)
+            store.Transaction({key: commit.revision}, puts, tuple(removes))
         )
         if isinstance(found, store.Written):
             return found.revision
@@ -377,6 +398,10 @@
     return f"{job}/{position:06d}"
 
 
+def _checkpoint(job, index, number):
+    return f"{job}/{index:04d}/{number:04d}"
+
+
 def _piece_key(host, job, number):
     return store.Key("pieces", host, f"{job}/{number:03d}")
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/platform/client.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/platform/client.py
@@ -13,12 +13,13 @@
 from samphirepost import errors
 from samphirepost_daemon.entry import store
 
-# A call's longest wait for an answer (s): the platform's slow spells answer
-# within 60 times 8 ms (site files, `platform_slow`), with room for transfer.
-CALL_TIMEOUT_S = 1.5
+# A call's longest wait for an answer (s): in slow spells a write takes 60
+# times 8 ms and a read 60 times 4 ms (site files, `platform_slow`).
+WRITE_TIMEOUT_S = 1.2
+READ_TIMEOUT_S = 0.7
 # What a waiting call gets on top of its wait (s).
 FEED_SLACK_S = 0.4
-CONNECT_TIMEOUT_S = 0.5
+CONNECT_TIMEOUT_S = 0.15
 # The store gives at most this many rows a page.
 PAGE_ROWS = 500
 
@@ -78,7 +79,7 @@
         """Reads the changes after a revision; waits for the first one."""
         wait_ms = int(wait_s * 1000)
         query = {"table": table, "after": after, "waitMs": wait_ms}
-        timeout_s = max(wait_s + FEED_SLACK_S, CONNECT_TIMEOUT_S)
+        timeout_s = wait_s + FEED_SLACK_S
         found = self._rows("/rows-feed", query, timeout_s)
         if isinstance(found, (errors.Failure, store.HistoryLost)):
             return found
@@ -131,7 +132,7 @@
             return answer[1]
         return _refused(f"blob-get: {answer[0]}")
 
-    def _rows(self, path, query, timeout_s=CALL_TIMEOUT_S):
+    def _rows(self, path, query, timeout_s=READ_TIMEOUT_S):
         target = f"{path}?{urllib.parse.urlencode(query)}"
         answer = self._call("GET", target, timeout_s=timeout_s)
         if isinstance(answer, errors.Failure):
@@ -144,7 +145,7 @@
         return _decode(data)
 
     def _call(
-        self, method, path, body=None, headers=None, timeout_s=CALL_TIMEOUT_S
+        self, method, path, body=None, headers=None, timeout_s=WRITE_TIMEOUT_S
     ):
         call = path.partition("?")[0].strip("/").partition("/")[0]
         conn = urllib3.connection.HTTPConnection(
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/state.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/state.py
@@ -37,6 +37,10 @@
         """Returns the pool's engines that take new work."""
         return self.roster.usable(pool, time.monotonic())
 
+    def pools(self):
+        """Returns the names of the pools in force."""
+        return list(self.table.pools) if self.table else []
+
     def ages(self):
         """Returns what is logged of the beliefs behind a decision."""
         now_s = time.monotonic()
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/store.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/store.py
@@ -30,7 +30,7 @@
     deleted: bool = False
 
 
-class Page(msgspec.Struct, frozen=True):
+class Page(msgspec.Struct, frozen=True, tag="page"):
     """Rows in order of key, as of one moment."""
 
     rows: tuple[Row, ...]
@@ -39,7 +39,7 @@
     more: bool = False
 
 
-class Changes(msgspec.Struct, frozen=True):
+class Changes(msgspec.Struct, frozen=True, tag="changes"):
     """What changed in a table since a revision, in order."""
 
     rows: tuple[Row, ...]
@@ -47,7 +47,7 @@
     store_ms: int
 
 
-class HistoryLost(msgspec.Struct, frozen=True):
+class HistoryLost(msgspec.Struct, frozen=True, tag="history-lost"):
     """The changes since a revision are no longer known."""
 
 
@@ -62,14 +62,14 @@
     removes: tuple[Key, ...] = ()
 
 
-class Written(msgspec.Struct, frozen=True):
+class Written(msgspec.Struct, frozen=True, tag="written"):
     """The transaction is durable."""
 
     revision: int
     store_ms: int
 
 
-class Conflict(msgspec.Struct, frozen=True):
+class Conflict(msgspec.Struct, frozen=True, tag="conflict"):
     """A condition did not hold; `rows` are the expected rows as they are."""
 
     rows: tuple[Row, ...]
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -11,6 +11,7 @@
 from samphirepost_daemon.entry import metrics
 from samphirepost_daemon.entry import online
 from samphirepost_daemon.entry import peers
+from samphirepost_daemon.entry import relay
 from samphirepost_daemon.entry import state
 from samphirepost_daemon.entry import watch
 from samphirepost_daemon.entry import web
@@ -18,6 +19,7 @@
 from samphirepost_daemon.entry.platform import registry
 
 READINESS_THREADS = 2
+RELAY_THREADS = 8
 # Longest wait of one look at the members (s): a new one only adds to what
 # is known of loads.
 MEMBERS_WAIT_S = 5.0
@@ -46,12 +48,24 @@
         parts = Parts(me, cfg.zone)
         self.log = parts.log
         self.state = parts.state
-        calls = client.Client(cfg.store.address, parts.metrics)
-        kept = jobs.Jobs(calls, me)
-        self.actor = holder.Holder.start(parts, kept)
         self.peers = peers.Peers(
             me, cfg.peer_address, cfg.peer_port, parts.board, parts.log
         )
+        calls = relay.Failover(
+            me,
+            client.Client(cfg.store.address, parts.metrics),
+            lambda: self.peers.ranking.members,
+            parts.log,
+            parts.metrics,
+        )
+        kept = jobs.Jobs(calls, me)
+        self.actor = holder.Holder.start(parts, kept)
+        self.relay = listener.Listener(
+            relay.App(calls),
+            f"{cfg.peer_address}:{cfg.peer_port}",
+            RELAY_THREADS,
+            BODY_BYTES_MAX,
+        )
         self.membership = peers.Membership(
             calls, me, cfg.peer_address, cfg.peer_port, parts.log
         )
--- a/packages/samphirepost/src/samphirepost/attempts.py
+++ b/packages/samphirepost/src/samphirepost/attempts.py
@@ -11,11 +11,16 @@
 # Time below which another attempt cannot end in time (s): a connection, the
 # prompt and the first event take longer on an idle engine.
 LEFT_MIN_S = 0.05
+# Share of the latency objective that a new request may wait in an engine's
+# queue; the rest is for the prompt and the first event on a full engine.
+QUEUE_SHARE = 0.4
+# A caller with less than this share of the route's time has waited before.
+FRESH_SHARE = 0.95
 # Shortest time after which a refused caller is told to return, and by how
-# much the times are spread (s): about one request's time at an engine, so
-# that those refused together do not come back together.
-RETRY_MIN_S = 0.3
-RETRY_SPREAD_S = 0.7
+# much the times are spread (s): the time of one to two requests at an engine,
+# so that those refused together do not come back together.
+RETRY_MIN_S = 0.4
+RETRY_SPREAD_S = 0.9
 
 
 class Seen(enum.Enum):
@@ -88,6 +93,14 @@
     retry_after_s: float | None = None
 
 
+def returning(patience_s, timeout_s):
+    """Whether a caller has waited before, by the time that it has left.
+
+    Such a caller is not sent away again: it may have no further try.
+    """
+    return patience_s is not None and patience_s < FRESH_SHARE * timeout_s
+
+
 def retry_after_s(wait_s, draw=random.random):
     """Returns when a refused caller does best to come again (s)."""
     return round(wait_s + RETRY_MIN_S + RETRY_SPREAD_S * draw(), 2)
--- a/packages/samphirepost/src/samphirepost/batchjob.py
+++ b/packages/samphirepost/src/samphirepost/batchjob.py
@@ -15,6 +15,13 @@
 # A job whose progress did not change for this long (s) has lost its holder.
 TAKEOVER_S = 4.0
 
+# Unfinished items whose output one write saves, and bytes of each: a store
+# row takes 64 KiB of base64, and a transaction 100 entries.
+CHECKPOINTS_MAX = 30
+CHECKPOINT_BYTES_MAX = 10_000
+# Weight of a new run in what is learned of the items' pace.
+PACE_GAIN = 0.2
+
 
 class End(enum.Enum):
     """How an item ended."""
@@ -91,16 +98,94 @@
     result: Result
 
 
+class Checkpoint(msgspec.Struct, frozen=True):
+    """A stretch of an unfinished item's output, so that a run can go on.
+
+    `first_id` is the id of its first event; `number` counts the stretches of
+    the item.
+    """
+
+    index: int
+    number: int
+    first_id: int
+    texts: tuple[bytes, ...]
+
+
+class Partial:
+    """What an item's runs have put out so far."""
+
+    __slots__ = ("checkpoints", "first_id", "saved", "texts")
+
+    def __init__(self):
+        self.first_id = None
+        self.texts = []
+        self.saved = 0
+        self.checkpoints = 0
+
+    @property
+    def last_id(self):
+        """The id of the last event, or None."""
+        if not self.texts:
+            return None
+        return self.first_id + len(self.texts) - 1
+
+    def take(self, event_id, data):
+        """Adds an event; returns whether it is the next one."""
+        if event_id is None:
+            return False
+        if self.texts and event_id != self.last_id + 1:
+            return False
+        if not self.texts:
+            self.first_id = event_id
+        self.texts.append(data)
+        return True
+
+    def restore(self, checkpoint):
+        """Adds a saved stretch; returns whether it is the next one."""
+        if checkpoint.number != self.checkpoints:
+            return False
+        if self.texts and checkpoint.first_id != self.last_id + 1:
+            return False
+        if not self.texts:
+            self.first_id = checkpoint.first_id
+        self.texts.extend(checkpoint.texts)
+        self.saved = len(self.texts)
+        self.checkpoints += 1
+        return True
+
+    def unsaved(self, index, bytes_max):
+        """Returns a Checkpoint of what is not saved, or None."""
+        texts = []
+        size = 0
+        for text in self.texts[self.saved :]:
+            size += len(text)
+            if size > bytes_max:
+                break
+            texts.append(text)
+        if not texts:
+            return None
+        first_id = self.first_id + self.saved
+        return Checkpoint(index, self.checkpoints, first_id, tuple(texts))
+
+    @property
+    def text(self):
+        """The output so far: the events' data, a line each."""
+        return b"\n".join(self.texts)
+
+
 class Commit(msgspec.Struct, frozen=True):
     """One write: results from position `first`, and the progress after it.
 
-    The progress is None when the job is complete.
+    `stale` names the saved stretches, by index and number, that results
+    make needless.
     """
 
     revision: int
     first: int
     results: tuple[Result, ...]
     progress: Progress
+    checkpoints: tuple[Checkpoint, ...] = ()
+    stale: tuple[tuple[int, int], ...] = ()
 
 
 class Work:
@@ -119,6 +204,7 @@
         "revision",
         "retry_at_s",
         "running",
+        "stale",
         "unsaved_failures",
     )
 
@@ -132,6 +218,7 @@
         self.running = set()
         self.ended = {}
         self.partial = {}
+        self.stale = {}
         self.retry_at_s = {}
         self.unsaved_failures = {}
         self.committing = None
@@ -177,7 +264,9 @@
     def finish(self, index, result):
         """Notes the end of an item."""
         self.running.discard(index)
-        self.partial.pop(index, None)
+        partial = self.partial.pop(index, None)
+        if partial is not None and partial.checkpoints:
+            self.stale[index] = partial.checkpoints
         if index not in self.progress.listed:
             self.ended.setdefault(index, result)
 
@@ -214,16 +303,36 @@
             chosen.append(Ended(index, result))
             size += len(result.text)
         listed = (*self.progress.listed, *(one.index for one in chosen))
+        return self._begin(chosen, self._progress(listed), now_s)
+
+    def _begin(self, chosen, progress, now_s):
+        stale = tuple(
+            (one.index, number)
+            for one in chosen
+            for number in range(self.stale.get(one.index, 0))
+        )
         self.commit_began_s = now_s
+        self.beat_due_s = now_s + BEAT_S
         self.committing = Commit(
             self.revision,
             len(self.progress.listed),
             tuple(one.result for one in chosen),
-            self._progress(listed),
+            progress,
+            self._checkpoints(),
+            stale,
         )
-        self.beat_due_s = now_s + BEAT_S
         return self.committing
 
+    def _checkpoints(self):
+        found = []
+        for index, partial in self.partial.items():
+            if len(found) >= CHECKPOINTS_MAX:
+                break
+            one = partial.unsaved(index, CHECKPOINT_BYTES_MAX)
+            if one is not None:
+                found.append(one)
+        return tuple(found)
+
     def _progress(self, listed):
         old = self.progress
         known = set(listed)
@@ -246,23 +355,33 @@
         self.committing = None
         for index in commit.progress.listed[commit.first :]:
             self.ended.pop(index, None)
+            self.stale.pop(index, None)
+        for one in commit.checkpoints:
+            self._saved(one)
         for index, count in commit.progress.failures.items():
             if self.unsaved_failures.get(index) == count:
                 del self.unsaved_failures[index]
         self.progress = commit.progress
         self.revision = revision
 
-    def offer(self):
+    def _saved(self, checkpoint):
+        partial = self.partial.get(checkpoint.index)
+        if partial is None:
+            count = checkpoint.number + 1
+            if checkpoint.index in self.ended:
+                self.stale[checkpoint.index] = count
+            return
+        partial.saved += len(checkpoint.texts)
+        partial.checkpoints += 1
+
+    def offer(self, now_s):
         """Returns the write that offers the job to other daemons, if any."""
         if self.committing is not None:
             return None
         progress = msgspec.structs.replace(
             self._progress(self.progress.listed), holder=""
         )
-        self.committing = Commit(
-            self.revision, len(self.progress.listed), (), progress
-        )
-        return self.committing
+        return self._begin([], progress, now_s)
 
     @property
     def complete(self):
@@ -270,6 +389,36 @@
         return len(self.progress.listed) == len(self.record.items)
 
 
+class Pace:
+    """How long items take, learned from those that ended."""
+
+    __slots__ = ("_events_per_token", "_seconds_per_event")
+
+    def __init__(self):
+        self._events_per_token = None
+        self._seconds_per_event = None
+
+    def learn(self, tokens, events, took_s):
+        """Notes a whole run."""
+        if not tokens or not events:
+            return
+        self._events_per_token = _mix(self._events_per_token, events / tokens)
+        self._seconds_per_event = _mix(
+            self._seconds_per_event, took_s / events
+        )
+
+    def left_s(self, tokens, events):
+        """Returns the time to the end of an item with `events` put out."""
+        if self._seconds_per_event is None:
+            return 0.0
+        left = max(0.0, tokens * self._events_per_token - events)
+        return left * self._seconds_per_event
+
+
+def _mix(old, new):
+    return new if old is None else old + PACE_GAIN * (new - old)
+
+
 class Watched(msgspec.Struct):
     """An open job as a daemon that does not hold it last saw it."""
 
