--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/watch.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/watch.py
@@ -129,7 +129,7 @@
 
     def failed(self):
         """Notes an outage."""
-        self._roster.failed(time.monotonic())
+        self._roster.failed()
 
     def _put(self, engine, now_s):
         known = self._roster.get(engine.id)
--- a/packages/samphirepost/src/samphirepost/roster.py
+++ b/packages/samphirepost/src/samphirepost/roster.py
@@ -28,19 +28,18 @@
 class Roster:
     """Engines by id; entries that vanish after an outage are kept a while."""
 
-    __slots__ = ("_doomed", "_engines", "_failed_s", "_restored_s", "read_s")
+    __slots__ = ("_away", "_doomed", "_engines", "_restored_s", "read_s")
 
     def __init__(self):
         self._engines = {}
         self._doomed = {}
-        self._failed_s = None
+        self._away = False
         self._restored_s = None
         self.read_s = None
 
-    def failed(self, now_s):
+    def failed(self):
         """Notes that the registry did not answer."""
-        self._failed_s = now_s
-        self._restored_s = None
+        self._away = True
 
     def replace(self, engines, now_s):
         """Takes the whole registry."""
@@ -85,13 +84,14 @@
 
     def _answered(self, now_s):
         self.read_s = now_s
-        if self._failed_s is not None and self._restored_s is None:
+        if self._away:
+            self._away = False
             self._restored_s = now_s
 
     def _vanished(self, name, now_s):
         if name not in self._engines:
             return
-        if self._failed_s is None or now_s - self._failed_s > CALM_S:
+        if self._restored_s is None or now_s - self._restored_s > CALM_S:
             self._engines.pop(name)
             self._doomed.pop(name, None)
             return
--- /dev/null
+++ b/tests/test_events.py
@@ -0,0 +1,51 @@
+"""Event streams are passed on in whole events only."""
+
+import hypothesis
+from hypothesis import strategies
+
+from samphirepost import events
+
+
+def encode(number, lines):
+    """Returns an event's bytes."""
+    data = b"".join(b"data: " + line + b"\n" for line in lines)
+    return b"id: %d\n" % number + data + b"\n"
+
+
+_line = strategies.binary(max_size=20).map(
+    lambda data: data.replace(b"\n", b"").replace(b"\r", b"")
+)
+
+
+@hypothesis.given(
+    strategies.lists(strategies.lists(_line, min_size=1, max_size=3)),
+    strategies.lists(strategies.integers(1, 30)),
+)
+def test_cuts_between_packets_do_not_matter(texts, cuts):
+    """However the bytes are cut, the same events come out."""
+    stream = b"".join(encode(i, lines) for i, lines in enumerate(texts))
+    parser = events.Parser()
+    found = []
+    rest = stream
+    for cut in cuts:
+        found += parser.feed(rest[:cut])
+        rest = rest[cut:]
+    found += parser.feed(rest)
+    assert b"".join(event.raw for event in found) == stream
+    assert [event.id for event in found] == list(range(len(texts)))
+    assert parser.rest == b""
+    assert [event.data for event in found] == [b"\n".join(t) for t in texts]
+
+
+def test_a_version_line_is_no_data():
+    """A first line with a new version belongs to the event's bytes only."""
+    raw = b"weight-versions: 7\nid: 3\ndata: lily\n\n"
+    (event,) = events.Parser().feed(raw)
+    assert (event.raw, event.id, event.data) == (raw, 3, b"lily")
+
+
+def test_an_event_that_was_cut_is_kept_back():
+    """An engine may stop in the middle of an event."""
+    parser = events.Parser()
+    assert parser.feed(b"id: 1\ndata: a\n\nid: 2\nda")[0].id == 1
+    assert parser.rest == b"id: 2\nda"
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,53 @@
+"""Routes: the longest prefix wins, and tables only move forward."""
+
+import hypothesis
+from hypothesis import strategies
+
+from samphirepost import routing
+
+
+def route(name, prefix, host="shop.example", **fields):
+    """Returns a stream route."""
+    shares = (routing.Share("plants", 1.0),)
+    return routing.Route(
+        name, host, prefix, routing.Kind.STREAM, shares, **fields
+    )
+
+
+def table(revision, *routes):
+    """Returns a table."""
+    return routing.Table(revision, routes, {})
+
+
+def test_the_longest_prefix_of_the_host_wins():
+    """A split route takes its own paths from the wider one."""
+    found = table(
+        1, route("wide", "/a/"), route("split", "/a/b/"), route("no", "/c/")
+    )
+    assert found.find("shop.example", "/a/b/x").name == "split"
+    assert found.find("shop.example", "/a/bx").name == "wide"
+    assert found.find("shop.example", "/b/") is None
+    assert found.find("desk.example", "/a/") is None
+
+
+@hypothesis.given(strategies.lists(strategies.integers(1, 50), min_size=1))
+def test_tables_never_go_back(revisions):
+    """In whatever order revisions arrive, the newest one holds."""
+    current = None
+    for index, revision in enumerate(revisions):
+        current = routing.newer(current, table(revision))
+        assert current.revision == max(revisions[: index + 1])
+
+
+def test_what_may_be_repeated_follows_from_the_kind():
+    """A stream may run again only if it can be resumed."""
+    assert not route("stream", "/").repeatable
+    assert route("stream", "/", resumable=True).repeatable
+
+
+def test_pools_are_picked_by_weight():
+    """The draw decides by the shares' weights."""
+    shares = (routing.Share("a", 90.0), routing.Share("b", 10.0))
+    made = routing.Route("r", "h", "/", routing.Kind.STREAM, shares)
+    assert routing.pick_pool(made, lambda: 0.89) == "a"
+    assert routing.pick_pool(made, lambda: 0.91) == "b"
--- /dev/null
+++ b/tests/test_selection.py
@@ -0,0 +1,155 @@
+"""Which engine gets a request, under the load patterns of the users' days."""
+
+import hypothesis
+from hypothesis import strategies
+
+from samphirepost import attempts
+from samphirepost import loadshare
+from samphirepost import roster
+from samphirepost import selection
+
+SLOTS = 8
+
+
+def fleet(count=6):
+    """Returns the engines of a pool."""
+    return [
+        roster.Engine(f"e{i}", "plants", f"10.0.0.{i}:80", "a", SLOTS)
+        for i in range(count)
+    ]
+
+
+def others(board, engines, online, batch=0, now_s=0.0):
+    """Has the other daemons run the same at every engine."""
+    counts = {one.id: loadshare.Count(online, batch) for one in engines}
+    board.take_others(counts, now_s)
+
+
+def test_the_least_loaded_engine_is_chosen():
+    """What others run counts as much as what runs from here."""
+    engines = fleet(3)
+    board = selection.Board("a")
+    board.take_others(
+        {"e0": loadshare.Count(4, 0), "e1": loadshare.Count(1, 3)}, 0.0
+    )
+    assert board.choose(engines, (), 0.0).id == "e2"
+    board.started("e2")
+    board.take_others({"e0": loadshare.Count(4, 0)}, 0.1)
+    assert board.choose(engines, (), 0.1).id == "e1"
+
+
+def test_old_news_of_others_is_forgotten():
+    """A hub that fell silent must not freeze what is believed."""
+    engines = fleet(2)
+    board = selection.Board("a")
+    others(board, engines, 5)
+    assert board.load("e0", 0.0) == 5
+    assert board.load("e0", selection.OTHERS_STALE_S + 0.1) == 0
+
+
+def test_an_engine_that_failed_is_the_last_choice():
+    """It is avoided for a while, longer with each failure."""
+    engines = fleet(2)
+    board = selection.Board("a")
+    board.failed("e0", 0.0)
+    others(board, engines[1:], 7)
+    assert board.choose(engines, (), 0.1).id == "e1"
+    assert board.choose(engines, ("e1",), 0.1).id == "e0"
+    board.failed("e0", 0.1)
+    assert board.avoided("e0", 0.1 + selection.AVOID_S * 1.5)
+
+
+class TestABurstOfOnlineRequestsOverRunningBatchItems:
+    """Load pattern: valleys filled with batch items, then a jump."""
+
+    def test_batch_items_stop_when_no_slots_are_left(self):
+        """The daemons together free what is missing, and no more."""
+        engines = fleet()
+        board = selection.Board("a")
+        for engine in engines:
+            for _ in range(2):
+                board.started(engine.id, batch=True)
+        others(board, engines, 4, 2)
+        keep = selection.KEEP_FREE_SHARE * SLOTS * len(engines)
+        mine = board.batch_to_stop(engines, 0.0, draw=lambda: 0.0)
+        assert mine == int(keep / 2)
+        assert board.batch_to_stop(engines, 0.0, lambda: 0.99) <= keep
+
+    def test_nothing_stops_while_slots_are_free(self):
+        """A full engine is no reason while others have room."""
+        engines = fleet()
+        board = selection.Board("a")
+        for _ in range(SLOTS):
+            board.started("e0", batch=True)
+        assert board.batch_to_stop(engines, 0.0) == 0
+
+    def test_online_never_stops_for_batch(self):
+        """Without batch items of its own a daemon has nothing to stop."""
+        engines = fleet()
+        board = selection.Board("a")
+        others(board, engines, 9)
+        assert board.batch_to_stop(engines, 0.0) == 0
+
+    def test_items_start_only_above_the_reserve(self):
+        """Late items leave more room than those that can be in time."""
+        engines = fleet()
+        board = selection.Board("a")
+        others(board, engines, 7)
+        assert board.choose_batch(engines, 0.0, late=False) is not None
+        assert board.choose_batch(engines, 0.0, late=True) is None
+        others(board, engines, 8)
+        assert board.choose_batch(engines, 0.0, late=False) is None
+
+
+class TestAPeakOfOnlineRequestsOverAllSlots:
+    """Load pattern: for seconds more requests come than engines serve."""
+
+    def test_the_wait_grows_with_the_queue(self):
+        """A free slot means no wait; each request ahead adds its share."""
+        engines = fleet(1)
+        board = selection.Board("a")
+        others(board, engines, SLOTS - 1)
+        assert board.wait_s(engines[0], 0.0) == 0.0
+        others(board, engines, SLOTS)
+        first_s = board.wait_s(engines[0], 0.0)
+        assert first_s == board.service_s / SLOTS
+        others(board, engines, SLOTS + 2)
+        assert board.wait_s(engines[0], 0.0) > first_s
+
+    def test_a_caller_that_returns_is_not_sent_away_again(self):
+        """It has less of the route's time left than a new one."""
+        assert not attempts.returning(5.0, 5.0)
+        assert not attempts.returning(None, 5.0)
+        assert attempts.returning(4.2, 5.0)
+
+    def test_refused_callers_return_spread_and_after_the_queue(self):
+        """Else they would come back together, into the same queue."""
+        early = attempts.retry_after_s(0.5, lambda: 0.0)
+        late = attempts.retry_after_s(0.5, lambda: 1.0)
+        assert early >= 0.5
+        assert late - early >= attempts.RETRY_SPREAD_S - 0.01
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(["e0", "e1"]),
+            strategies.booleans(),
+            strategies.booleans(),
+        )
+    )
+)
+def test_counts_follow_what_starts_and_ends(steps):
+    """Counts never fall below zero, and end where they began."""
+    board = selection.Board("a")
+    running = []
+    for name, batch, start in steps:
+        if start:
+            board.started(name, batch)
+            running.append((name, batch))
+        elif (name, batch) in running:
+            board.ended(name, batch)
+            running.remove((name, batch))
+        for engine in ("e0", "e1"):
+            expected = sum(one == engine for one, _ in running)
+            assert board.load(engine, 0.0) == expected
