--- /dev/null
+++ b/packages/samphirepost-bench/src/samphirepost_bench/storeserver.py
@@ -0,0 +1,172 @@
+"""A stand-in for the platform's store, over HTTP on loopback."""
+
+import base64
+import http.server
+import json
+import threading
+import time
+import urllib.parse
+
+from samphirepost import errors
+from samphirepost_bench import memorystore
+from samphirepost_daemon.entry import store
+
+POLL_S = 0.01
+
+
+class Server(http.server.ThreadingHTTPServer):
+    """Serves one MemoryStore; `down` makes it refuse every call."""
+
+    daemon_threads = True
+
+    def __init__(self):
+        super().__init__(("127.0.0.1", 0), Handler)
+        self.rows = memorystore.MemoryStore()
+        self.down = False
+        self.feed_delay_s = 0.0
+
+    @property
+    def address(self):
+        """The server's IP:PORT."""
+        return f"127.0.0.1:{self.server_address[1]}"
+
+    def start(self):
+        """Serves until the process ends."""
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    def put(self, table, key, document):
+        """Writes a row as the operator or an engine does."""
+        name = store.Key(table, "", key)
+        data = json.dumps(document).encode()
+        self.rows.commit(store.Transaction({}, {name: data}))
+
+    def remove(self, table, key):
+        """Removes a row."""
+        name = store.Key(table, "", key)
+        self.rows.commit(store.Transaction({}, {}, (name,)))
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    """Translates the platform's calls."""
+
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *_):
+        """Keeps standard error quiet."""
+
+    def do_GET(self):
+        """Reads rows, parts, changes and objects."""
+        url = urllib.parse.urlsplit(self.path)
+        query = {
+            name: values[0]
+            for name, values in urllib.parse.parse_qs(
+                url.query, keep_blank_values=True
+            ).items()
+        }
+        if self.server.down:
+            return self._send(503, {})
+        if url.path == "/rows-get":
+            return self._get(query)
+        if url.path == "/rows-parts":
+            parts = self.server.rows.parts(query["table"])
+            return self._send(200, {"parts": list(parts), "hasMore": False})
+        if url.path == "/rows-feed":
+            return self._feed(query)
+        if url.path.startswith("/blob-get/"):
+            name = urllib.parse.unquote(url.path[len("/blob-get/") :])
+            return self._send_bytes(200, self.server.rows.get_object(name))
+        return self._send(404, {})
+
+    def do_POST(self):
+        """Writes a transaction."""
+        data = self.rfile.read(int(self.headers["Content-Length"]))
+        if self.server.down:
+            return self._send(503, {})
+        found = self.server.rows.commit(_transaction(json.loads(data)))
+        if isinstance(found, errors.Failure):
+            self.close_connection = True
+            return None
+        if isinstance(found, store.Conflict):
+            return self._send(412, {"rows": _rows(found.rows)})
+        body = {"ver": found.revision, "nowMs": found.store_ms}
+        return self._send(200, body)
+
+    def do_PUT(self):
+        """Writes an object."""
+        data = self.rfile.read(int(self.headers["Content-Length"]))
+        if self.server.down:
+            return self._send(503, {})
+        name = urllib.parse.unquote(self.path[len("/blob-put/") :])
+        self.server.rows.put_object(name, data)
+        return self._send(200, {})
+
+    def _get(self, query):
+        page = self.server.rows.read(
+            query["table"],
+            query["part"],
+            query.get("from", ""),
+            query.get("to", ""),
+        )
+        self._send(
+            200,
+            {
+                "rows": _rows(page.rows),
+                "hasMore": False,
+                "ver": page.revision,
+                "nowMs": _now_ms(),
+            },
+        )
+
+    def _feed(self, query):
+        until_s = time.monotonic() + int(query["waitMs"]) / 1000
+        pause = threading.Event()
+        pause.wait(self.server.feed_delay_s)
+        while True:
+            found = self.server.rows.changes(
+                query["table"], int(query["after"]), 0
+            )
+            if found.rows or time.monotonic() >= until_s or self.server.down:
+                break
+            pause.wait(POLL_S)
+        body = {"rows": _rows(found.rows), "ver": found.revision}
+        self._send(200, {**body, "nowMs": _now_ms()})
+
+    def _send(self, status, document):
+        self._send_bytes(status, json.dumps(document).encode())
+
+    def _send_bytes(self, status, data):
+        self.send_response(status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+
+def _now_ms():
+    return int(time.monotonic() * 1000)
+
+
+def _key(entry):
+    return store.Key(entry["table"], entry["part"], entry["key"])
+
+
+def _transaction(body):
+    return store.Transaction(
+        {_key(one): one["ver"] for one in body["expectedRev"]},
+        {_key(one): base64.b64decode(one["value"]) for one in body["put"]},
+        tuple(_key(one) for one in body["remove"]),
+    )
+
+
+def _rows(rows):
+    return [
+        {
+            "table": row.key.table,
+            "part": row.key.part,
+            "key": row.key.key,
+            "value": base64.b64encode(row.value).decode(),
+            "ver": row.revision,
+            **({"deleted": True} if row.deleted else {}),
+        }
+        for row in rows
+    ]
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -51,13 +51,15 @@
         self.peers = peers.Peers(
             me, cfg.peer_address, cfg.peer_port, parts.board, parts.log
         )
-        calls = relay.Failover(
+        self.metrics = parts.metrics
+        self.store = relay.Failover(
             me,
             client.Client(cfg.store.address, parts.metrics),
             lambda: self.peers.ranking.members,
             parts.log,
             parts.metrics,
         )
+        calls = self.store
         kept = jobs.Jobs(calls, me)
         self.actor = holder.Holder.start(parts, kept)
         self.relay = listener.Listener(
--- a/tests/test_batchjob.py
+++ b/tests/test_batchjob.py
@@ -8,8 +8,8 @@
 from samphirepost import batchjob
 from samphirepost import errors
 from samphirepost import routing
+from samphirepost_bench import memorystore
 from samphirepost_daemon.entry import jobs
-from tests import memorystore
 
 HOST = "shop.example"
 ITEMS = 6
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,332 @@
+"""The entry daemon as callers, engines and operators see it."""
+
+import http.client
+import threading
+
+import pytest
+
+from samphirepost_bench import memorystore
+from samphirepost_bench import streamengine
+from samphirepost_daemon.entry import holder
+from tests import entryhelper
+
+Fault = streamengine.Fault
+
+
+@pytest.fixture
+def fleet():
+    """One daemon before two engines."""
+    made = entryhelper.Fleet()
+    yield made
+    made.stop()
+
+
+@pytest.fixture
+def pair():
+    """Two daemons before two engines."""
+    made = entryhelper.Fleet(daemons=2)
+    yield made
+    made.stop()
+
+
+def test_a_stream_is_passed_on_whole_with_its_seal(fleet):
+    """Path, id and body reach the engine as sent, and its answer returns."""
+    found = fleet.ask("r1", "/notes/7?x=1", Model="m")
+    assert (found.status, found.whole) == (200, True)
+    assert found.text == fleet.engines[0].text("r1")
+    arrivals = [one for e in fleet.engines for one in e.arrivals]
+    assert [one.path for one in arrivals] == ["/notes/7?x=1"]
+    assert arrivals[0].headers["Model"] == "m"
+    assert 0 < arrivals[0].left_s <= 5
+    seals = {f"seal-{engine.name}" for engine in fleet.engines}
+    assert found.headers["Response-Seal"] in seals
+
+
+@pytest.mark.parametrize("fault", [Fault.CUT, Fault.CUT_EVENT])
+def test_a_resumable_stream_goes_on_elsewhere(fleet, fault):
+    """Each event comes once, in one answer with the first one's seal."""
+    for engine in fleet.engines:
+        engine.faults.append(fault)
+    fleet.engines[0].faults.clear()
+    for number in range(4):
+        found = fleet.ask(f"r{number}")
+        assert found.whole
+        assert found.text == fleet.engines[0].text(f"r{number}")
+
+
+@pytest.mark.parametrize("fault", [Fault.CUT, Fault.CUT_EVENT])
+def test_a_stream_that_cannot_be_resumed_is_cut_too(fleet, fault):
+    """It runs once, and a part of it does not look whole."""
+    for engine in fleet.engines:
+        engine.faults.append(fault)
+    found = fleet.ask("r1", "/bills/1")
+    assert not found.whole
+    assert fleet.ran("r1") == 1
+
+
+def test_a_refused_request_goes_to_another_engine(fleet):
+    """The engine said that it did not run it."""
+    for engine in fleet.engines:
+        engine.faults.append(Fault.REFUSE)
+    fleet.engines[0].faults.clear()
+    for number in range(3):
+        found = fleet.ask(f"r{number}", "/bills/1")
+        assert (found.status, found.whole) == (200, True)
+        assert fleet.ran(f"r{number}") == 1
+
+
+def test_a_refusal_by_all_is_told_with_a_time_to_return(fleet):
+    """It did not run, and the answer says so at once."""
+    for engine in fleet.engines:
+        engine.faults.append(Fault.REFUSE)
+    found = fleet.ask("r1", "/bills/1")
+    assert found.status == 503
+    assert float(found.headers["Retry-After"]) > 0
+    assert fleet.ran("r1") == 0
+
+
+def test_another_requests_answer_is_not_passed_on(fleet):
+    """A request that can't be repeated fails without a promise."""
+    for engine in fleet.engines:
+        engine.faults.append(Fault.CROSS)
+    found = fleet.ask("r1", "/bills/1")
+    assert found.status == 502
+    assert "Response-Seal" not in found.headers
+    assert fleet.ran("r1") == 1
+
+
+def test_an_address_that_belongs_to_another_engine_runs_nothing(fleet):
+    """The id in the request protects against reused addresses."""
+    stranger = streamengine.Engine("stranger")
+    stranger.start()
+    for engine in fleet.engines:
+        entry = {**engine.entry(entryhelper.POOL)}
+        entry["address"] = stranger.address
+        fleet.store.put("servers", engine.name, entry)
+    state = fleet.daemons[0].state
+    entryhelper.until(
+        lambda: all(
+            one.address == stranger.address
+            for one in state.engines(entryhelper.POOL)
+        ),
+        "the addresses are known",
+    )
+    assert fleet.ask("r1").status == 503
+    assert stranger.ran("r1") == 0
+
+
+def test_the_engine_is_left_when_the_caller_leaves(fleet):
+    """A run that nobody waits for ends."""
+    for engine in fleet.engines:
+        engine.faults.append(Fault.SILENT)
+    address = fleet.daemons[0].cfg.listen.callers
+    conn = http.client.HTTPConnection(address)
+    headers = {
+        "Host": entryhelper.HOST,
+        "Request-Id": "r1",
+        "Deadline-Ms": "60000",
+    }
+    conn.request("POST", "/bills/1", b"prompt", headers)
+    entryhelper.until(lambda: fleet.ran("r1"), "the request runs")
+    conn.close()
+    entryhelper.until(
+        lambda: any(engine.dropped.is_set() for engine in fleet.engines),
+        "the run is dropped",
+    )
+
+
+def test_a_route_that_is_dropped_or_moved_follows_the_newest_tables(fleet):
+    """Without a restart, and never back."""
+    assert fleet.ask("r1", "/late/1").status == 404
+    late = entryhelper.route("late", "/late/")
+    fleet.configure(5, [late])
+    state = fleet.daemons[0].state
+    entryhelper.until(lambda: state.table.revision == 5, "version 5")
+    assert fleet.ask("r2", "/late/1").status == 200
+    assert fleet.ask("r3", "/notes/1").status == 404
+    fleet.configure(4, entryhelper.ROUTES)
+    late_route = entryhelper.route("later", "/later/")
+    fleet.configure(6, [late_route])
+    entryhelper.until(lambda: state.table.revision == 6, "version 6")
+
+
+def test_a_draining_engine_gets_no_new_work(fleet):
+    """Once the daemon knows, all goes to the other."""
+    leaving, staying = fleet.engines
+    entry = leaving.entry(entryhelper.POOL, "draining")
+    fleet.store.put("servers", leaving.name, entry)
+    state = fleet.daemons[0].state
+    entryhelper.until(
+        lambda: len(state.engines(entryhelper.POOL)) == 1, "one drains"
+    )
+    before = len(leaving.arrivals)
+    for number in range(4):
+        assert fleet.ask(f"r{number}").status == 200
+    assert len(leaving.arrivals) == before
+    assert len(staying.arrivals) >= 4
+
+
+def test_an_entry_that_cannot_be_read_names_no_engine(fleet):
+    """The others hold."""
+    fleet.store.put("servers", "odd-1", {"service": 5})
+    fleet.store.put("servers", "odd-2", ["no", "engine"])
+    odd = {**fleet.engines[0].entry(entryhelper.POOL), "state": "dancing"}
+    fleet.store.put("servers", "odd-3", odd)
+    fleet.store.put("servers", "good", fleet.engines[0].entry("good"))
+    state = fleet.daemons[0].state
+    entryhelper.until(lambda: state.roster.get("good"), "the last entry")
+    assert len(state.engines(entryhelper.POOL)) == 2
+    assert fleet.ask("r1").status == 200
+
+
+def test_online_work_goes_on_while_the_store_is_down(fleet):
+    """The tables and engines last known hold; jobs are refused."""
+    fleet.store.down = True
+    assert fleet.ask("r1").status == 200
+    refused = fleet.submit("job", 2)
+    assert refused.status == 503
+    assert float(refused.headers["Retry-After"]) > 0
+    fleet.store.down = False
+    assert fleet.submit("job", 2).status == 202
+
+
+def test_a_feed_that_waits_is_not_taken_for_an_outage(fleet):
+    """A feed may be silent for as long as it was told to wait."""
+    fleet.store.feed_delay_s = 0.6
+    fleet.configure(9, entryhelper.ROUTES)
+    state = fleet.daemons[0].state
+    entryhelper.until(lambda: state.table.revision == 9, "version 9")
+    text = fleet.daemons[0].metrics.text().decode()
+    assert 'call="rows-feed",result="failed"' not in text
+
+
+def test_a_batch_job_is_done_item_by_item(pair):
+    """Accepted here, read there: each item once, whole, in its place."""
+    assert pair.submit("job", 5, daemon=0).status == 202
+    assert pair.submit("job", 5, daemon=1).status == 202
+    found = entryhelper.until(
+        lambda: pair.finished("job", daemon=1), "the job ends"
+    )
+    assert {one["id"] for one in found} == {f"job-{i}" for i in range(5)}
+    for one in found:
+        assert one["state"] == "done"
+        assert one["text"] == pair.engines[0].text(one["id"])
+    assert pair.results("job", 3)["results"] == found[3:]
+    body = pair.call("GET", "/items/job?id=job-1", daemon=1)
+    assert body.body == b"body"
+    assert pair.call("GET", "/lots/none").status == 404
+
+
+def test_an_items_faults_end_in_its_output_or_its_end(pair):
+    """Cut runs are resumed, failed ones counted, impossible ones end."""
+    for engine in pair.engines:
+        engine.faults.extend([Fault.CUT, Fault.CUT_EVENT, Fault.REFUSE])
+    pair.submit("job", 4)
+    found = entryhelper.until(lambda: pair.finished("job"), "the job ends")
+    assert {one["state"] for one in found} == {"done"}
+    for one in found:
+        assert one["text"] == pair.engines[0].text(one["id"])
+    for engine in pair.engines:
+        engine.faults.append(Fault.IMPOSSIBLE)
+    pair.submit("never", 1)
+    found = entryhelper.until(lambda: pair.finished("never"), "it ends")
+    assert [one["state"] for one in found] == ["dead_letter"]
+
+
+def test_an_ended_job_stops(pair):
+    """Its items are dropped, and ending it again is no error."""
+    for engine in pair.engines:
+        engine.faults.extend([Fault.SILENT] * 8)
+    pair.submit("job", 3)
+    entryhelper.until(lambda: pair.ran("job-0"), "an item runs")
+    assert pair.call("DELETE", "/lots/job", daemon=1).status == 200
+    assert pair.call("DELETE", "/lots/job").status == 200
+    entryhelper.until(
+        lambda: any(engine.dropped.is_set() for engine in pair.engines),
+        "its runs are dropped",
+    )
+    assert pair.results("job")["total"] == 3
+
+
+def test_a_job_outlives_its_daemon(pair):
+    """Another takes it over from the rows alone."""
+    for engine in pair.engines:
+        engine.faults.extend([Fault.SILENT] * 3)
+    pair.submit("job", 3, daemon=0)
+    entryhelper.until(lambda: pair.ran("job-0"), "an item runs")
+    pair.daemons[0].actor.stop()
+    found = entryhelper.until(
+        lambda: pair.finished("job", daemon=1), "the other ends it"
+    )
+    assert {one["state"] for one in found} == {"done"}
+
+
+def test_a_planned_stop_offers_the_jobs(pair):
+    """The other daemon takes them without waiting for a lapse."""
+    for engine in pair.engines:
+        engine.faults.extend([Fault.SILENT] * 3)
+    pair.submit("job", 3, daemon=0)
+    entryhelper.until(lambda: pair.ran("job-0"), "an item runs")
+    pair.daemons[0].actor.tell(holder.Stop())
+    found = entryhelper.until(
+        lambda: pair.finished("job", daemon=1), "the other ends it"
+    )
+    assert {one["state"] for one in found} == {"done"}
+
+
+def test_lost_answers_of_the_store_double_nothing(pair):
+    """A write whose answer is lost is tried again as it was."""
+    pair.store.rows.faults.extend(
+        [memorystore.LOSE, memorystore.LATE, memorystore.LOSE] * 3
+    )
+    settled = threading.Timer(0.2, pair.store.rows.settle)
+    settled.start()
+    pair.submit("job", 4)
+    settled.join()
+    pair.submit("job", 4)
+    found = entryhelper.until(lambda: pair.finished("job"), "the job ends")
+    assert len({one["id"] for one in found}) == 4
+
+
+def test_a_daemon_that_is_turned_away_goes_through_a_peer(pair):
+    """The store serves one daemon; the other's calls go through it."""
+    cut, _ = pair.daemons
+    entryhelper.until(
+        lambda: len(cut.peers.ranking.members) == 2, "the peers are known"
+    )
+    cut.store._client._port = entryhelper.free_port()
+    assert pair.submit("job", 3, daemon=0).status == 202
+    found = entryhelper.until(
+        lambda: pair.finished("job", daemon=0), "the job ends"
+    )
+    assert len(found) == 3
+    pair.configure(7, entryhelper.ROUTES)
+    entryhelper.until(lambda: cut.state.table.revision == 7, "version 7")
+
+
+def test_readiness_turns_before_a_stop(fleet):
+    """The balancer learns first."""
+    daemon = fleet.daemons[0]
+    address = daemon.cfg.listen.readiness
+
+    def status():
+        conn = http.client.HTTPConnection(address)
+        conn.request("GET", "/readiness")
+        found = conn.getresponse().status
+        conn.close()
+        return found
+
+    assert status() == 200
+    daemon.state.stopping_s = 1.0
+    assert status() == 503
+    assert fleet.ask("r1").status == 200
+
+
+def test_metrics_tell_of_requests(fleet):
+    """The readiness address serves the counters."""
+    fleet.ask("r1")
+    address = fleet.daemons[0].cfg.listen.readiness
+    conn = http.client.HTTPConnection(address)
+    conn.request("GET", "/metrics")
+    text = conn.getresponse().read().decode()
+    assert 'outcome="answered",route="notes"' in text
