--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/batch.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/batch.py
@@ -9,7 +9,7 @@
 from samphirepost_daemon.entry import holder
 from samphirepost_daemon.entry import jobs
 from samphirepost_daemon.entry import web
-from samphirepost_daemon.entry.platform import wire
+from samphirepost_daemon.platform import wire
 
 # How often results are looked for while a reader waits (s).
 LOOK_S = 0.3
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -8,7 +8,7 @@
 from samphirepost import events
 from samphirepost import routing
 from samphirepost_daemon.entry import upstream
-from samphirepost_daemon.entry.platform import wire
+from samphirepost_daemon.platform import wire
 
 # How often a waiting request looks whether its caller has left (s); a run
 # has to be ended half a second after that.
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
@@ -7,7 +7,7 @@
 from samphirepost import events
 from samphirepost_daemon.entry import exchange
 from samphirepost_daemon.entry import upstream
-from samphirepost_daemon.entry.platform import wire
+from samphirepost_daemon.platform import wire
 
 # An item's run is left at an engine that says nothing for this long (s):
 # the longest pause that callers of streams put up with.
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
@@ -6,7 +6,7 @@
 from samphirepost_daemon.entry import exchange
 from samphirepost_daemon.entry import upstream
 from samphirepost_daemon.entry import web
-from samphirepost_daemon.entry.platform import wire
+from samphirepost_daemon.platform import wire
 
 
 class StreamCut(Exception):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/watch.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/watch.py
@@ -5,7 +5,7 @@
 
 from samphirepost import errors
 from samphirepost_daemon.entry import store
-from samphirepost_daemon.entry.platform import registry
+from samphirepost_daemon.platform import registry
 
 # Longest wait of one feed call (s). A feed that hangs is asked again after
 # this and the client's slack, which leaves time to be within the 2 s that
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/web.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/web.py
@@ -8,7 +8,7 @@
 
 from samphirepost import attempts
 from samphirepost import routing
-from samphirepost_daemon.entry.platform import wire
+from samphirepost_daemon.platform import wire
 
 
 def status_line(status):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -15,8 +15,8 @@
 from samphirepost_daemon.entry import state
 from samphirepost_daemon.entry import watch
 from samphirepost_daemon.entry import web
-from samphirepost_daemon.entry.platform import client
-from samphirepost_daemon.entry.platform import registry
+from samphirepost_daemon.platform import client
+from samphirepost_daemon.platform import registry
 
 READINESS_THREADS = 2
 RELAY_THREADS = 8
