--- a/packages/samphirepost/src/samphirepost/selection.py
+++ b/packages/samphirepost/src/samphirepost/selection.py
@@ -21,9 +21,9 @@
 # first, batch items are stopped; above the second, they are started, and
 # above the third also those that are late. A pool that online requests fill
 # takes a seventh of its slots anew in the 0.1 s that counts travel.
-KEEP_FREE_SHARE = 0.04
-START_FREE_SHARE = 0.08
-LATE_FREE_SHARE = 0.15
+KEEP_FREE_SHARE = 0.06
+START_FREE_SHARE = 0.12
+LATE_FREE_SHARE = 0.2
 # How long an online request holds a slot (s) until some have ended, and the
 # weight of each that ends.
 SERVICE_FIRST_S = 0.7
