--- a/packages/samphirepost-bench/src/samphirepost_bench/memorystore.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/memorystore.py
@@ -26,6 +26,7 @@
         self.faults = collections.deque()
         self.late = []
         self.down = False
+        self.silent = False
         self.history = []
         self.calls = 0
         self._lock = threading.RLock()
@@ -35,6 +36,8 @@
         self.calls += 1
         if self.down:
             return _refused()
+        if self.silent:
+            return _lost()
         with self._lock:
             found = [
                 store.Row(key, value, revision)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/jobs.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/jobs.py
@@ -138,10 +138,10 @@
         gate = store.Key("admissions", host, route.name)
         row = store.read_one(self._store, gate)
         if isinstance(row, errors.Failure):
-            return row
+            return row.not_run()
         waiting = self._waiting(host, route)
         if isinstance(waiting, errors.Failure):
-            return waiting
+            return waiting.not_run()
         store_ms, tokens = waiting
         own = sum(item.tokens for item in record.items)
         limit = route.waiting_tokens_max
@@ -212,7 +212,7 @@
             return known
         row = store.read_one(self._store, store.Key("jobs", host, job))
         if isinstance(row, errors.Failure):
-            return row
+            return row.not_run()
         if row is None:
             return Missing()
         head = codec.unpack(row.value, batchjob.Head)
@@ -228,7 +228,7 @@
             "results", host, _position(job, after), f"{job}0"
         )
         if isinstance(page, errors.Failure):
-            return page
+            return page.not_run()
         found = []
         size = 0
         for data in _join(page.rows):
@@ -249,7 +249,7 @@
             return head
         data = self._record_data(host, job, head)
         if isinstance(data, errors.Failure):
-            return data
+            return data.not_run()
         record = codec.unpack(data, batchjob.Record)
         self._records.put((host, job), record)
         return record
@@ -285,7 +285,7 @@
         for _ in range(ADMIT_TRIES):
             row = store.read_one(self._store, key)
             if isinstance(row, errors.Failure):
-                return row.unknown()
+                return row.not_run() if failure.certain else row.unknown()
             if row is None:
                 return None
             found = self._store.commit(
@@ -295,7 +295,7 @@
                 return None
             if isinstance(found, errors.Failure):
                 failure = found
-        return failure.unknown()
+        return failure
 
     def take(self, watched):
         """Makes this daemon an open job's holder.
--- a/packages/samphirepost/src/samphirepost/errors.py
+++ b/packages/samphirepost/src/samphirepost/errors.py
@@ -93,6 +93,17 @@
     outcome: Outcome = Outcome.NOT_RUN
     retry_after_s: float = 0.0
 
+    @property
+    def certain(self):
+        """Whether it is certain that the work has not run."""
+        return self.outcome is Outcome.NOT_RUN
+
+    def not_run(self):
+        """Returns the same failure, for work that has not begun."""
+        return Failure(
+            self.kind, self.reason, Outcome.NOT_RUN, self.retry_after_s
+        )
+
     def unknown(self):
         """Returns the same failure, for work that may have run."""
         return Failure(self.kind, self.reason, Outcome.UNKNOWN)
--- a/tests/test_batchjob.py
+++ b/tests/test_batchjob.py
@@ -93,6 +93,21 @@
     assert not rows.rows
 
 
+def test_a_read_without_an_answer_leaves_nothing_uncertain(rows):
+    """Before its write, a job is known not to exist; reads change nothing."""
+    kept = jobs.Jobs(rows, "vm1")
+    kept.submit(record("old"), route())
+    fresh = jobs.Jobs(rows, "vm2")
+    rows.silent = True
+    for found in (
+        fresh.submit(record(), route()),
+        fresh.results(HOST, "old", 0),
+        fresh.record(HOST, "old"),
+        kept.end(HOST, "old"),
+    ):
+        assert found.outcome is errors.Outcome.NOT_RUN
+
+
 def test_the_limit_of_waiting_tokens_holds_across_daemons(rows):
     """Free tokens count once, and come back as results are listed."""
     limited = route(limit=ITEMS * TOKENS)
