--- a/packages/samphirepost-cli/src/samphirepost_cli/actions.py
+++ b/packages/samphirepost-cli/src/samphirepost_cli/actions.py
@@ -14,6 +14,7 @@
 from samphirepost_cli import commands
 from samphirepost_cli import exits
 from samphirepost_cli import output
+from samphirepost_cli import story
 
 POLL_S = 0.2
 
@@ -413,3 +414,23 @@
     found = codec.from_json(reply.data, Status)
     output.line(ctx.env, f"{found.id} is {found.phase}")
     return exits.Exit.OK
+
+
+@run.register
+def _(command: commands.Explain, ctx):
+    data = _read_input(ctx.env, command.logs)
+    if isinstance(data, errors.Failure):
+        return output.failure(ctx.env, data)
+    lines = data.decode(errors="replace").splitlines()
+    steps = story.read(lines, command.subject)
+    if isinstance(steps, errors.Failure):
+        return output.failure(ctx.env, steps)
+    if command.json:
+        output.json(ctx.env, steps)
+        return exits.Exit.OK
+    header = ("AT", "VM", "EVENT", "INPUTS")
+    rows = [
+        (step.at, step.vm, step.event, " ".join(step.inputs)) for step in steps
+    ]
+    output.rows(ctx.env, header, rows)
+    return exits.Exit.OK
--- a/packages/samphirepost-cli/src/samphirepost_cli/commands.py
+++ b/packages/samphirepost-cli/src/samphirepost_cli/commands.py
@@ -229,6 +229,25 @@
     config: _Config = ""
 
 
+@cappa.command(
+    name="explain",
+    help="Tell from log lines what became of a request, job or item.",
+    description="Example: cat vm-*.log | samphirepost explain 9c41d07b",
+)
+@dataclasses.dataclass(slots=True)
+class Explain:
+    """Tell from log lines what became of a request, job or item."""
+
+    subject: typing.Annotated[
+        str, cappa.Arg(help="Id of the request, job or item.")
+    ]
+    logs: typing.Annotated[
+        str, cappa.Arg(help="Log file of any daemons; - reads them.")
+    ] = "-"
+    json: _Json = False
+    config: _Config = ""
+
+
 Command = (
     Apply
     | Check
@@ -243,6 +262,7 @@
     | Status
     | Results
     | Cancel
+    | Explain
 )
 
 
@@ -251,8 +271,8 @@
     help="Online and batch inference on one fleet.",
     description=(
         "Callers use complete, call, result, submit, status, results and"
-        " cancel. Operators use check, diff, apply, show, history and"
-        " members."
+        " cancel. Operators use check, diff, apply, show, history,"
+        " members and explain."
     ),
 )
 @dataclasses.dataclass(slots=True)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -83,3 +83,39 @@
     assert ended.value.code == exits.Exit.OK
     shown = capsys.readouterr().out
     assert "Example" in shown or "Operators use" in shown
+
+
+LOG = """\
+  8.5 front-1 {"at":"2026-01-01T00:00:08","vm":"vm1","event":"request.ended",\
+"request":"r1","status":503,"reason":"all engines are busy","revision":7}
+not json at all "r1"
+  8.1 front-1 {"at":"2026-01-01T00:00:07","vm":"vm1",\
+"event":"attempt.failed","request":"r1","engine":"e2","seen":"refused"}
+  8.2 front-1 {"at":"2026-01-01T00:00:07","vm":"vm1",\
+"event":"request.ended","request":"r2"}
+"""
+
+
+def test_a_request_is_explained_from_the_logs(tmp_path):
+    path = tmp_path / "vm.log"
+    path.write_text(LOG)
+    status, shown, _ = run("explain", "r1", str(path))
+    assert status == exits.Exit.OK
+    first, second = shown.splitlines()
+    assert "attempt.failed" in first
+    assert 'seen="refused"' in first
+    assert "revision=7" in second
+    status, shown, _ = run("explain", "r1", str(path), "--json")
+    assert [step["event"] for step in json.loads(shown)] == [
+        "attempt.failed",
+        "request.ended",
+    ]
+
+
+def test_what_no_line_tells_of_is_said_so(tmp_path):
+    path = tmp_path / "vm.log"
+    path.write_text(LOG)
+    status, shown, told = run("explain", "r9", str(path))
+    assert status == exits.Exit.REFUSED
+    assert shown == ""
+    assert "no line tells of r9" in told
