Count only an engine's own failures of items; bound the log; log faults

Only a status of 500 counts as a failed run of an item; other statuses are tried again. Lines are bounded to 200 a second of each level. A fault of the program is logged wherever it ends a thread, a message or a request.

--- a/packages/samphirepost-bench/src/samphirepost_bench/storeserver.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/storeserver.py
@@ -3,6 +3,7 @@
 import base64
 import http.server
 import json
+import sys
 import threading
 import time
 import urllib.parse
@@ -30,6 +31,11 @@
         """The server's IP:PORT."""
         return f"127.0.0.1:{self.server_address[1]}"
 
+    def handle_error(self, request, client_address):
+        """Passes over callers that left before their answer."""
+        if not isinstance(sys.exception(), ConnectionError):
+            super().handle_error(request, client_address)
+
     def start(self):
         """Serves until the process ends."""
         threading.Thread(target=self.serve_forever, daemon=True).start()
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/core.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/core.py
@@ -29,6 +29,7 @@
         signal.signal(number, lambda *_: stop.set())
     signal.signal(signal.SIGHUP, lambda *_: reload.set())
     daemon = wiring.Daemon(cfg)
+    threading.excepthook = daemon.fault
     start(daemon)
     while not stop.wait(POLL_S):
         daemon.actor.tell(holder.Tick())
@@ -68,7 +69,7 @@
     daemon.state.stopping_s = began_s
     daemon.actor.tell(holder.Stop())
     daemon.log.event("daemon.stopping")
-    daemon.membership.leave()
+    threading.Thread(target=daemon.membership.leave, daemon=True).start()
     last_s = began_s + cfg.stop_s - EXIT_MARGIN_S
     pause = threading.Event()
     while time.monotonic() < last_s:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -77,7 +77,7 @@
             found = self._attempt(engine, resume_after)
             if isinstance(found, Opened):
                 return found
-            self._failed(engine.id, found)
+            self.failed(engine.id, found)
             if self.history.next(self.left_s()) is not attempts.Next.RETRY:
                 return self._final()
 
@@ -105,7 +105,12 @@
             attempts.retry_after_s(wait_s),
         )
 
-    def _failed(self, name, found):
+    def left(self, name):
+        """Counts an engine's request as ended."""
+        self._board.ended(name)
+
+    def failed(self, name, found):
+        """Notes an attempt without a usable answer."""
         self.history.note(name, found.seen)
         self.last = found
         self._metrics.attempts.labels(found.seen.value).inc()
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -24,6 +24,8 @@
 # Items that one daemon runs at a time: two thirds of the slots that a fleet
 # of today has, as one daemon may hold most of the open jobs.
 RUNS_MAX = 32
+# Calls of the store at a time: one may take seconds while it is out.
+CALLS_MAX = 8
 # An item counts as late when this share of the time that it should still
 # take does not fit before it is due; sizes are known by their limit only.
 FEASIBLE_SHARE = 0.8
@@ -139,14 +141,20 @@
         self._pace = batchjob.Pace()
         self._log_due_s = 0.0
         self._stopping = False
-        self._pool = concurrent.futures.ThreadPoolExecutor(
-            RUNS_MAX + 6, thread_name_prefix="batch"
+        self._runs = concurrent.futures.ThreadPoolExecutor(
+            RUNS_MAX, thread_name_prefix="items"
+        )
+        self._calls = concurrent.futures.ThreadPoolExecutor(
+            CALLS_MAX, thread_name_prefix="calls"
         )
 
     def on_receive(self, message):
-        """Handles one message."""
-        handler = getattr(self, _HANDLERS[type(message)])
-        handler(message)
+        """Handles one message; a fault costs that message only."""
+        name = _HANDLERS[type(message)]
+        try:
+            getattr(self, name)(message)
+        except Exception as exc:
+            self._parts.log.failure("fault", where=name, error=repr(exc))
 
     def _hold(self, message):
         self._adopt(message.opened, message.record, "submitted")
@@ -201,7 +209,7 @@
             self._write(key, work, now_s)
 
     def _submit(self, function, *args):
-        self._pool.submit(self._guard, function, *args)
+        self._calls.submit(self._guard, function, *args)
 
     def _guard(self, function, *args):
         try:
@@ -310,7 +318,7 @@
         board.started(engine.id, batch=True)
         run = ItemRun(key, index, engine.id, pool, late, partial)
         self._running[id(run)] = run
-        self._submit(self._run_item, run, work, engine)
+        self._runs.submit(self._guard, self._run_item, run, work, engine)
         return True
 
     def _late(self, work, index, now_s):
@@ -390,14 +398,20 @@
         elif isinstance(outcome, items.Impossible):
             work.give_up(index)
         elif isinstance(outcome, items.Failed):
-            route = self._route(work)
-            work.fail(index, route.attempts_max if route else 3)
+            self._count_failure(work, index)
         else:
             work.running.discard(index)
             if outcome.fault:
                 self._parts.board.failed(run.engine, now_s)
         work.retry_at_s[index] = now_s + RETRY_S
 
+    def _count_failure(self, work, index):
+        route = self._route(work)
+        if route is None:
+            work.running.discard(index)
+            return
+        work.fail(index, route.attempts_max)
+
     # Writes.
 
     def _write(self, key, work, now_s):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
@@ -21,7 +21,7 @@
 
 
 class Failed(msgspec.Struct, frozen=True):
-    """The engine ran the item and failed."""
+    """The engine ran the item and failed; only these runs count."""
 
     reason: str
 
@@ -64,8 +64,10 @@
         return Interrupted("another request's answer", True)
     if head.status == 422:
         return Impossible()
+    if head.status == 500:
+        return Failed("the engine failed")
     if head.status != 200:
-        return Failed(f"status {head.status}")
+        return Interrupted(f"status {head.status}", True)
     return _collect(call, partial, stopped)
 
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/log.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/log.py
@@ -9,12 +9,16 @@
 import datetime
 import os
 import threading
+import time
 
 import msgspec
 
 # Lines that may wait for the writer; at some 300 bytes a line this bounds
 # the memory to 0.3 MB a queue.
 LINES_MAX = 1000
+# Lines of each kind that one second takes: three for each request of a
+# daemon that serves four times its share of today's peak.
+LINES_PER_S = 200
 FLUSH_S = 0.05
 
 
@@ -27,6 +31,8 @@
         self._lines = collections.deque()
         self._failures = collections.deque()
         self._dropped = 0
+        self._second = 0
+        self._counts = {}
         self._wake = threading.Event()
         self._closed = False
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -50,7 +56,7 @@
         self._thread.join(0.5)
 
     def _add(self, queue, level, name, fields):
-        if len(queue) >= LINES_MAX:
+        if len(queue) >= LINES_MAX or not self._admit(level):
             self._dropped += 1
             return
         stamp = datetime.datetime.now(datetime.UTC).isoformat(
@@ -62,6 +68,15 @@
         )
         self._wake.set()
 
+    def _admit(self, level):
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second = second
+            self._counts = {}
+        count = self._counts.get(level, 0)
+        self._counts[level] = count + 1
+        return count < LINES_PER_S
+
     def _run(self):
         while True:
             self._wake.wait()
@@ -80,7 +95,8 @@
                 self._write(b"\n".join(batch) + b"\n")
         if self._dropped:
             dropped, self._dropped = self._dropped, 0
-            self.failure("log.dropped", lines=dropped)
+            line = {"level": "error", "vm": self._vm, "event": "log.dropped"}
+            self._write(msgspec.json.encode(line | {"lines": dropped}) + b"\n")
 
     def _write(self, data):
         while data:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
@@ -73,7 +73,7 @@
         yield opened.body
 
     def _relay(self, opened):
-        outcome = "cut"
+        outcome, reason = "cut", None
         try:
             while True:
                 for event in opened.events:
@@ -84,16 +84,21 @@
                     break
                 opened = self._more(opened)
             outcome = "answered"
-        except exchange.Gone:
-            outcome = "caller-gone"
-            raise StreamCut from None
+        except StreamCut as exc:
+            reason = str(exc)
+            raise
         except GeneratorExit:
             outcome = "caller-gone"
             raise
+        except exchange.Gone:
+            outcome = "caller-gone"
+            raise StreamCut("the caller has left") from None
+        except Exception as exc:
+            outcome, reason = "error", repr(exc)
+            raise
         finally:
-            if opened is not None:
-                self._exchange.close(opened)
-            self._end(outcome)
+            self._exchange.close(opened)
+            self._end(outcome, reason=reason)
 
     def _more(self, opened):
         """Returns the attempt that the stream goes on with, and its events."""
@@ -113,7 +118,7 @@
             reason = found.reason
         seen = attempts.Seen.SILENT if found is None else attempts.Seen.BROKEN
         run = self._exchange
-        run._failed(opened.engine, exchange.Broken(seen, reason))
+        run.failed(opened.engine, exchange.Broken(seen, reason))
         again = run.history.next(run.left_s()) is attempts.Next.RETRY
         if not again or self._last_id is None:
             raise StreamCut(reason)
@@ -122,21 +127,21 @@
         resumed = run.open(self._last_id)
         if isinstance(resumed, attempts.Refusal):
             raise StreamCut(resumed.reason)
-        run._board.ended(opened.engine)
+        run.left(opened.engine)
         if resumed.head.status != 200:
             run.close(resumed)
             raise StreamCut(f"status {resumed.head.status}")
         return resumed
 
-    def _end(self, outcome, refusal=None):
+    def _end(self, outcome, refusal=None, reason=None):
         parts = self._parts
         parts.metrics.running.dec()
         parts.metrics.requests.labels(self._route.name, outcome).inc()
         write = parts.log.event
-        fields = {}
+        fields = {"reason": reason} if reason else {}
         if outcome in ("refused", "cut", "error"):
             write = parts.log.failure
-            fields = parts.state.ages()
+            fields |= parts.state.ages()
         if refusal is not None:
             fields["status"] = refusal.status
             fields["reason"] = refusal.reason
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/web.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/web.py
@@ -53,7 +53,17 @@
         self._batch = batch
 
     def __call__(self, environ, start_response):
-        """Answers one HTTP request."""
+        """Answers one HTTP request; a fault of the daemon promises nothing."""
+        try:
+            return self._answer(environ, start_response)
+        except Exception as exc:
+            self._parts.log.failure(
+                "fault", where=environ["PATH_INFO"], error=repr(exc)
+            )
+            refusal = attempts.Refusal(502, "a fault of the daemon")
+            return refuse(start_response, refusal)
+
+    def _answer(self, environ, start_response):
         req = wire.request(environ)
         if not isinstance(req, wire.Request):
             refusal = attempts.Refusal(400, req.reason)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -104,3 +104,8 @@
             READINESS_THREADS,
             BODY_BYTES_MAX,
         )
+
+    def fault(self, args):
+        """Logs an exception that ended a thread."""
+        where = args.thread.name if args.thread else ""
+        self.log.failure("fault", where=where, error=repr(args.exc_value))
