--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/peers.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/peers.py
@@ -72,28 +72,20 @@
             self._board.take_others(message.counts, now_s)
 
     def _flush(self, now_s):
-        self._report(now_s)
-        for vm, address in self._hub.reporters().items():
-            if vm != self._me:
-                others = self._hub.others(vm, now_s)
-                self._send(address, loadshare.Totals(self._me, others), now_s)
-
-    def _report(self, now_s):
         hub = self.ranking.hub(self._me, now_s)
         if hub != self._current:
             self._log.event("hub.changed", hub=hub, before=self._current)
             self._current = hub
-        own = self._board.own()
-        self._hub.take(loadshare.Report(self._me, own), self._address, now_s)
-        if hub == self._me:
-            others = self._hub.others(self._me, now_s)
-            self._board.take_others(others, now_s)
-        elif hub is not None:
-            self._send(
-                self.ranking.members[hub],
-                loadshare.Report(self._me, own),
-                now_s,
-            )
+        own = loadshare.Report(self._me, self._board.own())
+        self._hub.take(own, self._address, now_s)
+        if hub is not None and hub != self._me:
+            self._send(self.ranking.members[hub], own, now_s)
+        for vm, others in self._hub.others(now_s).items():
+            if vm != self._me:
+                totals = loadshare.Totals(self._me, others)
+                self._send(self._hub.address(vm), totals, now_s)
+            elif hub == self._me:
+                self._board.take_others(others, now_s)
 
     def _send(self, address, message, now_s):
         data = codec.pack(message)
--- a/packages/samphirepost/src/samphirepost/loadshare.py
+++ b/packages/samphirepost/src/samphirepost/loadshare.py
@@ -43,10 +43,9 @@
     counts: dict[str, Count]
 
 
-def add(one, other):
-    """Returns the sum of two maps of counts."""
-    total = dict(one)
-    for name, count in other.items():
+def add(total, counts):
+    """Adds a map of counts to `total` and returns it."""
+    for name, count in counts.items():
         have = total.get(name, NONE)
         total[name] = Count(
             have.online + count.online, have.batch + count.batch
@@ -54,6 +53,17 @@
     return total
 
 
+def subtract(total, counts):
+    """Returns `total` without `counts`, and without what is zero then."""
+    left = dict(total)
+    for name, count in counts.items():
+        have = left.pop(name)
+        rest = Count(have.online - count.online, have.batch - count.batch)
+        if rest != NONE:
+            left[name] = rest
+    return left
+
+
 class Hub:
     """Collects reports and sums them up for each reporter."""
 
@@ -66,19 +76,25 @@
         """Notes a daemon's report and where it came from."""
         self._reports[report.vm] = (now_s, address, report.counts)
 
-    def others(self, vm, now_s):
-        """Returns what all daemons but `vm` run."""
-        total = {}
-        for name, (seen_s, _, counts) in list(self._reports.items()):
+    def others(self, now_s):
+        """Returns what all others run, for each reporter.
+
+        The sum over all is made once, so the work grows with the reporters.
+        """
+        for name, (seen_s, _, _) in list(self._reports.items()):
             if now_s - seen_s > REPORT_STALE_S:
                 del self._reports[name]
-            elif name != vm:
-                total = add(total, counts)
-        return total
-
-    def reporters(self):
-        """Returns the daemons that report here, with their addresses."""
-        return {vm: entry[1] for vm, entry in self._reports.items()}
+        total = {}
+        for _, _, counts in self._reports.values():
+            total = add(total, counts)
+        return {
+            vm: subtract(total, entry[2])
+            for vm, entry in self._reports.items()
+        }
+
+    def address(self, vm):
+        """Returns where a reporter's messages came from."""
+        return self._reports[vm][1]
 
 
 class Ranking:
--- a/packages/samphirepost/src/samphirepost/selection.py
+++ b/packages/samphirepost/src/samphirepost/selection.py
@@ -7,9 +7,9 @@
 
 from samphirepost import loadshare
 
-# What a request sent to another zone must gain, in running requests: less
-# than one, so that it only decides between engines of equal load.
-OTHER_ZONE_COST = 0.4
+# How much less a free slot in another zone draws: bytes between zones are
+# priced, and a round trip takes 2 ms more.
+OTHER_ZONE_SHARE = 0.7
 # An engine that failed is avoided this long, doubled up to the longest.
 AVOID_S = 0.5
 AVOID_MAX_S = 4.0
@@ -155,19 +155,40 @@
         return health is not None and now_s < health.avoid_until_s
 
     def choose(self, engines, excluded, now_s, draw=random.random):
-        """Returns the least loaded engine, or None.
+        """Returns an engine for a request, or None.
 
-        Engines that failed lately are taken only when no other is left.
+        Free slots draw requests in proportion to the square of their number
+        at an engine, so that daemons that choose on the same old counts do
+        not all choose the same one. Without free slots the shortest queue
+        gets it; engines that failed lately are taken only when no other is
+        left.
         """
-        best = None
-        best_cost = None
-        for engine in engines:
-            if engine.id in excluded:
-                continue
-            cost = self._cost(engine, now_s, draw())
-            if best_cost is None or cost < best_cost:
-                best, best_cost = engine, cost
-        return best
+        left = [one for one in engines if one.id not in excluded]
+        sound = [one for one in left if not self.avoided(one.id, now_s)]
+        candidates = sound or left
+        if not candidates:
+            return None
+        weights = [self._weight(one, now_s) for one in candidates]
+        total = sum(weights)
+        if total <= 0:
+            return min(
+                candidates,
+                key=lambda one: self._queue(one, now_s) + draw(),
+            )
+        point = draw() * total
+        for one, weight in zip(candidates, weights, strict=True):
+            point -= weight
+            if point < 0:
+                return one
+        return candidates[weights.index(max(weights))]
+
+    def _weight(self, engine, now_s):
+        free = max(0, engine.slots - self.load(engine.id, now_s))
+        share = 1.0 if engine.zone == self._zone else OTHER_ZONE_SHARE
+        return share * free**2
+
+    def _queue(self, engine, now_s):
+        return (self.load(engine.id, now_s) - engine.slots) / engine.slots
 
     def choose_batch(self, engines, now_s, late):
         """Returns an engine for a batch item, or None.
@@ -186,9 +207,3 @@
             and not self.avoided(engine.id, now_s)
         ]
         return self.choose(roomy, (), now_s)
-
-    def _cost(self, engine, now_s, luck):
-        load = self.load(engine.id, now_s) * 8 / max(engine.slots, 1)
-        zone = 0.0 if engine.zone == self._zone else OTHER_ZONE_COST
-        avoided = self.avoided(engine.id, now_s)
-        return (avoided, load + zone + 0.1 * luck)
