--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -72,8 +72,9 @@
             engine = self._choose()
             if engine is None:
                 return self._final()
-            if self._too_late(engine):
-                return self._busy(engine)
+            wait_s = self._queue_s()
+            if wait_s is not None:
+                return self._busy(wait_s)
             found = self._attempt(engine, resume_after)
             if isinstance(found, Opened):
                 return found
@@ -87,18 +88,20 @@
             engines, self.history.excluded, time.monotonic()
         )
 
-    def _too_late(self, engine):
-        """Whether a new request would wait too long at the best engine."""
+    def _queue_s(self):
+        """Returns how long a new request waits, if that is too long."""
         if self.history.sends or self._req.resume_after is not None:
-            return False
+            return None
         patience_s = self._req.patience_s
         if attempts.returning(patience_s, self._route.timeout_s):
-            return False
-        wait_s = self._board.wait_s(engine, time.monotonic())
-        return wait_s > attempts.QUEUE_SHARE * self._route.first_byte_s
+            return None
+        engines = self._state.engines(self._pool)
+        wait_s = self._board.wait_s(engines, time.monotonic())
+        if wait_s <= attempts.QUEUE_SHARE * self._route.first_byte_s:
+            return None
+        return wait_s
 
-    def _busy(self, engine):
-        wait_s = self._board.wait_s(engine, time.monotonic())
+    def _busy(self, wait_s):
         return attempts.Refusal(
             503,
             f"all engines are busy for {wait_s:.2f} s",
--- a/packages/samphirepost/src/samphirepost/selection.py
+++ b/packages/samphirepost/src/samphirepost/selection.py
@@ -7,9 +7,12 @@
 
 from samphirepost import loadshare
 
-# How much less a free slot in another zone draws: bytes between zones are
-# priced, and a round trip takes 2 ms more.
-OTHER_ZONE_SHARE = 0.7
+# What a request sent to another zone must gain, in running requests: less
+# than one, as a round trip takes 2 ms more and the bytes have a price.
+OTHER_ZONE_COST = 0.3
+# How old counts of others are when they are used (s): half of the time that
+# two messages take at most.
+COUNTS_AGE_S = 0.05
 # An engine that failed is avoided this long, doubled up to the longest.
 AVOID_S = 0.5
 AVOID_MAX_S = 4.0
@@ -30,6 +33,18 @@
 SERVICE_GAIN = 0.05
 
 
+def fill_level(loads, more):
+    """Returns the level that `more` requests fill the lowest loads up to."""
+    ordered = sorted(loads)
+    total = 0.0
+    for count, load in enumerate(ordered, start=1):
+        total += load
+        level = (total + more) / count
+        if count == len(ordered) or level <= ordered[count]:
+            return level
+    return more
+
+
 class Health:
     """What attempts at one engine have shown."""
 
@@ -114,10 +129,14 @@
             if not self.avoided(engine.id, now_s)
         )
 
-    def wait_s(self, engine, now_s):
-        """Returns how long a request sent there now waits for a slot."""
-        ahead = self.load(engine.id, now_s) - engine.slots + 1
-        return max(0, ahead) * self.service_s / engine.slots
+    def wait_s(self, engines, now_s):
+        """Returns how long a request to a pool waits for a slot now."""
+        sound = [one for one in engines if not self.avoided(one.id, now_s)]
+        slots = sum(one.slots for one in sound)
+        if not slots:
+            return 0.0
+        running = sum(self.load(one.id, now_s) for one in sound)
+        return max(0, running + 1 - slots) * self.service_s / slots
 
     def served(self, took_s):
         """Notes how long an online request held its slot."""
@@ -157,38 +176,31 @@
     def choose(self, engines, excluded, now_s, draw=random.random):
         """Returns an engine for a request, or None.
 
-        Free slots draw requests in proportion to the square of their number
-        at an engine, so that daemons that choose on the same old counts do
-        not all choose the same one. Without free slots the shortest queue
-        gets it; engines that failed lately are taken only when no other is
-        left.
+        Other daemons choose on the same counts before these are renewed.
+        The requests expected meanwhile would fill the least loaded engines
+        up to some level; an engine is drawn in proportion to what it lacks
+        to that level, so that all choices together fill it evenly. Engines
+        that failed lately are taken only when no other is left.
         """
         left = [one for one in engines if one.id not in excluded]
         sound = [one for one in left if not self.avoided(one.id, now_s)]
         candidates = sound or left
         if not candidates:
             return None
-        weights = [self._weight(one, now_s) for one in candidates]
-        total = sum(weights)
-        if total <= 0:
-            return min(
-                candidates,
-                key=lambda one: self._queue(one, now_s) + draw(),
-            )
-        point = draw() * total
-        for one, weight in zip(candidates, weights, strict=True):
-            point -= weight
+        loads = [self._cost(one, now_s) for one in candidates]
+        running = sum(self.load(one.id, now_s) for one in candidates)
+        unseen = 1 + running / self.service_s * COUNTS_AGE_S
+        level = fill_level(loads, unseen)
+        point = draw() * unseen
+        for one, load in zip(candidates, loads, strict=True):
+            point -= max(0.0, level - load)
             if point < 0:
                 return one
-        return candidates[weights.index(max(weights))]
-
-    def _weight(self, engine, now_s):
-        free = max(0, engine.slots - self.load(engine.id, now_s))
-        share = 1.0 if engine.zone == self._zone else OTHER_ZONE_SHARE
-        return share * free**2
+        return candidates[loads.index(min(loads))]
 
-    def _queue(self, engine, now_s):
-        return (self.load(engine.id, now_s) - engine.slots) / engine.slots
+    def _cost(self, engine, now_s):
+        zone = 0.0 if engine.zone == self._zone else OTHER_ZONE_COST
+        return self.load(engine.id, now_s) - engine.slots + zone
 
     def choose_batch(self, engines, now_s, late):
         """Returns an engine for a batch item, or None.
