--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -127,8 +127,9 @@
 class Holder(pykka.ThreadingActor):
     """Owns the state of the held jobs."""
 
-    def __init__(self, parts, kept):
+    def __init__(self, parts, kept, alive):
         super().__init__()
+        self._alive = alive
         self._parts = parts
         self._jobs = kept
         self._works = {}
@@ -517,7 +518,9 @@
     def _take_over(self, now_s):
         if self._stopping:
             return
-        found = self._watch.abandoned(now_s, self._works)
+        found = self._watch.abandoned(
+            now_s, self._works, self._alive(), self._parts.me
+        )
         for key in found[:TAKES_MAX]:
             known = self._watch.get(key)
             host, job = key
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/peers.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/peers.py
@@ -38,6 +38,10 @@
         self._sent = {}
         self._current = None
 
+    def alive(self):
+        """Returns the ids of the members, or None if they are not known."""
+        return set(self.ranking.members) or None
+
     def run(self):
         """Exchanges loads for as long as the process lives."""
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/relay.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/relay.py
@@ -18,8 +18,8 @@
 
 PATH = "/store"
 CONTENT = "application/msgpack"
-# How long the store counts as out after a failed call (s): calls go to a
-# peer at once meanwhile.
+# How often a feed looks whether the store is back (s); all other calls go to
+# a peer at once meanwhile.
 OUT_S = 1.0
 # Peers that are asked for one call.
 PEERS_MAX = 2
@@ -151,7 +151,8 @@
         self._members = members
         self._log = log
         self._metrics = metrics
-        self._out_until_s = 0.0
+        self._out = False
+        self._probe_s = 0.0
         self._preferred = None
         self._lock = threading.Lock()
 
@@ -190,19 +191,33 @@
 
     def direct(self, call):
         """Makes a call without a peer; fails at once while it would fail."""
-        if time.monotonic() < self._out_until_s:
+        if self._out and not self._probes(call):
             reason = "the store is out of reach here"
             return errors.Failure(errors.Kind.PLATFORM_OUT, reason)
         return self._try(call)
 
+    def _probes(self, call):
+        """Whether a call looks if the store is back: no caller waits for it.
+
+        One feed does so at a time, every OUT_S.
+        """
+        now_s = time.monotonic()
+        if not isinstance(call, Feed) or now_s < self._probe_s:
+            return False
+        self._probe_s = now_s + OUT_S
+        return True
+
     def _try(self, call):
         found = perform(self._client, call)
         if _shows_outage(call, found):
-            self._out_until_s = time.monotonic() + OUT_S
+            self._out = True
+            self._probe_s = time.monotonic() + OUT_S
+        elif not isinstance(found, errors.Failure):
+            self._out = False
         return found
 
     def _call(self, call):
-        known_out = time.monotonic() < self._out_until_s
+        known_out = self._out
         found = self.direct(call)
         if not isinstance(found, errors.Failure):
             return found
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -61,7 +61,7 @@
         )
         calls = self.store
         kept = jobs.Jobs(calls, me)
-        self.actor = holder.Holder.start(parts, kept)
+        self.actor = holder.Holder.start(parts, kept, self.peers.alive)
         self.relay = listener.Listener(
             relay.App(calls),
             f"{cfg.peer_address}:{cfg.peer_port}",
--- a/packages/samphirepost/src/samphirepost/batchjob.py
+++ b/packages/samphirepost/src/samphirepost/batchjob.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from samphirepost import hashing
+
 # A holder's progress is written at least this often (s), so that others can
 # tell that it lives; four in a row may be late before a takeover.
 BEAT_S = 1.2
@@ -22,6 +24,10 @@
 # Weight of a new run in what is learned of the items' pace.
 PACE_GAIN = 0.2
 
+# A job whose holder is no member is taken over after this (s): a daemon
+# writes its row when it starts, and may hold its first job before.
+ORPHAN_S = 1.0
+
 
 class End(enum.Enum):
     """How an item ended."""
@@ -454,18 +460,27 @@
         """Returns the keys of the open jobs."""
         return list(self._jobs)
 
-    def abandoned(self, now_s, held):
-        """Returns jobs whose holder is gone, those longest first."""
+    def abandoned(self, now_s, held, alive, me):
+        """Returns jobs whose holder is gone, in this daemon's own order.
+
+        `alive` has the daemons that are members, or is None if that is not
+        known. A holder that is no member has stopped or started anew.
+        """
         found = [
-            (job.changed_s, key)
+            key
             for key, job in self._jobs.items()
-            if key not in held
-            and (
-                not job.progress.holder or now_s - job.changed_s >= TAKEOVER_S
-            )
+            if key not in held and _is_abandoned(job, now_s, alive)
         ]
-        return [key for _, key in sorted(found)]
+        return hashing.ranked(me, found)
 
     def get(self, key):
         """Returns what was last seen of an open job, or None."""
         return self._jobs.get(key)
+
+
+def _is_abandoned(job, now_s, alive):
+    holder = job.progress.holder
+    waited_s = now_s - job.changed_s
+    if not holder or waited_s >= TAKEOVER_S:
+        return True
+    return alive is not None and holder not in alive and waited_s >= ORPHAN_S
--- a/packages/samphirepost/src/samphirepost/hashing.py
+++ b/packages/samphirepost/src/samphirepost/hashing.py
@@ -17,7 +17,7 @@
 
 def ranked(key, members):
     """Returns the members from highest to lowest score for `key`."""
-    return sorted(members, key=lambda member: -score(key, member))
+    return sorted(members, key=lambda member: -score(key, str(member)))
 
 
 def digest(data):
--- a/tests/test_batchjob.py
+++ b/tests/test_batchjob.py
@@ -208,7 +208,7 @@
     watch = batchjob.Watch()
     progress = batchjob.Progress("evening", "", 1, 100, 0, 0)
     watch.see((HOST, "job"), 5, progress, 10.0)
-    assert watch.abandoned(10.0, {}) == [(HOST, "job")]
+    assert watch.abandoned(10.0, {}, None, "vm9") == [(HOST, "job")]
 
 
 def test_a_job_is_taken_over_only_after_its_holder_fell_silent():
@@ -218,12 +218,24 @@
     watch.see((HOST, "job"), 5, progress, 0.0)
     watch.see((HOST, "job"), 6, progress, 3.0)
     early_s = 3.0 + batchjob.TAKEOVER_S - 0.1
-    assert watch.abandoned(early_s, {}) == []
+    assert watch.abandoned(early_s, {}, None, "vm9") == []
     watch.blind(early_s)
-    assert watch.abandoned(3.0 + batchjob.TAKEOVER_S, {}) == []
+    assert watch.abandoned(3.0 + batchjob.TAKEOVER_S, {}, None, "vm9") == []
     late_s = early_s + batchjob.TAKEOVER_S
-    assert watch.abandoned(late_s, {}) == [(HOST, "job")]
-    assert watch.abandoned(late_s, {(HOST, "job")}) == []
+    assert watch.abandoned(late_s, {}, None, "vm9") == [(HOST, "job")]
+    assert watch.abandoned(late_s, {(HOST, "job")}, None, "vm9") == []
+
+
+def test_a_holder_that_started_anew_has_lost_its_jobs():
+    """After a loss of all power nobody waits for those that are gone."""
+    watch = batchjob.Watch()
+    progress = batchjob.Progress("evening", "vm1-old", 1, 100, 0, 0)
+    watch.see((HOST, "job"), 5, progress, 0.0)
+    soon_s = batchjob.ORPHAN_S
+    assert watch.abandoned(soon_s, {}, {"vm1-old"}, "vm2") == []
+    assert watch.abandoned(soon_s, {}, None, "vm2") == []
+    found = watch.abandoned(soon_s, {}, {"vm1-new", "vm2"}, "vm2")
+    assert found == [(HOST, "job")]
 
 
 def test_a_holder_whose_writes_do_not_settle_starts_nothing(rows):
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -5,9 +5,12 @@
 
 import pytest
 
+from samphirepost import errors
 from samphirepost_bench import memorystore
 from samphirepost_bench import streamengine
 from samphirepost_daemon.entry import holder
+from samphirepost_daemon.entry import metrics
+from samphirepost_daemon.entry import relay
 from tests import entryhelper
 
 Fault = streamengine.Fault
@@ -304,6 +307,36 @@
     entryhelper.until(lambda: cut.state.table.revision == 7, "version 7")
 
 
+class SlowRefusal:
+    """A store that takes its time to refuse, and counts who asked."""
+
+    def __init__(self):
+        self.asked = []
+
+    def read(self, table, part, start="", end=""):
+        """Refuses a read."""
+        self.asked.append("read")
+        return errors.Failure(errors.Kind.PLATFORM_OUT, "busy")
+
+    def changes(self, table, after, wait_s):
+        """Refuses a feed."""
+        self.asked.append("feed")
+        return errors.Failure(errors.Kind.PLATFORM_OUT, "busy")
+
+
+def test_callers_do_not_wait_for_a_store_that_is_out():
+    """Only feeds look whether it is back."""
+    rows = SlowRefusal()
+    reached = relay.Failover("vm1", rows, dict, None, metrics.Metrics())
+    call = relay.Read("jobs", "", "", "")
+    reached.direct(call)
+    for _ in range(3):
+        reached.direct(call)
+    assert rows.asked == ["read"]
+    reached.changes("op", 0, 0.0)
+    assert "feed" in rows.asked
+
+
 def test_readiness_turns_before_a_stop(fleet):
     """The balancer learns first."""
     daemon = fleet.daemons[0]
