--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/batch.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/batch.py
@@ -6,8 +6,8 @@
 from samphirepost import attempts
 from samphirepost import batchjob
 from samphirepost import errors
-from samphirepost_daemon.entry import holder
 from samphirepost_daemon.entry import jobs
+from samphirepost_daemon.entry import messages
 from samphirepost_daemon.entry import web
 from samphirepost_daemon.platform import wire
 
@@ -82,7 +82,7 @@
                 found.progress,
                 found.store_ms,
             )
-            self._actor.tell(holder.Hold(opened, record))
+            self._actor.tell(messages.Hold(opened, record))
 
     def _read(self, environ, start_response, host, job):
         after = wire.after(environ)
@@ -124,7 +124,7 @@
         failure = self._jobs.end(host, job)
         if failure is not None:
             return self._unread(start_response, job, failure)
-        self._actor.tell(holder.Drop(host, job, "ended by its caller"))
+        self._actor.tell(messages.Drop(host, job, "ended by its caller"))
         self._parts.log.event("job.ended", job=job)
         return web.reply(start_response, 200, b"{}")
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -7,7 +7,6 @@
 import concurrent.futures
 import time
 
-import msgspec
 import pykka
 
 from samphirepost import batchjob
@@ -15,6 +14,7 @@
 from samphirepost import routing
 from samphirepost_daemon.entry import items
 from samphirepost_daemon.entry import jobs
+from samphirepost_daemon.entry import messages
 from samphirepost_daemon.entry import store
 
 TICK_S = 0.1
@@ -39,91 +39,6 @@
 TAKES_MAX = 2
 
 
-class Hold(msgspec.Struct, frozen=True):
-    """Hold a job whose progress names this daemon."""
-
-    opened: jobs.Open
-    record: batchjob.Record
-
-
-class Drop(msgspec.Struct, frozen=True):
-    """Stop a job that is not this daemon's any more."""
-
-    host: str
-    job: str
-    reason: str
-
-
-class Tick(msgspec.Struct, frozen=True):
-    """Do what is due."""
-
-
-class ItemRun:
-    """An item's run at an engine; setting `stopped` ends it."""
-
-    __slots__ = (
-        "began_s",
-        "engine",
-        "events_before",
-        "index",
-        "key",
-        "late",
-        "partial",
-        "pool",
-        "stopped",
-    )
-
-    def __init__(self, key, index, engine, pool, late, partial):
-        self.began_s = time.monotonic()
-        self.events_before = len(partial.texts)
-        self.pool = pool
-        self.late = late
-        self.key = key
-        self.index = index
-        self.engine = engine
-        self.partial = partial
-        self.stopped = False
-
-
-class ItemEnded(msgspec.Struct, frozen=True):
-    """A run of an item ended."""
-
-    run: ItemRun
-    outcome: object
-
-
-class CommitEnded(msgspec.Struct, frozen=True):
-    """A write ended."""
-
-    key: tuple[str, str]
-    commit: batchjob.Commit
-    outcome: object
-
-
-class Seen(msgspec.Struct, frozen=True):
-    """What a look at the open jobs found; all of them if `full`."""
-
-    opened: list[jobs.Open]
-    closed: list[tuple[str, str]]
-    revision: int | None
-    full: bool
-
-
-class Unseen(msgspec.Struct, frozen=True):
-    """A look at the open jobs failed; `lost` if history is gone."""
-
-    reason: str
-    lost: bool = False
-
-
-class Taken(msgspec.Struct, frozen=True):
-    """This daemon became a job's holder; `partial` by item's index."""
-
-    opened: jobs.Open
-    record: batchjob.Record
-    partial: dict[int, batchjob.Partial]
-
-
 class Holder(pykka.ThreadingActor):
     """Owns the state of the held jobs."""
 
@@ -317,7 +232,7 @@
         work.running.add(index)
         partial = work.partial.setdefault(index, batchjob.Partial())
         board.started(engine.id, batch=True)
-        run = ItemRun(key, index, engine.id, pool, late, partial)
+        run = messages.ItemRun(key, index, engine.id, pool, late, partial)
         self._running[id(run)] = run
         self._runs.submit(self._guard, self._run_item, run, work, engine)
         return True
@@ -354,7 +269,7 @@
                 stopped,
             )
         finally:
-            self.actor_ref.tell(ItemEnded(run, outcome))
+            self.actor_ref.tell(messages.ItemEnded(run, outcome))
 
     def _item_ended(self, message):
         run = message.run
@@ -425,7 +340,7 @@
 
     def _commit(self, key, record, commit):
         outcome = self._jobs.commit(record, commit)
-        self.actor_ref.tell(CommitEnded(key, commit, outcome))
+        self.actor_ref.tell(messages.CommitEnded(key, commit, outcome))
 
     def _commit_ended(self, message):
         work = self._works.get(message.key)
@@ -439,12 +354,12 @@
             work.committed(outcome)
             if work.complete:
                 host, job = message.key
-                self._drop(Drop(host, job, "complete"))
+                self._drop(messages.Drop(host, job, "complete"))
                 return
             self._write(message.key, work, time.monotonic())
         elif isinstance(outcome, jobs.Missing):
             host, job = message.key
-            self._drop(Drop(host, job, "ended or taken over"))
+            self._drop(messages.Drop(host, job, "ended or taken over"))
         else:
             self._parts.log.failure(
                 "job.unsaved", job=work.record.id, reason=outcome.reason
@@ -456,11 +371,11 @@
     def _offered(self, message, work, outcome, offered):
         host, job = message.key
         if offered:
-            self._drop(Drop(host, job, "offered to others"))
+            self._drop(messages.Drop(host, job, "offered to others"))
             return
         work.committed(outcome)
         if work.complete:
-            self._drop(Drop(host, job, "complete"))
+            self._drop(messages.Drop(host, job, "complete"))
             return
         commit = work.offer(time.monotonic())
         self._submit(self._commit, message.key, work.record, commit)
@@ -476,17 +391,19 @@
             found = self._jobs.open_jobs()
             if not isinstance(found, errors.Failure):
                 opened, revision = found
-                self.actor_ref.tell(Seen(opened, [], revision, True))
+                self.actor_ref.tell(messages.Seen(opened, [], revision, True))
                 return
         else:
             found = self._jobs.changes(after)
             if isinstance(found, tuple):
                 opened, closed, revision = found
-                self.actor_ref.tell(Seen(opened, closed, revision, False))
+                self.actor_ref.tell(
+                    messages.Seen(opened, closed, revision, False)
+                )
                 return
         lost = isinstance(found, store.HistoryLost)
         reason = "history is gone" if lost else found.reason
-        self.actor_ref.tell(Unseen(reason, lost))
+        self.actor_ref.tell(messages.Unseen(reason, lost))
 
     def _seen(self, message):
         self._scanning = False
@@ -501,13 +418,15 @@
             self._watch.see(key, one.revision, one.progress, now_s)
             self._check_held(key, one)
         for host, job in closed:
-            self._drop(Drop(host, job, "closed"))
+            self._drop(messages.Drop(host, job, "closed"))
         self._take_over(now_s)
 
     def _check_held(self, key, one):
         if key in self._works and one.progress.holder != self._parts.me:
             host, job = key
-            self._drop(Drop(host, job, f"held by {one.progress.holder}"))
+            self._drop(
+                messages.Drop(host, job, f"held by {one.progress.holder}")
+            )
 
     def _unseen(self, message):
         self._scanning = False
@@ -545,7 +464,7 @@
                 "job.partial_lost", job=opened.job, reason=partial.reason
             )
             partial = {}
-        self.actor_ref.tell(Taken(found, record, partial))
+        self.actor_ref.tell(messages.Taken(found, record, partial))
 
     def _stop_work(self, _):
         self._stopping = True
@@ -559,18 +478,14 @@
                 self._submit(self._commit, key, work.record, commit)
 
 
-class Stop(msgspec.Struct, frozen=True):
-    """Start nothing new; what runs is left for another daemon."""
-
-
 _HANDLERS = {
-    Hold: "_hold",
-    Taken: "_taken",
-    Drop: "_drop",
-    Tick: "_tick",
-    ItemEnded: "_item_ended",
-    CommitEnded: "_commit_ended",
-    Seen: "_seen",
-    Unseen: "_unseen",
-    Stop: "_stop_work",
+    messages.Hold: "_hold",
+    messages.Taken: "_taken",
+    messages.Drop: "_drop",
+    messages.Tick: "_tick",
+    messages.ItemEnded: "_item_ended",
+    messages.CommitEnded: "_commit_ended",
+    messages.Seen: "_seen",
+    messages.Unseen: "_unseen",
+    messages.Stop: "_stop_work",
 }
--- a/tests/entryhelper.py
+++ b/tests/entryhelper.py
@@ -9,7 +9,7 @@
 from samphirepost_bench import storeserver
 from samphirepost_bench import streamengine
 from samphirepost_daemon.entry import core
-from samphirepost_daemon.entry import holder
+from samphirepost_daemon.entry import messages
 from samphirepost_daemon.entry import settings
 from samphirepost_daemon.entry import wiring
 
@@ -134,7 +134,7 @@
         while not self._stopped.wait(core.POLL_S):
             for daemon in self.daemons:
                 if daemon.actor.is_alive():
-                    daemon.actor.tell(holder.Tick())
+                    daemon.actor.tell(messages.Tick())
 
     def stop(self):
         """Ends what can be ended within the process."""
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -8,7 +8,7 @@
 from samphirepost import errors
 from samphirepost_bench import memorystore
 from samphirepost_bench import streamengine
-from samphirepost_daemon.entry import holder
+from samphirepost_daemon.entry import messages
 from samphirepost_daemon.entry import metrics
 from samphirepost_daemon.entry import relay
 from tests import entryhelper
@@ -270,7 +270,7 @@
         engine.faults.extend([Fault.SILENT] * 3)
     pair.submit("job", 3, daemon=0)
     entryhelper.until(lambda: pair.ran("job-0"), "an item runs")
-    pair.daemons[0].actor.tell(holder.Stop())
+    pair.daemons[0].actor.tell(messages.Stop())
     found = entryhelper.until(
         lambda: pair.finished("job", daemon=1), "the other ends it"
     )
