--- a/packages/samphirepost-bench/src/samphirepost_bench/demo.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/demo.py
@@ -305,7 +305,13 @@
     status, body = fleet.http.json(
         "GET", url, token=fleet_module.CALLERS["nurseries"]
     )
-    return status == 200 and body["choices"][0]["text"] == answer.text
+    if status == 200 and body["choices"][0]["text"] == answer.text:
+        return True
+    print(
+        f"unreadable: {answer.key} as {answer.work}, told stored"
+        f" {answer.stored}: {status} {body}"
+    )
+    return False
 
 
 def _print_metrics(fleet):
