--- a/tests/entryhelper.py
+++ b/tests/entryhelper.py
@@ -80,6 +80,10 @@
         )
 
 
+def _end_thread():
+    raise SystemExit
+
+
 class Fleet:
     """A store, engines and daemons on loopback."""
 
@@ -137,11 +141,23 @@
                     daemon.actor.tell(messages.Tick())
 
     def stop(self):
-        """Ends what can be ended within the process."""
+        """Ends the threads that would go on for the process's life.
+
+        A daemon ends with its process only, so its loops are ended from
+        here: else each test would run beside the daemons of all before it.
+        """
         self._stopped.set()
         self._ticker.join()
         for daemon in self.daemons:
             daemon.actor.stop()
+            daemon.peers._receive = _end_thread
+            for watch in daemon.watches:
+                watch.step = _end_thread
+            for listener in (daemon.callers, daemon.readiness, daemon.relay):
+                listener._server.close()
+        self.store.shutdown()
+        for engine in self.engines:
+            engine.shutdown()
 
     def ran(self, request):
         """Returns how often a request ran at all engines."""
