Know a takeover again whose answer was lost

Cause: Jobs.take built an Open without the store's time when its own row was already there, so a takeover that was made twice (a lost answer, then the same call through a peer) ended in a TypeError and the job lay for four seconds. Found by reading. Ruled out: the commit of results, which answers a revision only. Before: the new test fails with that TypeError. After: it passes; the conflict carries the store's time, as the platform's answer does.

--- a/packages/samphirepost-bench/src/samphirepost_bench/memorystore.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/memorystore.py
@@ -114,7 +114,7 @@
             for key in transaction.expected
             if key in self.rows
         ]
-        return store.Conflict(tuple(rows))
+        return store.Conflict(tuple(rows), 1000)
 
     def put_object(self, name, data):
         """Writes an object unless it exists."""
--- a/packages/samphirepost-bench/src/samphirepost_bench/storeserver.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/storeserver.py
@@ -93,7 +93,8 @@
             self.close_connection = True
             return None
         if isinstance(found, store.Conflict):
-            return self._send(412, {"rows": _rows(found.rows)})
+            body = {"rows": _rows(found.rows), "nowMs": found.store_ms}
+            return self._send(412, body)
         body = {"ver": found.revision, "nowMs": found.store_ms}
         return self._send(200, body)
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/jobs.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/jobs.py
@@ -321,7 +321,12 @@
         if isinstance(found, store.Conflict):
             row = found.get(key)
             if row is not None and row.value == codec.pack(progress):
-                return Open(watched.host, watched.job, row.revision, progress)
+                return msgspec.structs.replace(
+                    watched,
+                    revision=row.revision,
+                    progress=progress,
+                    store_ms=found.store_ms,
+                )
             return Missing()
         return found
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/store.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/store.py
@@ -73,6 +73,7 @@
     """A condition did not hold; `rows` are the expected rows as they are."""
 
     rows: tuple[Row, ...]
+    store_ms: int
 
     def get(self, key):
         """Returns the row with this key, or None."""
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/client.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/client.py
@@ -109,7 +109,8 @@
         if status == 200:
             return store.Written(found.ver, int(found.nowMs))
         if status == 412:
-            return store.Conflict(tuple(_row(row) for row in found.rows))
+            rows = tuple(_row(row) for row in found.rows)
+            return store.Conflict(rows, int(found.nowMs))
         return _refused(f"rows-tx: {status} {data[:200]!r}")
 
     def put_object(self, name, data):
--- a/tests/test_batchjob.py
+++ b/tests/test_batchjob.py
@@ -203,6 +203,18 @@
     assert other.partial(HOST, "job") == {}
 
 
+def test_a_takeover_whose_answer_was_lost_is_known_again(rows):
+    """The same write made again finds its own row, and the store's time."""
+    jobs.Jobs(rows, "vm1").submit(record(), route())
+    other = jobs.Jobs(rows, "vm2")
+    (opened,), _ = other.open_jobs()
+    rows.faults.append(memorystore.LOSE)
+    assert isinstance(other.take(opened), errors.Failure)
+    again = other.take(opened)
+    assert again.progress.holder == "vm2"
+    assert again.store_ms == opened.store_ms
+
+
 def test_an_offered_job_is_taken_at_once():
     """A planned stop does not make others wait for a lapse."""
     watch = batchjob.Watch()
