Start a listener's threads only when requests need them; one listener

Ruled out: the holder's executors, which grow with their work. Before: test_requests_one_after_the_other_share_a_thread finds all threads started. After: a thread starts for a task that finds all others busy.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/listener.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/listener.py
@@ -3,28 +3,74 @@
 import threading
 
 import waitress
+from waitress import task
 
 FLUSH_POLL_S = 0.02
 FLUSH_MAX_S = 5.0
+# Connections that may wait to be accepted: those of a burst, for a second.
+BACKLOG = 1024
+
+
+class GrowingDispatcher(task.ThreadedTaskDispatcher):
+    """Starts a thread only for a task that finds all others busy.
+
+    A thread holds memory and a slot in the VM's table of processes, and most
+    VMs serve a few requests at a time.
+    """
+
+    def __init__(self, threads_max):
+        super().__init__()
+        self._threads_max = threads_max
+        self._add_lock = threading.Lock()
+
+    def add_task(self, task):
+        """Hands a task to a thread, a new one if none is idle."""
+        with self._add_lock:
+            if self._all_busy() and len(self.threads) < self._threads_max:
+                self.set_thread_count(len(self.threads) + 1)
+            with self.lock:
+                self.queue.append(task)
+                self.queue_cv.notify()
+
+    def _all_busy(self):
+        with self.lock:
+            return len(self.queue) >= len(self.threads) - self.active_count
 
 
 class Listener:
-    """Serves one kind of work; kinds never share threads."""
+    """Serves one WSGI application at one address (IP:PORT).
+
+    Kinds of work have listeners of their own, so they never share threads.
+    """
 
-    def __init__(self, app, host, port, threads, body_bytes_max):
+    def __init__(
+        self,
+        app,
+        address,
+        threads_max,
+        body_bytes_max,
+        connections_max,
+        idle_s,
+        keep_proxy_headers=False,
+    ):
+        host, _, port = address.rpartition(":")
         self._server = waitress.create_server(
             app,
             map={},
+            _dispatcher=GrowingDispatcher(threads_max),
             host=host,
-            port=port,
-            threads=threads,
+            port=int(port),
             max_request_body_size=body_bytes_max,
             inbuf_overflow=body_bytes_max,
             outbuf_overflow=body_bytes_max,
-            connection_limit=4 * threads,
-            channel_timeout=300,
+            connection_limit=connections_max,
+            channel_timeout=idle_s,
+            cleanup_interval=5,
+            channel_request_lookahead=1,
+            asyncore_use_poll=True,
             ident=None,
-            clear_untrusted_proxy_headers=True,
+            backlog=BACKLOG,
+            clear_untrusted_proxy_headers=not keep_proxy_headers,
         )
         self._thread = threading.Thread(target=self._server.run, daemon=True)
 
@@ -32,6 +78,19 @@
         """Starts to accept connections."""
         self._thread.start()
 
+    @property
+    def threads(self):
+        """How many threads were started for requests."""
+        return len(self._server.task_dispatcher.threads)
+
+    @property
+    def idle(self):
+        """Whether no request is in progress or waits to be sent."""
+        return not any(
+            channel.requests or channel.total_outbufs_len
+            for channel in list(self._server.active_channels.values())
+        )
+
     def flush(self):
         """Waits until what was answered has left, for a while at most."""
         pause = threading.Event()
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/wiring.py
@@ -25,6 +25,11 @@
 from samphirepost_daemon import serve
 from samphirepost_daemon import targets
 
+# Connections of one listener for each of its threads, and how long one may
+# stay open without a request (s).
+CONNECTIONS_A_THREAD = 4
+IDLE_S = 300
+
 
 class Daemon:
     """The parts of one daemon that are started and stopped."""
@@ -150,29 +155,36 @@
         )
         self.peer_server = peers.Server(self.me.peer, handler.handle)
         listen = cfg.listen
-        self.online = listener.Listener(
+        self.online = self._listener(
             self._online_app(),
-            listen.host,
             listen.online_port,
             listen.online_threads,
             cfg.limits.body_bytes_max,
         )
-        self.batch = listener.Listener(
+        self.batch = self._listener(
             self._batch_app(),
-            listen.host,
             listen.batch_port,
             listen.batch_threads,
             cfg.limits.upload_bytes_max,
         )
-        self.operator = listener.Listener(
+        self.operator = self._listener(
             self._operator_app(),
-            listen.host,
             listen.operator_port,
             listen.operator_threads,
             operators.BODY_BYTES_MAX,
         )
         self.listeners = [self.online, self.batch, self.operator]
 
+    def _listener(self, app, port, threads, body_bytes_max):
+        return listener.Listener(
+            app,
+            f"{self.cfg.listen.host}:{port}",
+            threads,
+            body_bytes_max,
+            connections_max=CONNECTIONS_A_THREAD * threads,
+            idle_s=IDLE_S,
+        )
+
     def _online_app(self):
         server = serve.Server(
             self.me.name,
