Bound the queue of callers that return, so that answers are in time

Cause: callers that came back after a refusal were never sent away. Ruled out: the loads between daemons (the engines were full), the choice of engines (busiest/mean 1.00). Change: a caller that returns goes before new ones, up to a queue of 0.6 of the route's latency objective; past it, it gets its refusal at once.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -89,15 +89,12 @@
         )
 
     def _queue_s(self):
-        """Returns how long a new request waits, if that is too long."""
+        """Returns how long the request would wait, if that is too long."""
         if self.history.sends or self._req.resume_after is not None:
             return None
-        patience_s = self._req.patience_s
-        if attempts.returning(patience_s, self._route.timeout_s):
-            return None
         engines = self._state.engines(self._pool)
         wait_s = self._board.wait_s(engines, time.monotonic())
-        if wait_s <= attempts.QUEUE_SHARE * self._route.first_byte_s:
+        if wait_s <= attempts.queue_max_s(self._route, self._req.patience_s):
             return None
         return wait_s
 
--- a/packages/samphirepost/src/samphirepost/attempts.py
+++ b/packages/samphirepost/src/samphirepost/attempts.py
@@ -11,9 +11,12 @@
 # Time below which another attempt cannot end in time (s): a connection, the
 # prompt and the first event take longer on an idle engine.
 LEFT_MIN_S = 0.05
-# Share of the latency objective that a new request may wait in an engine's
+# Share of the latency objective that a request may wait in an engine's
 # queue; the rest is for the prompt and the first event on a full engine.
 QUEUE_SHARE = 0.4
+# The same for a caller that was refused before: it goes before new ones, but
+# a longer queue would make the answers of all behind it late as well.
+RETURN_QUEUE_SHARE = 0.6
 # A caller with less than this share of the route's time has waited before.
 FRESH_SHARE = 0.95
 # Shortest time after which a refused caller is told to return, and by how
@@ -94,11 +97,20 @@
 
 
 def returning(patience_s, timeout_s):
-    """Whether a caller has waited before, by the time that it has left.
+    """Whether a caller has waited before, by the time that it has left."""
+    return patience_s is not None and patience_s < FRESH_SHARE * timeout_s
+
 
-    Such a caller is not sent away again: it may have no further try.
+def queue_max_s(route, patience_s):
+    """Returns how long a request may wait for a slot; past it, it is refused.
+
+    Under lasting overload the queue stays at this length, so it must leave
+    room for an answer in time.
     """
-    return patience_s is not None and patience_s < FRESH_SHARE * timeout_s
+    share = QUEUE_SHARE
+    if returning(patience_s, route.timeout_s):
+        share = RETURN_QUEUE_SHARE
+    return share * route.first_byte_s
 
 
 def retry_after_s(wait_s, draw=random.random):
