Add a fault soak of real entry daemons with promises checked

Daemons run as processes, each behind a loopback proxy to the store; engines behind proxies of their own. Faults are drawn from a seed, overlap and come in series: kill, pause, planned stop and settings changes of daemons; a store that is down, slow, cut, one way or loses answers; engines that are cut, silent, reborn, draining or spoil answers; new tables. What callers and engines saw is checked against the promises while it runs and afterwards.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := .venv/bin
 UV_VERSION := 0.13.9
 
-.PHONY: setup demo test lint format bench slopes mutate clean
+.PHONY: setup demo test lint format bench slopes mutate soak clean
 
 setup: .venv/.ready
 
@@ -37,5 +37,8 @@
 mutate: setup
 	$(BIN)/python -m samphirepost_bench mutate
 
+soak: setup
+	$(BIN)/python -m samphirepost_bench soak --runs 10
+
 clean:
 	rm -rf .venv
--- a/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
@@ -3,6 +3,7 @@
 import dataclasses
 import pathlib
 import sys
+import time
 import typing
 
 import cappa
@@ -172,6 +173,29 @@
         return faults.run(self.folder)
 
 
+@cappa.command(name="soak", help="Plays random faults against daemons.")
+@dataclasses.dataclass
+class Soak:
+    """The fault soak, a run a seed."""
+
+    seed: typing.Annotated[
+        int, cappa.Arg(long=True, help="The first seed; 0: a fresh one.")
+    ] = 0
+    runs: typing.Annotated[
+        int, cappa.Arg(long=True, help="Seeds to play, one after another.")
+    ] = 1
+    seconds: typing.Annotated[
+        float, cappa.Arg(long=True, help="How long faults come (s).")
+    ] = 15.0
+
+    def __call__(self):
+        from samphirepost_bench import soak
+
+        first = self.seed or int(time.time())
+        red = soak.run(range(first, first + self.runs), self.seconds)
+        return 1 if red else 0
+
+
 Command = (
     Platform
     | Engine
@@ -183,6 +207,7 @@
     | Relay
     | Dispatch
     | Faults
+    | Soak
 )
 
 
--- /dev/null
+++ b/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
@@ -0,0 +1,221 @@
+"""Entry daemons as processes, before a store and engines behind proxies.
+
+The store and the engines run in this process, so that what reached them can
+be checked; each daemon has a proxy of its own to the store, each engine one
+to its callers.
+"""
+
+import asyncio
+import http.client
+import json
+import pathlib
+import signal
+import sys
+import tempfile
+import threading
+import time
+
+from samphirepost_bench import fleet
+from samphirepost_bench import forwarder
+from samphirepost_bench import storeserver
+from samphirepost_bench import streamengine
+
+HOST = "shop.example"
+POOL = "plants"
+ENTRY = pathlib.Path(__file__).parents[4] / "deploy" / "entry.py"
+# From SIGTERM to SIGKILL, as the platform grants it (s).
+GRACE_S = 8
+
+
+def route(name, prefix, kind="stream", **fields):
+    """Returns a route as the operator writes it."""
+    return {
+        "name": name,
+        "hostname": HOST,
+        "pathPrefix": prefix,
+        "kind": kind,
+        "service": POOL,
+        "timeoutMs": 5000,
+        "targetLatencyMs": 300,
+        "maxAttempts": 1,
+        **fields,
+    }
+
+
+ROUTES = (
+    route("notes", "/notes/", resumable=True, maxAttempts=2),
+    route("bills", "/bills/"),
+    route("evening", "/evening/", "batch", maxAttempts=2, retentionS=60),
+)
+
+
+def tables(version, routes):
+    """Returns the tables as the operator writes them."""
+    return {
+        "version": version,
+        "routes": list(routes),
+        "services": [{"name": POOL, "healthPath": "/health"}],
+        "limits": {},
+    }
+
+
+class Proxies:
+    """Forwarders on loopback, in an event loop of their own."""
+
+    def __init__(self):
+        self._loop = asyncio.new_event_loop()
+        thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        thread.start()
+
+    def open(self, to_address):
+        """Returns a Forwarder to an address, with a port of its own."""
+        to_port = int(to_address.rpartition(":")[2])
+        made = forwarder.Forwarder(fleet.HOST, fleet.free_port(), to_port)
+        asyncio.run_coroutine_threadsafe(made.start(), self._loop).result()
+        return made
+
+    def cut(self, proxy):
+        """Ends a forwarder's open connections."""
+        self._loop.call_soon_threadsafe(proxy.cut)
+
+
+class Daemon:
+    """One entry daemon's place: its settings outlive its process."""
+
+    def __init__(self, name, store_proxy, folder):
+        self.name = name
+        self.store_proxy = store_proxy
+        self.callers_port = fleet.free_port()
+        self.readiness_port = fleet.free_port()
+        self._folder = folder
+        self._path = folder / f"{name}.json"
+        self._path.write_text(json.dumps(self._settings()))
+        self.process = None
+
+    def _settings(self):
+        return {
+            "id": self.name,
+            "zone": "a",
+            "listen": {
+                "callers": f"{fleet.HOST}:{self.callers_port}",
+                "readiness": f"{fleet.HOST}:{self.readiness_port}",
+            },
+            "store": {
+                "address": f"{fleet.HOST}:{self.store_proxy.port}",
+            },
+            "peer_address": fleet.HOST,
+            "peer_port": fleet.free_port(),
+            "stop_s": GRACE_S,
+        }
+
+    def start(self):
+        """Starts the process."""
+        argv = [sys.executable, str(ENTRY), str(self._path)]
+        log = self._folder / f"{self.name}.log"
+        self.process = fleet.Process(self.name, argv, log)
+
+    @property
+    def ready(self):
+        """Whether callers may be sent here."""
+        conn = http.client.HTTPConnection(
+            fleet.HOST, self.readiness_port, timeout=1.0
+        )
+        try:
+            conn.request("GET", "/readiness")
+            return conn.getresponse().status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+        finally:
+            conn.close()
+
+    def hang_up(self):
+        """Tells the process that its settings file has changed."""
+        self.process.popen.send_signal(signal.SIGHUP)
+
+
+class Engine:
+    """One engine id; it may be reborn at another address."""
+
+    def __init__(self, name, proxies, store):
+        self.name = name
+        self._proxies = proxies
+        self._store = store
+        self.incarnations = []
+        self.proxy = None
+        self.bear()
+
+    @property
+    def current(self):
+        """The incarnation that serves."""
+        return self.incarnations[-1]
+
+    def bear(self):
+        """Starts a new incarnation, which knows nothing of the one before."""
+        made = streamengine.Engine(self.name)
+        made.start()
+        self.incarnations.append(made)
+        self.proxy = self._proxies.open(made.address)
+        self.list("ready")
+
+    def list(self, state):
+        """Writes the engine's entry; returns when the store has it."""
+        entry = self.current.entry(POOL, state)
+        entry["address"] = f"{fleet.HOST}:{self.proxy.port}"
+        entry["born"] = len(self.incarnations)
+        self._store.put("servers", self.name, entry)
+        return time.monotonic()
+
+
+class Fleet:
+    """All of one run; a context manager that ends its processes."""
+
+    def __init__(self, daemons, engines, folder=None):
+        self.folder = pathlib.Path(folder or tempfile.mkdtemp("-soak"))
+        self.store = storeserver.Server()
+        self.store.start()
+        self.proxies = Proxies()
+        self.engines = [
+            Engine(f"engine-{number}", self.proxies, self.store)
+            for number in range(engines)
+        ]
+        self.version = 0
+        self.configure()
+        self.daemons = [
+            Daemon(
+                f"vm-{number}",
+                self.proxies.open(self.store.address),
+                self.folder,
+            )
+            for number in range(daemons)
+        ]
+
+    def __enter__(self):
+        for daemon in self.daemons:
+            daemon.start()
+        return self
+
+    def __exit__(self, *exc):
+        for daemon in self.daemons:
+            if daemon.process.alive:
+                daemon.process.thaw()
+                daemon.process.kill()
+        self.store.shutdown()
+        for engine in self.engines:
+            for one in engine.incarnations:
+                one.shutdown()
+
+    def configure(self, **fields):
+        """Writes a new version of the tables; `fields` change each route."""
+        self.version += 1
+        routes = [{**one, **fields} for one in ROUTES]
+        self.store.put("op", "config", tables(self.version, routes))
+
+    def arrivals(self, request):
+        """Returns all arrivals of a request at engines."""
+        return [
+            one
+            for engine in self.engines
+            for incarnation in engine.incarnations
+            for one in list(incarnation.arrivals)
+            if one.id == request
+        ]
--- a/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
@@ -8,6 +8,7 @@
 import enum
 import http.server
 import threading
+import time
 
 GAP_S = 0.01
 
@@ -27,7 +28,7 @@
 class Arrival:
     """One request that reached an engine, and whether it ran."""
 
-    __slots__ = ("after", "headers", "id", "left_s", "path", "ran")
+    __slots__ = ("after", "at_s", "headers", "id", "left_s", "path", "ran")
 
     def __init__(self, handler):
         self.id = handler.headers["Request-Id"]
@@ -36,6 +37,7 @@
         value = handler.headers["Last-Event-Id"]
         self.after = 0 if value is None else int(value)
         self.left_s = int(handler.headers["Deadline-Ms"]) / 1000
+        self.at_s = time.monotonic()
         self.ran = False
 
 
