Offer jobs after an outage when a daemon stops in it

Ruled out: the choice of engines, full slots (batch items waited while slots were free). Change: a job is let go once its offer is written; its items go on until then, results that ended meanwhile are written first, and the process waits for it up to its grace. Test: test_a_planned_stop_in_an_outage_offers_the_jobs_after_it (before, the job was dropped and never offered). The soak's engines have one fault of their entry at a time now.

--- a/packages/samphirepost-bench/src/samphirepost_bench/soak.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/soak.py
@@ -292,8 +292,9 @@
 
     def _conclude(self, entry):
         fault = entry.fault
-        if isinstance(fault, soakfaults.EngineDrains):
-            span = (fault.engine.draining_s, time.monotonic())
+        drains = isinstance(fault, soakfaults.EngineDrains)
+        if drains and fault.engine is not None:
+            span = (fault.since_s, time.monotonic())
             self._drained.append((fault.engine.current, *span))
         fault.end()
         entry.end_s = time.monotonic()
--- a/packages/samphirepost-bench/src/samphirepost_bench/soakfaults.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/soakfaults.py
@@ -42,21 +42,27 @@
     def end(self):
         """Takes the fault away."""
 
+    def take(self, things):
+        """Returns one that no other fault has taken, or None."""
+        free = [one for one in things if one.name not in self.fleet.taken]
+        if not free:
+            return None
+        found = self.draw.choice(free)
+        self.where = found.name
+        self.fleet.taken.add(found.name)
+        return found
+
+    def release(self):
+        """Lets other faults take it."""
+        self.fleet.taken.discard(self.where)
+
 
 class AtDaemon(Fault):
     """A fault at a daemon that no other fault has taken."""
 
     def __init__(self, fleet, draw):
         super().__init__(fleet, draw)
-        free = [one for one in fleet.daemons if one.name not in fleet.taken]
-        self.daemon = draw.choice(free) if free else None
-        if self.daemon is not None:
-            self.where = self.daemon.name
-            fleet.taken.add(self.where)
-
-    def release(self):
-        """Lets other faults take the daemon."""
-        self.fleet.taken.discard(self.where)
+        self.daemon = self.take(fleet.daemons)
 
 
 class DaemonKill(AtDaemon):
@@ -243,27 +249,44 @@
         self.engine.current.faults.clear()
 
 
-class EngineDrains(AtEngine):
+class AtEntry(Fault):
+    """A fault that changes an engine's entry, one at a time."""
+
+    spares = True
+
+    def __init__(self, fleet, draw):
+        super().__init__(fleet, draw)
+        self.engine = self.take(fleet.engines)
+
+
+class EngineDrains(AtEntry):
     """An engine says that it leaves, and stays after all."""
 
     def begin(self):
         """Says so."""
-        self.engine.draining_s = self.engine.list("draining")
+        if self.engine is not None:
+            self.since_s = self.engine.list("draining")
 
     def end(self):
         """Takes work again."""
-        self.engine.draining_s = None
-        self.engine.list("ready")
+        if self.engine is not None:
+            self.engine.list("ready")
+            self.release()
 
 
-class EngineReborn(AtEngine):
+class EngineReborn(AtEntry):
     """An engine crashes and starts again under its id, elsewhere."""
 
     def begin(self):
         """Ends the one incarnation and starts the next."""
-        self.engine.proxy.refusing = True
-        self.fleet.proxies.cut(self.engine.proxy)
-        self.engine.bear()
+        if self.engine is not None:
+            self.engine.proxy.refusing = True
+            self.fleet.proxies.cut(self.engine.proxy)
+            self.engine.bear()
+
+    def end(self):
+        """Lets other faults take the engine."""
+        self.release()
 
 
 class TablesChange(Fault):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/core.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/core.py
@@ -76,7 +76,11 @@
         pause.wait(POLL_S)
         daemon.actor.tell(messages.Tick())
         waited = time.monotonic() - began_s > cfg.unready_s
-        if waited and daemon.callers.idle:
+        if waited and daemon.callers.idle and not daemon.state.held_jobs:
             break
-    daemon.log.event("daemon.stopped", clean=daemon.callers.idle)
+    daemon.log.event(
+        "daemon.stopped",
+        clean=daemon.callers.idle,
+        held_jobs=daemon.state.held_jobs,
+    )
     daemon.log.close()
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -91,12 +91,15 @@
         )
         work.partial.update(partial or {})
         self._works[key] = work
-        self._parts.metrics.held_jobs.set(len(self._works))
+        self._count_jobs()
         self._parts.log.event(
             "job.held", job=opened.job, why=why, revision=opened.revision
         )
-        if self._stopping:
-            self._offer_jobs()
+        self._write(key, work, time.monotonic())
+
+    def _count_jobs(self):
+        self._parts.state.held_jobs = len(self._works)
+        self._parts.metrics.held_jobs.set(len(self._works))
 
     def _drop(self, message):
         key = (message.host, message.job)
@@ -104,7 +107,7 @@
         self._watch.gone(key)
         if work is None:
             return
-        self._parts.metrics.held_jobs.set(len(self._works))
+        self._count_jobs()
         self._parts.log.event(
             "job.dropped", job=message.job, reason=message.reason
         )
@@ -119,8 +122,6 @@
         self._yield_slots(now_s)
         self._give_up(now_s)
         self._start_items()
-        if self._stopping:
-            return
         for key, work in list(self._works.items()):
             self._write(key, work, now_s)
 
@@ -253,11 +254,7 @@
 
     def _run_item(self, run, work, engine):
         def stopped():
-            return (
-                run.stopped
-                or self._stopping
-                or self._works.get(run.key) is not work
-            )
+            return run.stopped or self._works.get(run.key) is not work
 
         outcome = items.Interrupted("a fault of the daemon", False)
         try:
@@ -331,12 +328,22 @@
     # Writes.
 
     def _write(self, key, work, now_s):
+        commit = self._next_commit(work, now_s)
+        if commit is not None:
+            self._submit(self._commit, key, work.record, commit)
+
+    def _next_commit(self, work, now_s):
+        """Returns the write that a job needs now, if any.
+
+        A daemon that stops offers a job once its results are written.
+        """
+        if self._stopping and not work.ended:
+            return work.offer(now_s)
         if not work.due(now_s):
-            return
-        commit = work.next_commit(
+            return None
+        return work.next_commit(
             jobs.COMMIT_RESULTS_MAX, jobs.COMMIT_BYTES_MAX, now_s
         )
-        self._submit(self._commit, key, work.record, commit)
 
     def _commit(self, key, record, commit):
         outcome = self._jobs.commit(record, commit)
@@ -347,19 +354,10 @@
         if work is None or work.committing is not message.commit:
             return
         outcome = message.outcome
-        offered = not message.commit.progress.holder
-        if offered or (self._stopping and isinstance(outcome, int)):
-            self._offered(message, work, outcome, offered)
-        elif isinstance(outcome, int):
-            work.committed(outcome)
-            if work.complete:
-                host, job = message.key
-                self._drop(messages.Drop(host, job, "complete"))
-                return
-            self._write(message.key, work, time.monotonic())
+        if isinstance(outcome, int):
+            self._committed(message, work, outcome)
         elif isinstance(outcome, jobs.Missing):
-            host, job = message.key
-            self._drop(messages.Drop(host, job, "ended or taken over"))
+            self._let_go(message.key, "ended or taken over")
         else:
             self._parts.log.failure(
                 "job.unsaved", job=work.record.id, reason=outcome.reason
@@ -368,17 +366,18 @@
                 self._commit_later, message.key, work.record, message.commit
             )
 
-    def _offered(self, message, work, outcome, offered):
-        host, job = message.key
-        if offered:
-            self._drop(messages.Drop(host, job, "offered to others"))
-            return
-        work.committed(outcome)
+    def _committed(self, message, work, revision):
+        work.committed(revision)
         if work.complete:
-            self._drop(messages.Drop(host, job, "complete"))
-            return
-        commit = work.offer(time.monotonic())
-        self._submit(self._commit, message.key, work.record, commit)
+            self._let_go(message.key, "complete")
+        elif not message.commit.progress.holder:
+            self._let_go(message.key, "offered to others")
+        else:
+            self._write(message.key, work, time.monotonic())
+
+    def _let_go(self, key, reason):
+        host, job = key
+        self._drop(messages.Drop(host, job, reason))
 
     def _commit_later(self, key, record, commit):
         time.sleep(RETRY_S)
@@ -467,15 +466,10 @@
         self.actor_ref.tell(messages.Taken(found, record, partial))
 
     def _stop_work(self, _):
-        self._stopping = True
-        self._offer_jobs()
-
-    def _offer_jobs(self):
         """Lets other daemons take the held jobs at once."""
-        for key, work in self._works.items():
-            commit = work.offer(time.monotonic())
-            if commit is not None:
-                self._submit(self._commit, key, work.record, commit)
+        self._stopping = True
+        for key, work in list(self._works.items()):
+            self._write(key, work, time.monotonic())
 
 
 _HANDLERS = {
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/state.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/state.py
@@ -7,15 +7,16 @@
 
 
 class State:
-    """The tables, the engines and whether the daemon is stopping."""
+    """The tables, the engines, and what a stop has to wait for."""
 
-    __slots__ = ("roster", "stopping_s", "table", "table_read_s")
+    __slots__ = ("held_jobs", "roster", "stopping_s", "table", "table_read_s")
 
     def __init__(self):
         self.table = None
         self.table_read_s = None
         self.roster = roster.Roster()
         self.stopping_s = None
+        self.held_jobs = 0
 
     def adopt(self, table):
         """Takes a table if it is newer; returns whether it is."""
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from samphirepost import batchjob
+from samphirepost import codec
 from samphirepost import errors
 from samphirepost_bench import memorystore
 from samphirepost_bench import streamengine
@@ -277,6 +279,39 @@
     assert {one["state"] for one in found} == {"done"}
 
 
+def offers(fleet, job):
+    """Returns how often a job was offered to all daemons."""
+    found = [
+        codec.unpack(row.value, batchjob.Progress)
+        for row in fleet.store.rows.history
+        if row.key.table == "open" and row.key.key == job and not row.deleted
+    ]
+    return sum(progress.holder == "" for progress in found)
+
+
+def test_a_planned_stop_in_an_outage_offers_the_jobs_after_it(pair):
+    """Load pattern: daemons are stopped in turn while the store is down."""
+    stopping = pair.daemons[0]
+    for engine in pair.engines:
+        engine.faults.extend([Fault.SILENT] * 3)
+    pair.submit("job", 3, daemon=0)
+    entryhelper.until(lambda: pair.ran("job-0"), "an item runs")
+    pair.store.down = True
+    stopping.actor.tell(messages.Stop())
+    text = 'result="failed"'
+    entryhelper.until(
+        lambda: text in stopping.metrics.text().decode(), "the store is out"
+    )
+    assert stopping.state.held_jobs == 1
+    pair.store.down = False
+    entryhelper.until(lambda: offers(pair, "job"), "the job is offered")
+    entryhelper.until(lambda: not stopping.state.held_jobs, "it is let go")
+    found = entryhelper.until(
+        lambda: pair.finished("job", daemon=1), "the other ends it"
+    )
+    assert {one["state"] for one in found} == {"done"}
+
+
 def test_lost_answers_of_the_store_double_nothing(pair):
     """A write whose answer is lost is tried again as it was."""
     pair.store.rows.faults.extend(
