Cut values by the rows' size of the settings; let an exchange resume itself

Found by reading: the setting store.row_bytes_max was read and not used, and pieces had a size of their own, so a deployment with smaller rows would refuse every job. Pieces are a module now, used for records and results alike. The resumption of a stream moves from online to exchange, whose attempts are ended once; wire.SEAL and an argument that nobody used are gone.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -33,6 +33,7 @@
     parser: events.Parser
     body: bytes = b""
     done: bool = False
+    closed: bool = False
     began_s: float = 0.0
 
 
@@ -78,7 +79,7 @@
             found = self._attempt(engine, resume_after)
             if isinstance(found, Opened):
                 return found
-            self.failed(engine.id, found)
+            self._failed(engine.id, found)
             if self.history.next(self.left_s()) is not attempts.Next.RETRY:
                 return self._final()
 
@@ -105,11 +106,19 @@
             attempts.retry_after_s(wait_s),
         )
 
-    def left(self, name):
-        """Counts an engine's request as ended."""
-        self._board.ended(name)
+    def resume(self, opened, found, last_id):
+        """Leaves an attempt that broke off for one that goes on after it.
 
-    def failed(self, name, found):
+        Returns Opened, or a Refusal if none may follow.
+        """
+        self.close(opened)
+        self._failed(opened.engine, self._no_answer(found))
+        again = self.history.next(self.left_s()) is attempts.Next.RETRY
+        if not again or last_id is None:
+            return self._final()
+        return self.open(last_id)
+
+    def _failed(self, name, found):
         """Notes an attempt without a usable answer."""
         self.history.note(name, found.seen)
         self.last = found
@@ -166,6 +175,8 @@
     def _no_answer(self, found):
         if found is None:
             return Broken(attempts.Seen.SILENT, "the engine is silent")
+        if isinstance(found, upstream.Done):
+            return Broken(attempts.Seen.BROKEN, "the stream ended early")
         return Broken(attempts.Seen.BROKEN, found.reason)
 
     def _judge(self, call, engine, head):
@@ -190,7 +201,7 @@
             else:
                 return self._no_answer(found)
         if opened.done and opened.parser.rest:
-            return Broken(attempts.Seen.BROKEN, "the stream ended early")
+            return self._no_answer(upstream.Done())
         self._board.succeeded(opened.engine)
         opened.began_s = time.monotonic()
         return opened
@@ -210,14 +221,11 @@
         if opened.head.status < 500:
             self._board.succeeded(opened.engine)
             return opened
-        if opened.head.status in (503,) or self._again():
+        if opened.head.status == 503 or not self.history.last_run:
             reason = f"status {opened.head.status}"
             return Broken(attempts.Seen.FAILED, reason)
         return opened
 
-    def _again(self):
-        return not self.history.last_run
-
     def receive(self, call):
         """Returns what an engine sends next; None if it is silent too long.
 
@@ -237,7 +245,10 @@
                 return found
 
     def close(self, opened):
-        """Ends an attempt."""
+        """Ends an attempt; ending it again does nothing."""
+        if opened.closed:
+            return
+        opened.closed = True
         if opened.done and opened.began_s:
             self._board.served(time.monotonic() - opened.began_s)
         opened.call.close()
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/jobs.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/jobs.py
@@ -22,10 +22,9 @@
 from samphirepost import batchjob
 from samphirepost import codec
 from samphirepost import errors
+from samphirepost_daemon.entry import pieces
 from samphirepost_daemon.entry import store
 
-# Bytes of a value in one row: a store row takes 64 KiB of base64.
-PIECE_BYTES = 45_000
 # A transaction takes 1 MB and 100 entries; larger records become objects.
 RECORD_BYTES_MAX = 500_000
 # Results of one write: entries and bytes within the same limits.
@@ -103,9 +102,10 @@
 class Jobs:
     """The jobs in the store; safe for use by many threads."""
 
-    def __init__(self, client, me):
+    def __init__(self, client, me, row_bytes_max):
         self._store = client
         self._me = me
+        self._pieces = pieces.Pieces(row_bytes_max)
         self._heads = Cache(HEADS_MAX)
         self._records = Cache(RECORDS_MAX)
 
@@ -117,22 +117,23 @@
         """
         data = codec.pack(record)
         name = _object_name(record.host, record.id, data)
-        pieces = _split(data)
+        rows = {}
         if len(data) > RECORD_BYTES_MAX:
             failure = self._store.put_object(name, data)
             if failure is not None:
                 return failure
-            pieces = []
         else:
             name = ""
+            key = store.Key("pieces", record.host, record.id)
+            rows = self._pieces.puts(key, data)
         for _ in range(ADMIT_TRIES):
-            found = self._admit(record, route, pieces, name)
+            found = self._admit(record, route, rows, name)
             if found is not None:
                 return found
         reason = "too many jobs are submitted at once"
         return errors.Failure(errors.Kind.OVERLOADED, reason)
 
-    def _admit(self, record, route, pieces, name):
+    def _admit(self, record, route, rows, name):
         """Tries once; returns None if another admission came between."""
         host = record.host
         gate = store.Key("admissions", host, route.name)
@@ -148,7 +149,7 @@
         if limit and tokens + own > limit:
             return self._known_or(record, OverQuota(tokens, limit))
         head = batchjob.Head(
-            len(record.items), route.name, len(pieces), name, store_ms
+            len(record.items), route.name, len(rows), name, store_ms
         )
         progress = batchjob.Progress(
             route=route.name,
@@ -158,9 +159,9 @@
             due_ms=store_ms + int(route.completion_s * 1000),
             give_up_ms=store_ms + int(route.retention_s * 1000),
         )
-        return self._write(record, gate, row, head, progress, pieces)
+        return self._write(record, gate, row, head, progress, rows)
 
-    def _write(self, record, gate, row, head, progress, pieces):
+    def _write(self, record, gate, row, head, progress, rows):
         host = record.host
         job = store.Key("jobs", host, record.id)
         opened = store.Key("open", host, record.id)
@@ -168,9 +169,8 @@
             gate: self._me.encode(),
             job: codec.pack(head),
             opened: codec.pack(progress),
+            **rows,
         }
-        for number, piece in enumerate(pieces):
-            puts[_piece_key(host, record.id, number)] = piece
         expected = {job: store.ABSENT}
         expected[gate] = store.ABSENT if row is None else row.revision
         found = self._store.commit(store.Transaction(expected, puts))
@@ -231,7 +231,7 @@
             return page.not_run()
         found = []
         size = 0
-        for data in _join(page.rows):
+        for data in self._pieces.join(page.rows):
             result = codec.unpack(data, batchjob.Result)
             size += len(result.text)
             if found and size > ANSWER_BYTES_MAX:
@@ -342,9 +342,9 @@
         puts = {} if complete else {key: value}
         for offset, result in enumerate(commit.results):
             position = commit.first + offset
-            for number, piece in enumerate(_split(codec.pack(result))):
-                name = f"{_position(record.id, position)}/{number:03d}"
-                puts[store.Key("results", record.host, name)] = piece
+            name = _position(record.id, position)
+            base = store.Key("results", record.host, name)
+            puts |= self._pieces.puts(base, codec.pack(result))
         for one in commit.checkpoints:
             name = _checkpoint(record.id, one.index, one.number)
             puts[store.Key("partials", record.host, name)] = codec.pack(one)
@@ -407,32 +407,6 @@
     return f"{job}/{index:04d}/{number:04d}"
 
 
-def _piece_key(host, job, number):
-    return store.Key("pieces", host, f"{job}/{number:03d}")
-
-
 def _object_name(host, job, data):
     digest = hashlib.sha256(data).hexdigest()[:16]
     return f"records/{host}/{job}/{digest}"
-
-
-def _split(data):
-    return [
-        data[start : start + PIECE_BYTES]
-        for start in range(0, len(data), PIECE_BYTES)
-    ]
-
-
-def _join(rows):
-    """Returns whole values; a last one that may be cut is left out."""
-    values = []
-    name = None
-    for row in rows:
-        stem, _, number = row.key.key.rpartition("/")
-        if stem != name:
-            values.append([])
-            name = stem
-        values[-1].append(row.value)
-    if values and len(values[-1][-1]) == PIECE_BYTES:
-        values.pop()
-    return [b"".join(pieces) for pieces in values]
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
@@ -19,7 +19,7 @@
     def __init__(self, parts):
         self._parts = parts
 
-    def answer(self, environ, start_response, req, table, route, pool):
+    def answer(self, environ, start_response, req, route, pool):
         """Answers one request."""
         run = Run(self._parts, environ, req, route, pool)
         return run.answer(start_response)
@@ -113,23 +113,12 @@
         return self._resume(opened, found)
 
     def _resume(self, opened, found):
-        reason = "silent" if found is None else "ended early"
-        if isinstance(found, upstream.Broken):
-            reason = found.reason
-        seen = attempts.Seen.SILENT if found is None else attempts.Seen.BROKEN
-        run = self._exchange
-        run.failed(opened.engine, exchange.Broken(seen, reason))
-        again = run.history.next(run.left_s()) is attempts.Next.RETRY
-        if not again or self._last_id is None:
-            raise StreamCut(reason)
-        opened.call.close()
-        self._resumed += 1
-        resumed = run.open(self._last_id)
+        resumed = self._exchange.resume(opened, found, self._last_id)
         if isinstance(resumed, attempts.Refusal):
             raise StreamCut(resumed.reason)
-        run.left(opened.engine)
+        self._resumed += 1
         if resumed.head.status != 200:
-            run.close(resumed)
+            self._exchange.close(resumed)
             raise StreamCut(f"status {resumed.head.status}")
         return resumed
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/web.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/web.py
@@ -92,9 +92,7 @@
         if route.kind is routing.Kind.BATCH:
             return self._batch.submit(start_response, req, host, route)
         pool = routing.pick_pool(route)
-        return self._online.answer(
-            environ, start_response, req, table, route, pool
-        )
+        return self._online.answer(environ, start_response, req, route, pool)
 
 
 class Readiness:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
@@ -17,7 +17,6 @@
 TARGET_ID = "Target-Instance"
 RESUME_AFTER = "Last-Event-Id"
 NOT_EXECUTED = "not-executed"
-SEAL = "response-seal"
 WAIT = "Wait-Ms"
 
 # Headers that concern one connection, and those the daemon sets itself.
--- a/tests/test_batchjob.py
+++ b/tests/test_batchjob.py
@@ -12,6 +12,7 @@
 from samphirepost_daemon.entry import jobs
 
 HOST = "shop.example"
+ROW_BYTES = 65536
 ITEMS = 6
 TOKENS = 100
 
@@ -60,8 +61,8 @@
 
 def test_a_repeat_at_another_daemon_finds_the_job(rows):
     """However often a job comes, it is accepted once."""
-    first = jobs.Jobs(rows, "vm1").submit(record(), route())
-    second = jobs.Jobs(rows, "vm2").submit(record(), route())
+    first = jobs.Jobs(rows, "vm1", ROW_BYTES).submit(record(), route())
+    second = jobs.Jobs(rows, "vm2", ROW_BYTES).submit(record(), route())
     assert first.fresh
     assert isinstance(second, jobs.Accepted)
     assert not second.fresh
@@ -70,34 +71,34 @@
 def test_a_lost_answer_is_looked_up(rows):
     """A write that took effect without an answer is an acceptance."""
     rows.faults.append(memorystore.LOSE)
-    found = jobs.Jobs(rows, "vm1").submit(record(), route())
+    found = jobs.Jobs(rows, "vm1", ROW_BYTES).submit(record(), route())
     assert isinstance(found, jobs.Accepted)
 
 
 def test_an_uncertain_job_is_not_called_refused(rows):
     """The write may take effect later: no promise can be given."""
     rows.faults.append(memorystore.LATE)
-    found = jobs.Jobs(rows, "vm1").submit(record(), route())
+    found = jobs.Jobs(rows, "vm1", ROW_BYTES).submit(record(), route())
     assert isinstance(found, errors.Failure)
     assert found.outcome is errors.Outcome.UNKNOWN
     rows.settle()
-    again = jobs.Jobs(rows, "vm2").submit(record(), route())
+    again = jobs.Jobs(rows, "vm2", ROW_BYTES).submit(record(), route())
     assert isinstance(again, jobs.Accepted)
 
 
 def test_a_refused_write_promises_that_nothing_runs(rows):
     """The store said that it did nothing."""
     rows.faults.append(memorystore.REFUSE)
-    found = jobs.Jobs(rows, "vm1").submit(record(), route())
+    found = jobs.Jobs(rows, "vm1", ROW_BYTES).submit(record(), route())
     assert found.outcome is errors.Outcome.NOT_RUN
     assert not rows.rows
 
 
 def test_a_read_without_an_answer_leaves_nothing_uncertain(rows):
     """Before its write, a job is known not to exist; reads change nothing."""
-    kept = jobs.Jobs(rows, "vm1")
+    kept = jobs.Jobs(rows, "vm1", ROW_BYTES)
     kept.submit(record("old"), route())
-    fresh = jobs.Jobs(rows, "vm2")
+    fresh = jobs.Jobs(rows, "vm2", ROW_BYTES)
     rows.silent = True
     for found in (
         fresh.submit(record(), route()),
@@ -111,9 +112,9 @@
 def test_the_limit_of_waiting_tokens_holds_across_daemons(rows):
     """Free tokens count once, and come back as results are listed."""
     limited = route(limit=ITEMS * TOKENS)
-    kept = jobs.Jobs(rows, "vm1")
+    kept = jobs.Jobs(rows, "vm1", ROW_BYTES)
     first = kept.submit(record("one"), limited)
-    second = jobs.Jobs(rows, "vm2").submit(record("two"), limited)
+    second = jobs.Jobs(rows, "vm2", ROW_BYTES).submit(record("two"), limited)
     assert isinstance(second, jobs.OverQuota)
     work = work_of(record("one"), first)
     for index in range(ITEMS):
@@ -121,15 +122,15 @@
     assert isinstance(
         kept.commit(work.record, work.next_commit(20, 10_000, 0.0)), int
     )
-    third = jobs.Jobs(rows, "vm2").submit(record("two"), limited)
+    third = jobs.Jobs(rows, "vm2", ROW_BYTES).submit(record("two"), limited)
     assert isinstance(third, jobs.Accepted)
 
 
 def test_two_admissions_at_once_do_not_both_fit(rows):
     """An admission between a count and its write makes it count again."""
     limited = route(limit=ITEMS * TOKENS)
-    one = jobs.Jobs(rows, "vm1")
-    other = jobs.Jobs(rows, "vm2")
+    one = jobs.Jobs(rows, "vm1", ROW_BYTES)
+    other = jobs.Jobs(rows, "vm2", ROW_BYTES)
     read = rows.read
 
     def admit_between(table, part, start="", end=""):
@@ -149,31 +150,31 @@
 def test_a_large_job_is_kept_whole(rows):
     """A record over one transaction lies in an object."""
     made = record(count=40, body=b"x" * 20_000)
-    kept = jobs.Jobs(rows, "vm1")
+    kept = jobs.Jobs(rows, "vm1", ROW_BYTES)
     assert isinstance(kept.submit(made, route()), jobs.Accepted)
     assert rows.objects
-    assert jobs.Jobs(rows, "vm2").record(HOST, "job") == made
+    assert jobs.Jobs(rows, "vm2", ROW_BYTES).record(HOST, "job") == made
 
 
 def test_a_long_result_is_read_whole(rows):
     """A result over one row is put together again."""
-    kept = jobs.Jobs(rows, "vm1")
+    kept = jobs.Jobs(rows, "vm1", ROW_BYTES)
     work = work_of(record(), kept.submit(record(), route()))
-    text = b"y" * (2 * jobs.PIECE_BYTES + 7)
+    text = b"y" * (2 * ROW_BYTES + 7)
     finish(work, 2, text)
     kept.commit(work.record, work.next_commit(20, 1_000_000, 0.0))
-    found = jobs.Jobs(rows, "vm2").results(HOST, "job", 0)
+    found = jobs.Jobs(rows, "vm2", ROW_BYTES).results(HOST, "job", 0)
     assert found.total == ITEMS
     assert [one.text for one in found.results] == [text]
 
 
 def test_a_job_goes_on_after_all_power_was_lost(rows):
     """The rows are all there is: a new daemon runs what is unlisted."""
-    kept = jobs.Jobs(rows, "vm1")
+    kept = jobs.Jobs(rows, "vm1", ROW_BYTES)
     work = work_of(record(), kept.submit(record(), route()))
     finish(work, 3)
     kept.commit(work.record, work.next_commit(20, 10_000, 0.0))
-    fresh = jobs.Jobs(rows, "vm9")
+    fresh = jobs.Jobs(rows, "vm9", ROW_BYTES)
     (opened,), _ = fresh.open_jobs()
     taken = fresh.take(opened)
     again = batchjob.Work(
@@ -185,7 +186,7 @@
 
 def test_a_next_holder_goes_on_from_the_checkpoint(rows):
     """Saved output is not run again, and ends with the item."""
-    kept = jobs.Jobs(rows, "vm1")
+    kept = jobs.Jobs(rows, "vm1", ROW_BYTES)
     work = work_of(record(), kept.submit(record(), route()))
     partial = work.partial.setdefault(1, batchjob.Partial())
     for number in range(1, 6):
@@ -194,7 +195,7 @@
     partial.take(6, b"t6")
     work.committed(kept.commit(work.record, work.next_commit(20, 10_000, 1.0)))
     partial.take(7, b"unsaved")
-    other = jobs.Jobs(rows, "vm2")
+    other = jobs.Jobs(rows, "vm2", ROW_BYTES)
     found = other.partial(HOST, "job")[1]
     assert found.last_id == 6
     assert found.text == b"t1\nt2\nt3\nt4\nt5\nt6"
@@ -205,8 +206,8 @@
 
 def test_a_takeover_whose_answer_was_lost_is_known_again(rows):
     """The same write made again finds its own row, and the store's time."""
-    jobs.Jobs(rows, "vm1").submit(record(), route())
-    other = jobs.Jobs(rows, "vm2")
+    jobs.Jobs(rows, "vm1", ROW_BYTES).submit(record(), route())
+    other = jobs.Jobs(rows, "vm2", ROW_BYTES)
     (opened,), _ = other.open_jobs()
     rows.faults.append(memorystore.LOSE)
     assert isinstance(other.take(opened), errors.Failure)
@@ -252,7 +253,7 @@
 
 def test_a_holder_whose_writes_do_not_settle_starts_nothing(rows):
     """Others may hold the job by then: its runs would be in vain."""
-    kept = jobs.Jobs(rows, "vm1")
+    kept = jobs.Jobs(rows, "vm1", ROW_BYTES)
     work = work_of(record(), kept.submit(record(), route()))
     work.next_commit(20, 10_000, 0.0)
     assert work.runnable(1.0)
@@ -261,14 +262,14 @@
 
 def test_an_item_that_always_fails_is_given_up(rows):
     """After the route's attempts, durably counted."""
-    kept = jobs.Jobs(rows, "vm1")
+    kept = jobs.Jobs(rows, "vm1", ROW_BYTES)
     work = work_of(record(), kept.submit(record(), route()))
     for _ in range(2):
         work.fail(0, 3)
         work.committed(
             kept.commit(work.record, work.next_commit(20, 10_000, 0.0))
         )
-    (opened,), _ = jobs.Jobs(rows, "vm2").open_jobs()
+    (opened,), _ = jobs.Jobs(rows, "vm2", ROW_BYTES).open_jobs()
     assert opened.progress.failures == {0: 2}
     work.fail(0, 3)
     assert work.ended[0].end is batchjob.End.GIVEN_UP
@@ -276,7 +277,7 @@
 
 def test_an_item_that_ends_twice_is_listed_once(rows):
     """A run that was thought dead may still bring its output."""
-    kept = jobs.Jobs(rows, "vm1")
+    kept = jobs.Jobs(rows, "vm1", ROW_BYTES)
     work = work_of(record(), kept.submit(record(), route()))
     for _ in range(2):
         finish(work, 0)
@@ -315,7 +316,8 @@
         super().__init__()
         self.rows = memorystore.MemoryStore()
         self.kept = {
-            vm: jobs.Jobs(self.rows, vm) for vm in ("vm1", "vm2", "vm3")
+            vm: jobs.Jobs(self.rows, vm, ROW_BYTES)
+            for vm in ("vm1", "vm2", "vm3")
         }
         made = record()
         found = self.kept["vm1"].submit(made, route())
