Read results whose size is a whole number of pieces

Cause: a value whose last piece was full was taken for one that goes on, on the last page too, so such a result was never listed to its caller. Found by reading. The page now says whether more rows follow. Test: test_a_value_of_just_whole_pieces_is_read failed first.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/jobs.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/jobs.py
@@ -231,7 +231,7 @@
             return page.not_run()
         found = []
         size = 0
-        for data in self._pieces.join(page.rows):
+        for data in self._pieces.join(page.rows, page.more):
             result = codec.unpack(data, batchjob.Result)
             size += len(result.text)
             if found and size > ANSWER_BYTES_MAX:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/pieces.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/pieces.py
@@ -16,10 +16,10 @@
             for start in range(0, len(data), self.bytes_max)
         ]
 
-    def join(self, rows):
-        """Returns whole values; a last one that may be cut is left out.
+    def join(self, rows, more):
+        """Returns whole values; the rows' keys are NAME/NUMBER, in order.
 
-        The rows' keys are NAME/NUMBER, in order.
+        If `more` rows follow, the last value may be cut and is left out.
         """
         values = []
         name = None
@@ -29,7 +29,7 @@
                 values.append([])
                 name = stem
             values[-1].append(row.value)
-        if values and len(values[-1][-1]) == self.bytes_max:
+        if more and values:
             values.pop()
         return [b"".join(parts) for parts in values]
 
