--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/log.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/log.py
@@ -23,14 +23,14 @@
 
 
 class Log:
-    """Writes typed lines as JSON."""
+    """Writes typed lines as JSON; `dropped` lines are to be told of."""
 
     def __init__(self, vm, file_no=1):
         self._vm = vm
         self._file_no = file_no
         self._lines = collections.deque()
         self._failures = collections.deque()
-        self._dropped = 0
+        self.dropped = 0
         self._second = 0
         self._counts = {}
         self._wake = threading.Event()
@@ -57,7 +57,7 @@
 
     def _add(self, queue, level, name, fields):
         if len(queue) >= LINES_MAX or not self._admit(level):
-            self._dropped += 1
+            self.dropped += 1
             return
         stamp = datetime.datetime.now(datetime.UTC).isoformat(
             "T", "milliseconds"
@@ -93,8 +93,8 @@
                 while queue and len(batch) < 50:
                     batch.append(msgspec.json.encode(queue.popleft()))
                 self._write(b"\n".join(batch) + b"\n")
-        if self._dropped:
-            dropped, self._dropped = self._dropped, 0
+        if self.dropped:
+            dropped, self.dropped = self.dropped, 0
             line = {"level": "error", "vm": self._vm, "event": "log.dropped"}
             self._write(msgspec.json.encode(line | {"lines": dropped}) + b"\n")
 
