--- a/packages/samphirepost-bench/src/samphirepost_bench/slopes.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/slopes.py
@@ -15,6 +15,7 @@
 from samphirepost import holding
 from samphirepost import jobs
 from samphirepost import ledger
+from samphirepost import ledgerstate
 from samphirepost import membership
 from samphirepost import messages
 from samphirepost import records
@@ -145,7 +146,7 @@
         segments = []
 
         def fill(count=count, segments=segments):
-            state = ledger.State(5.0, 3)
+            state = ledgerstate.State(5.0, 3)
             for start in range(0, count, 500):
                 held = []
                 for number in range(start, min(count, start + 500)):
@@ -170,7 +171,9 @@
                 "segment_bytes": size,
                 "state_bytes": (kept - sum(len(s) for s in segments)) / count,
                 "snapshot_ms": 1e3
-                * seconds_per_call(lambda s=state: codec.pack(ledger.save(s))),
+                * seconds_per_call(
+                    lambda s=state: codec.pack(ledgerstate.save(s))
+                ),
                 "replay_ms": 1e3 * _replay_s(segments),
             }
         )
@@ -179,7 +182,7 @@
 
 def _replay_s(segments):
     started_s = time.process_time()
-    state = ledger.State(5.0, 3)
+    state = ledgerstate.State(5.0, 3)
     for data in segments:
         segment = codec.unpack(data, records.Segment)
         for position, record in enumerate(segment.records):
@@ -201,7 +204,7 @@
     found = []
     for total in ITEMS:
         job, kept = _memory(lambda t=total: jobs.Job(accepted(t)))
-        state = ledger.State(5.0, 3)
+        state = ledgerstate.State(5.0, 3)
         state.jobs["job-000-x"] = job
         started_s = time.process_time()
         _run_job(state, total)
@@ -296,7 +299,7 @@
             0,
             records.Row("vm", 1),
             1,
-            ledger.State(5.0, 3),
+            ledgerstate.State(5.0, 3),
             holding.hold(self, 0.0),
             holding.Limits(20_000, 1 << 30),
             lambda: "write",
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/commits.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/commits.py
@@ -7,6 +7,7 @@
 from samphirepost import codec
 from samphirepost import errors
 from samphirepost import ledger
+from samphirepost import ledgerstate
 from samphirepost import records
 from samphirepost_daemon import backing
 from samphirepost_daemon import metrics
@@ -19,7 +20,7 @@
 
     row: records.Row
     revision: int
-    state: ledger.State
+    state: ledgerstate.State
 
 
 def row_key(partition):
@@ -37,7 +38,7 @@
     found = services.table.read(row_key(partition))
     if isinstance(found, errors.Failure):
         return found
-    state = ledger.State(cfg.claim_ms / 1000, cfg.attempts_max)
+    state = ledgerstate.State(cfg.claim_ms / 1000, cfg.attempts_max)
     if found is None:
         return Loaded(records.Row(), backing.ABSENT, state)
     row = codec.unpack(found.value, records.Row)
@@ -52,7 +53,7 @@
         data = objects.get(row.snapshot)
         if isinstance(data, errors.Failure):
             return data
-        ledger.load(state, codec.unpack(data, ledger.Snapshot), now)
+        ledgerstate.load(state, codec.unpack(data, ledgerstate.Snapshot), now)
     for name in row.segments:
         data = objects.get(name)
         if isinstance(data, errors.Failure):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/core.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/core.py
@@ -8,7 +8,7 @@
 
 from samphirepost_daemon import ledgers
 from samphirepost_daemon import members
-from samphirepost_daemon import runner
+from samphirepost_daemon import runnermessages
 from samphirepost_daemon import wiring
 
 DRAIN_POLL_S = 0.1
@@ -54,12 +54,12 @@
     daemon.members.tell(members.Serving(False))
     pause = threading.Event()
     pause.wait(daemon.cfg.drain_notice_ms / 1000)
-    daemon.runner.tell(runner.Stop())
+    daemon.runner.tell(runnermessages.Stop())
     longest_s = daemon.cfg.limits.online_deadline_ms / 1000
     daemon.gate.wait_empty(longest_s + DRAIN_MARGIN_S)
     for listener in daemon.listeners:
         listener.flush()
-    _wait(lambda: not daemon.runner.ask(runner.Busy()), DRAIN_MARGIN_S)
+    _wait(lambda: not daemon.runner.ask(runnermessages.Busy()), DRAIN_MARGIN_S)
     _wait(lambda: not len(daemon.outbox), DRAIN_MARGIN_S)
     _wait(lambda: daemon.keeper.empty, DRAIN_MARGIN_S)
     release(daemon)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -10,12 +10,11 @@
 import pykka
 
 from samphirepost import batchjob
-from samphirepost import errors
 from samphirepost import routing
 from samphirepost_daemon.entry import items
 from samphirepost_daemon.entry import jobs
 from samphirepost_daemon.entry import messages
-from samphirepost_daemon.entry import store
+from samphirepost_daemon.entry import takeovers
 
 TICK_S = 0.1
 # How often open jobs are looked for (s): an ended job has to stop within
@@ -47,6 +46,7 @@
         self._alive = alive
         self._parts = parts
         self._jobs = kept
+        self._takeovers = takeovers.Takeovers(kept, parts.log)
         self._works = {}
         self._dead = set()
         self._watch = batchjob.Watch()
@@ -386,23 +386,7 @@
     # Takeovers.
 
     def _look(self, after):
-        if after is None:
-            found = self._jobs.open_jobs()
-            if not isinstance(found, errors.Failure):
-                opened, revision = found
-                self.actor_ref.tell(messages.Seen(opened, [], revision, True))
-                return
-        else:
-            found = self._jobs.changes(after)
-            if isinstance(found, tuple):
-                opened, closed, revision = found
-                self.actor_ref.tell(
-                    messages.Seen(opened, closed, revision, False)
-                )
-                return
-        lost = isinstance(found, store.HistoryLost)
-        reason = "history is gone" if lost else found.reason
-        self.actor_ref.tell(messages.Unseen(reason, lost))
+        self.actor_ref.tell(self._takeovers.look(after))
 
     def _seen(self, message):
         self._scanning = False
@@ -447,23 +431,9 @@
             self._submit(self._take, opened)
 
     def _take(self, opened):
-        record = self._jobs.record(opened.host, opened.job)
-        if not isinstance(record, batchjob.Record):
-            return
-        found = self._jobs.take(opened)
-        if isinstance(found, errors.Failure):
-            self._parts.log.failure(
-                "job.not_taken", job=opened.job, reason=found.reason
-            )
-        if not isinstance(found, jobs.Open):
-            return
-        partial = self._jobs.partial(opened.host, opened.job)
-        if isinstance(partial, errors.Failure):
-            self._parts.log.failure(
-                "job.partial_lost", job=opened.job, reason=partial.reason
-            )
-            partial = {}
-        self.actor_ref.tell(messages.Taken(found, record, partial))
+        taken = self._takeovers.take(opened)
+        if taken is not None:
+            self.actor_ref.tell(taken)
 
     def _stop_work(self, _):
         """Lets other daemons take the held jobs at once."""
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/inbox.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/inbox.py
@@ -5,7 +5,7 @@
 from samphirepost import hashing
 from samphirepost import messages
 from samphirepost_daemon import members
-from samphirepost_daemon import runner
+from samphirepost_daemon import runnermessages
 
 
 class Inbox:
@@ -64,5 +64,5 @@
 
 @_handle.register
 def _(command: messages.Burst, inbox):
-    inbox.runner_ref.tell(runner.Hint(command))
+    inbox.runner_ref.tell(runnermessages.Hint(command))
     return messages.Done()
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/pollers.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/pollers.py
@@ -13,7 +13,7 @@
 from samphirepost import tables
 from samphirepost_daemon import ledgers
 from samphirepost_daemon import members
-from samphirepost_daemon import runner
+from samphirepost_daemon import runnermessages
 
 TICK_S = 0.05
 LEDGER_TICK_S = 0.5
@@ -171,7 +171,7 @@
     def _tell(self, name, targets):
         burst = messages.Burst(self._name, targets)
         if name == self._name:
-            self._runner_ref.tell(runner.Hint(burst))
+            self._runner_ref.tell(runnermessages.Hint(burst))
             return
         member = self._directory.member(name) if name else None
         if member is not None:
@@ -188,12 +188,12 @@
 
     def step(self):
         """Renews every claim once."""
-        found = self._runner_ref.ask(runner.Claims())
+        found = self._runner_ref.ask(runnermessages.Claims())
         for partition, claims in found.items():
             command = messages.Renew(partition, self._name, tuple(claims))
             reply = self._owners.ask(partition, command, RENEW_WAIT_S)
             if isinstance(reply, messages.RenewReply) and reply.lost:
-                self._runner_ref.tell(runner.ClaimsLost(reply.lost))
+                self._runner_ref.tell(runnermessages.ClaimsLost(reply.lost))
 
 
 class Placing:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/runner.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/runner.py
@@ -19,6 +19,7 @@
 from samphirepost_daemon import online
 from samphirepost_daemon import outbox as outbox_module
 from samphirepost_daemon import results
+from samphirepost_daemon import runnermessages
 from samphirepost_daemon import runs
 from samphirepost_daemon import uploads
 from samphirepost_daemon import work
@@ -38,48 +39,6 @@
 )
 
 
-class Tick(msgspec.Struct, frozen=True):
-    """Adjust the limits; start, preempt and pull."""
-
-
-class Pulled(msgspec.Struct, frozen=True):
-    """What the partition owners granted for a target."""
-
-    target: str
-    grants: tuple[messages.Grant, ...]
-
-
-class Ran(msgspec.Struct, frozen=True):
-    """A run ended with a Result or a Failure."""
-
-    run: object
-    outcome: object
-
-
-class Hint(msgspec.Struct, frozen=True):
-    """A daemon's count of online requests on this daemon's targets."""
-
-    burst: messages.Burst
-
-
-class Claims(msgspec.Struct, frozen=True):
-    """Asks for the claims held, by partition."""
-
-
-class ClaimsLost(msgspec.Struct, frozen=True):
-    """Claims that this daemon no longer holds."""
-
-    claims: tuple[str, ...]
-
-
-class Stop(msgspec.Struct, frozen=True):
-    """Take no more work and hand back what runs."""
-
-
-class Busy(msgspec.Struct, frozen=True):
-    """Asks whether items are held here."""
-
-
 class Runner(pykka.ThreadingActor):
     """Admits, runs, preempts and resumes batch items."""
 
@@ -122,7 +81,7 @@
         raise TypeError(type(message))
 
     @_receive.register
-    def _(self, message: Hint):
+    def _(self, message: runnermessages.Hint):
         now_s = self._clock.monotonic_s()
         for name, count in message.burst.targets.items():
             engine = self._engines.get(name)
@@ -131,7 +90,7 @@
                 self._admit(name, engine, now_s)
 
     @_receive.register
-    def _(self, message: Tick):
+    def _(self, message: runnermessages.Tick):
         self._place()
         now_s = self._clock.monotonic_s()
         for name, engine in self._engines.items():
@@ -270,7 +229,7 @@
                 room -= sum(len(grant.items) for grant in found)
                 alone = alone and not found
         finally:
-            self.actor_ref.tell(Pulled(name, tuple(grants)))
+            self.actor_ref.tell(runnermessages.Pulled(name, tuple(grants)))
 
     def _ask(self, partition, routes, room, alone):
         command = messages.Pull(
@@ -282,7 +241,7 @@
         return ()
 
     @_receive.register
-    def _(self, message: Pulled):
+    def _(self, message: runnermessages.Pulled):
         engine = self._engines.get(message.target)
         for grant in message.grants:
             self._claims[grant.claim] = runs.Held(grant)
@@ -308,7 +267,7 @@
             outcome = errors.Failure(
                 errors.Kind.TARGET_FAILED, repr(exc), errors.Outcome.UNKNOWN
             )
-        self.actor_ref.tell(Ran(run, outcome))
+        self.actor_ref.tell(runnermessages.Ran(run, outcome))
 
     def _outcome(self, run, gaps):
         failure = self._prepare(run)
@@ -380,7 +339,7 @@
         return tables.TargetKind.ENGINE if row is None else row.targets[0].kind
 
     @_receive.register
-    def _(self, message: Ran):
+    def _(self, message: runnermessages.Ran):
         run = message.run
         engine = self._engines.get(run.target)
         if engine is not None and run in engine.running:
@@ -470,18 +429,18 @@
             del self._claims[run.claim]
 
     @_receive.register
-    def _(self, message: Claims):
+    def _(self, message: runnermessages.Claims):
         found = {}
         for claim, held in self._claims.items():
             found.setdefault(held.partition, []).append(claim)
         return found
 
     @_receive.register
-    def _(self, message: Busy):
+    def _(self, message: runnermessages.Busy):
         return bool(self._claims)
 
     @_receive.register
-    def _(self, message: ClaimsLost):
+    def _(self, message: runnermessages.ClaimsLost):
         lost = set(message.claims)
         for engine in self._engines.values():
             for run in engine.running:
@@ -501,7 +460,7 @@
         engine.ready.clear()
 
     @_receive.register
-    def _(self, message: Stop):
+    def _(self, message: runnermessages.Stop):
         self._stopping = True
         for engine in self._engines.values():
             self._hand_back(engine)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/wiring.py
@@ -22,6 +22,7 @@
 from samphirepost_daemon import peers
 from samphirepost_daemon import pollers
 from samphirepost_daemon import runner
+from samphirepost_daemon import runnermessages
 from samphirepost_daemon import serve
 from samphirepost_daemon import targets
 
@@ -141,7 +142,7 @@
         ]
 
     def _tick_runner(self):
-        self.runner.tell(runner.Tick())
+        self.runner.tell(runnermessages.Tick())
 
     def _make_listeners(self):
         cfg = self.cfg
--- a/packages/samphirepost/src/samphirepost/holding.py
+++ b/packages/samphirepost/src/samphirepost/holding.py
@@ -12,6 +12,7 @@
 from samphirepost import errors
 from samphirepost import lease
 from samphirepost import ledger
+from samphirepost import ledgerstate
 from samphirepost import messages
 from samphirepost import records
 
@@ -141,7 +142,7 @@
         snapshot_name, snapshot = "", b""
         if len(segments) >= self._limits.snapshot_segments:
             snapshot_name = f"snapshots/{self.number:03x}/{self._write}"
-            snapshot = codec.pack(ledger.save(self.state))
+            snapshot = codec.pack(ledgerstate.save(self.state))
             segments = ()
         row = records.Row(
             owner="" if self.releasing else self.row.owner,
--- a/packages/samphirepost/src/samphirepost/ledger.py
+++ b/packages/samphirepost/src/samphirepost/ledger.py
@@ -10,82 +10,13 @@
 
 from samphirepost import errors
 from samphirepost import jobs
+from samphirepost import ledgerstate
 from samphirepost import messages
 from samphirepost import records
 
 RUNNING_GRACE_S = 5.0
 
 
-class Entry:
-    """What is known of one request."""
-
-    __slots__ = (
-        "attempt",
-        "caller",
-        "closed",
-        "daemon",
-        "deadline_unix_s",
-        "digest",
-        "reference",
-        "standing",
-    )
-
-    def __init__(self, caller, digest):
-        self.caller = caller
-        self.digest = digest
-        self.attempt = ""
-        self.daemon = ""
-        self.deadline_unix_s = 0.0
-        self.standing = messages.Standing.NEW
-        self.reference = None
-        self.closed = ()
-
-
-class Claim:
-    """Items of one job that a runner holds until `lapses_at`."""
-
-    __slots__ = ("items", "lapses_at", "runner", "solo", "work")
-
-    def __init__(self, runner, work, items, solo, lapses_at):
-        self.runner = runner
-        self.work = work
-        self.items = set(items)
-        self.solo = solo
-        self.lapses_at = lapses_at
-
-
-class SavedEntry(msgspec.Struct, frozen=True, array_like=True):
-    """An entry as it stands in a snapshot."""
-
-    work: str
-    caller: str
-    digest: str
-    attempt: str
-    daemon: str
-    deadline_unix_s: float
-    standing: messages.Standing
-    reference: records.Reference | None
-    closed: tuple[str, ...]
-
-
-class SavedClaim(msgspec.Struct, frozen=True, array_like=True):
-    """A claim as it stands in a snapshot."""
-
-    claim: str
-    runner: str
-    work: str
-    items: tuple[int, ...]
-    solo: bool
-
-
-class Snapshot(msgspec.Struct, frozen=True):
-    """A partition's whole state; results stay in their segments."""
-
-    entries: tuple[SavedEntry, ...]
-    jobs: tuple[jobs.Saved, ...]
-    claims: tuple[SavedClaim, ...]
-
-
 class Now(msgspec.Struct, frozen=True):
     """The two clocks: monotonic for leases, Unix time for deadlines (s)."""
 
@@ -93,19 +24,6 @@
     unix_s: float
 
 
-class State:
-    """A partition's entries, jobs and claims."""
-
-    __slots__ = ("claim_s", "claims", "entries", "jobs", "blames_max")
-
-    def __init__(self, claim_s, blames_max):
-        self.entries = {}
-        self.jobs = {}
-        self.claims = {}
-        self.claim_s = claim_s
-        self.blames_max = blames_max
-
-
 class Decision(msgspec.Struct, frozen=True):
     """The records to append and the reply to give once they are durable."""
 
@@ -487,7 +405,7 @@
 def _(record: records.Started, state, reference, now):
     entry = state.entries.get(record.work)
     if entry is None:
-        entry = Entry(record.caller, record.digest)
+        entry = ledgerstate.Entry(record.caller, record.digest)
         state.entries[record.work] = entry
     entry.attempt = record.attempt
     entry.daemon = record.daemon
@@ -512,7 +430,7 @@
 def _(record: records.Finished, state, reference, now):
     entry = state.entries.get(record.work)
     if entry is None:
-        entry = Entry(record.caller, record.digest)
+        entry = ledgerstate.Entry(record.caller, record.digest)
         state.entries[record.work] = entry
     entry.attempt = record.attempt
     entry.standing = messages.Standing.FINISHED
@@ -528,7 +446,7 @@
 def _(record: records.Claimed, state, reference, now):
     state.jobs[record.work].claim(record.items)
     lapses_at = now.monotonic_s + state.claim_s
-    state.claims[record.claim] = Claim(
+    state.claims[record.claim] = ledgerstate.Claim(
         record.runner, record.work, record.items, record.solo, lapses_at
     )
 
@@ -574,51 +492,3 @@
         claim.items.difference_update(items)
         if not claim.items:
             del state.claims[name]
-
-
-def save(state):
-    """Returns the state as a value for a snapshot."""
-    return Snapshot(
-        tuple(_save_entry(w, e) for w, e in state.entries.items()),
-        tuple(job.save() for job in state.jobs.values()),
-        tuple(_save_claim(n, c) for n, c in state.claims.items()),
-    )
-
-
-def _save_entry(work, entry):
-    return SavedEntry(
-        work,
-        entry.caller,
-        entry.digest,
-        entry.attempt,
-        entry.daemon,
-        entry.deadline_unix_s,
-        entry.standing,
-        entry.reference,
-        entry.closed,
-    )
-
-
-def _save_claim(name, claim):
-    items = tuple(sorted(claim.items))
-    return SavedClaim(name, claim.runner, claim.work, items, claim.solo)
-
-
-def load(state, snapshot, now):
-    """Fills an empty state from a snapshot."""
-    for saved in snapshot.entries:
-        entry = Entry(saved.caller, saved.digest)
-        entry.attempt = saved.attempt
-        entry.daemon = saved.daemon
-        entry.deadline_unix_s = saved.deadline_unix_s
-        entry.standing = saved.standing
-        entry.reference = saved.reference
-        entry.closed = saved.closed
-        state.entries[saved.work] = entry
-    for saved in snapshot.jobs:
-        state.jobs[saved.accepted.work] = jobs.load(saved)
-    lapses_at = now.monotonic_s + state.claim_s
-    for saved in snapshot.claims:
-        state.claims[saved.claim] = Claim(
-            saved.runner, saved.work, saved.items, saved.solo, lapses_at
-        )
--- /dev/null
+++ b/packages/samphirepost/src/samphirepost/ledgerstate.py
@@ -0,0 +1,138 @@
+"""The state of one partition's ledger, and its form in a snapshot."""
+
+import msgspec
+
+from samphirepost import jobs
+from samphirepost import messages
+from samphirepost import records
+
+
+class Entry:
+    """What is known of one request."""
+
+    __slots__ = (
+        "attempt",
+        "caller",
+        "closed",
+        "daemon",
+        "deadline_unix_s",
+        "digest",
+        "reference",
+        "standing",
+    )
+
+    def __init__(self, caller, digest):
+        self.caller = caller
+        self.digest = digest
+        self.attempt = ""
+        self.daemon = ""
+        self.deadline_unix_s = 0.0
+        self.standing = messages.Standing.NEW
+        self.reference = None
+        self.closed = ()
+
+
+class Claim:
+    """Items of one job that a runner holds until `lapses_at`."""
+
+    __slots__ = ("items", "lapses_at", "runner", "solo", "work")
+
+    def __init__(self, runner, work, items, solo, lapses_at):
+        self.runner = runner
+        self.work = work
+        self.items = set(items)
+        self.solo = solo
+        self.lapses_at = lapses_at
+
+
+class SavedEntry(msgspec.Struct, frozen=True, array_like=True):
+    """An entry as it stands in a snapshot."""
+
+    work: str
+    caller: str
+    digest: str
+    attempt: str
+    daemon: str
+    deadline_unix_s: float
+    standing: messages.Standing
+    reference: records.Reference | None
+    closed: tuple[str, ...]
+
+
+class SavedClaim(msgspec.Struct, frozen=True, array_like=True):
+    """A claim as it stands in a snapshot."""
+
+    claim: str
+    runner: str
+    work: str
+    items: tuple[int, ...]
+    solo: bool
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """A partition's whole state; results stay in their segments."""
+
+    entries: tuple[SavedEntry, ...]
+    jobs: tuple[jobs.Saved, ...]
+    claims: tuple[SavedClaim, ...]
+
+
+class State:
+    """A partition's entries, jobs and claims."""
+
+    __slots__ = ("claim_s", "claims", "entries", "jobs", "blames_max")
+
+    def __init__(self, claim_s, blames_max):
+        self.entries = {}
+        self.jobs = {}
+        self.claims = {}
+        self.claim_s = claim_s
+        self.blames_max = blames_max
+
+
+def save(state):
+    """Returns the state as a value for a snapshot."""
+    return Snapshot(
+        tuple(_save_entry(w, e) for w, e in state.entries.items()),
+        tuple(job.save() for job in state.jobs.values()),
+        tuple(_save_claim(n, c) for n, c in state.claims.items()),
+    )
+
+
+def _save_entry(work, entry):
+    return SavedEntry(
+        work,
+        entry.caller,
+        entry.digest,
+        entry.attempt,
+        entry.daemon,
+        entry.deadline_unix_s,
+        entry.standing,
+        entry.reference,
+        entry.closed,
+    )
+
+
+def _save_claim(name, claim):
+    items = tuple(sorted(claim.items))
+    return SavedClaim(name, claim.runner, claim.work, items, claim.solo)
+
+
+def load(state, snapshot, now):
+    """Fills an empty state from a snapshot."""
+    for saved in snapshot.entries:
+        entry = Entry(saved.caller, saved.digest)
+        entry.attempt = saved.attempt
+        entry.daemon = saved.daemon
+        entry.deadline_unix_s = saved.deadline_unix_s
+        entry.standing = saved.standing
+        entry.reference = saved.reference
+        entry.closed = saved.closed
+        state.entries[saved.work] = entry
+    for saved in snapshot.jobs:
+        state.jobs[saved.accepted.work] = jobs.load(saved)
+    lapses_at = now.monotonic_s + state.claim_s
+    for saved in snapshot.claims:
+        state.claims[saved.claim] = Claim(
+            saved.runner, saved.work, saved.items, saved.solo, lapses_at
+        )
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -9,6 +9,7 @@
 from samphirepost import errors
 from samphirepost import jobs
 from samphirepost import ledger
+from samphirepost import ledgerstate
 from samphirepost import messages
 from samphirepost import records
 from samphirepost_daemon import results
@@ -30,7 +31,7 @@
 
 
 def new_state():
-    return ledger.State(helper.CLAIM_S, helper.BLAMES_MAX)
+    return ledgerstate.State(helper.CLAIM_S, helper.BLAMES_MAX)
 
 
 def test_second_attempt_of_a_started_request_is_not_sent():
@@ -168,7 +169,7 @@
         found.run_to_end(now)
     assert helper.row(table).snapshot
     loaded = helper.load(table, objects, now)
-    assert ledger.save(loaded) == ledger.save(found.held.state)
+    assert ledgerstate.save(loaded) == ledgerstate.save(found.held.state)
 
 
 FAULTS = ("", "", "", "refuse", "lose", "late", "objects", "reads")
