--- a/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
@@ -305,4 +305,33 @@
         "",
         "tests/test_batchjob.py",
     ),
+    Mutation(
+        "let the queue of callers that return grow",
+        f"{_CORE}/attempts.py",
+        "RETURN_QUEUE_SHARE = 0.6\n",
+        "RETURN_QUEUE_SHARE = 60.0\n",
+        "tests/test_selection.py",
+    ),
+    Mutation(
+        "stop without offering the held jobs",
+        f"{_DAEMON}/entry/holder.py",
+        "        if self._stopping and not work.ended:\n",
+        "        if False:\n",
+        "tests/test_entry.py",
+    ),
+    Mutation(
+        "take a value that is cut at a page's end for whole",
+        f"{_DAEMON}/entry/pieces.py",
+        "        if more and values:\n",
+        "        if False:\n",
+        "tests/test_pieces.py",
+    ),
+    Mutation(
+        "start all threads of a listener at once",
+        f"{_DAEMON}/listener.py",
+        "            if self._all_busy() and"
+        " len(self.threads) < self._threads_max:\n",
+        "            if len(self.threads) < self._threads_max:\n",
+        "tests/test_listener.py",
+    ),
 )
