--- a/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
@@ -142,22 +142,22 @@
         self._store = store
         self.incarnations = []
         self.proxy = None
-        self.bear()
+        self.restart()
 
     @property
     def current(self):
         """The incarnation that serves."""
         return self.incarnations[-1]
 
-    def bear(self):
+    def restart(self):
         """Starts a new incarnation, which knows nothing of the one before."""
         made = streamengine.Engine(self.name)
         made.start()
         self.incarnations.append(made)
         self.proxy = self._proxies.open(made.address)
-        self.list("ready")
+        self.announce("ready")
 
-    def list(self, state):
+    def announce(self, state):
         """Writes the engine's entry; returns when the store has it."""
         entry = self.current.entry(POOL, state)
         entry["address"] = f"{fleet.HOST}:{self.proxy.port}"
--- a/packages/samphirepost-bench/src/samphirepost_bench/soak.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/soak.py
@@ -124,7 +124,7 @@
 
     def fail(self, rule, detail):
         """Notes a broken promise."""
-        at_s = time.monotonic() - self.trace._start_s
+        at_s = self.trace.at(time.monotonic())
         self.broken.append(f"{rule} at {at_s:.2f} s: {detail}")
 
     # Callers.
--- a/packages/samphirepost-bench/src/samphirepost_bench/soakfaults.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/soakfaults.py
@@ -265,12 +265,12 @@
     def begin(self):
         """Says so."""
         if self.engine is not None:
-            self.since_s = self.engine.list("draining")
+            self.since_s = self.engine.announce("draining")
 
     def end(self):
         """Takes work again."""
         if self.engine is not None:
-            self.engine.list("ready")
+            self.engine.announce("ready")
             self.release()
 
 
@@ -282,7 +282,7 @@
         if self.engine is not None:
             self.engine.proxy.refusing = True
             self.fleet.proxies.cut(self.engine.proxy)
-            self.engine.bear()
+            self.engine.restart()
 
     def end(self):
         """Lets other faults take the engine."""
@@ -334,7 +334,7 @@
     """All faults of a run, in order."""
 
     def __init__(self, start_s):
-        self._start_s = start_s
+        self.start_s = start_s
         self.entries = []
 
     def calm(self, begin_s, end_s):
@@ -350,10 +350,11 @@
         """Returns the trace as text."""
         found = []
         for one in self.entries:
-            end = "end" if one.end_s is None else f"{self._at(one.end_s):.2f}"
-            span = f"{self._at(one.begin_s):7.2f} to {end:>6} s"
+            end = "end" if one.end_s is None else f"{self.at(one.end_s):.2f}"
+            span = f"{self.at(one.begin_s):7.2f} to {end:>6} s"
             found.append(f"{span}  {one.fault}")
         return found
 
-    def _at(self, instant_s):
-        return instant_s - self._start_s
+    def at(self, instant_s):
+        """Returns the time of an instant since the run began (s)."""
+        return instant_s - self.start_s
