--- a/packages/samphirepost-bench/src/samphirepost_bench/soak.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/soak.py
@@ -287,7 +287,9 @@
         while time.monotonic() < until_s:
             if len(active) < FAULTS_AT_A_TIME:
                 kind = draw.choice(soakfaults.KINDS)
-                active.append(self._begin(kind, draw))
+                fault = kind(self.fleet, draw)
+                if fault.placed:
+                    active.append(self._begin(fault))
             time.sleep(draw.uniform(0.1, 0.8))
             for pair in [one for one in active if draw.random() < 0.4]:
                 active.remove(pair)
@@ -295,8 +297,7 @@
         for pair in active:
             self._conclude(pair)
 
-    def _begin(self, kind, draw):
-        fault = kind(self.fleet, draw)
+    def _begin(self, fault):
         entry = soakfaults.Entry(fault, time.monotonic())
         self.trace.entries.append(entry)
         fault.begin()
@@ -304,8 +305,7 @@
 
     def _conclude(self, entry):
         fault = entry.fault
-        drains = isinstance(fault, soakfaults.EngineDrains)
-        if drains and fault.engine is not None:
+        if isinstance(fault, soakfaults.EngineDrains):
             span = (fault.since_s, time.monotonic())
             self._drained.append((fault.engine.current, *span))
         fault.end()
--- a/packages/samphirepost-bench/src/samphirepost_bench/soakfaults.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/soakfaults.py
@@ -22,8 +22,9 @@
 class Fault:
     """One fault at one thing; `where` names it in the trace.
 
-    `begin` and `end` are called once each. A fault that `spares` the
-    daemons' view touches neither daemons nor the store.
+    `begin` and `end` are called once each, unless the fault is not `placed`:
+    then all that it could strike is taken by others. A fault that `spares`
+    touches neither daemons nor the store.
     """
 
     spares = False
@@ -32,6 +33,7 @@
         self.fleet = fleet
         self.draw = draw
         self.where = ""
+        self.placed = True
 
     def __str__(self):
         return f"{type(self).__name__} {self.where}"
@@ -43,9 +45,10 @@
         """Takes the fault away."""
 
     def take(self, things):
-        """Returns one that no other fault has taken, or None."""
+        """Returns one that no other fault has taken, if there is one."""
         free = [one for one in things if one.name not in self.fleet.taken]
         if not free:
+            self.placed = False
             return None
         found = self.draw.choice(free)
         self.where = found.name
@@ -70,14 +73,12 @@
 
     def begin(self):
         """Kills the process."""
-        if self.daemon is not None:
-            self.daemon.process.kill()
+        self.daemon.process.kill()
 
     def end(self):
         """Starts it again."""
-        if self.daemon is not None:
-            self.daemon.start()
-            self.release()
+        self.daemon.start()
+        self.release()
 
 
 class DaemonPause(AtDaemon):
@@ -85,14 +86,12 @@
 
     def begin(self):
         """Stops the process."""
-        if self.daemon is not None:
-            self.daemon.process.freeze()
+        self.daemon.process.freeze()
 
     def end(self):
         """Lets it go on."""
-        if self.daemon is not None:
-            self.daemon.process.thaw()
-            self.release()
+        self.daemon.process.thaw()
+        self.release()
 
 
 class DaemonStop(AtDaemon):
@@ -100,13 +99,10 @@
 
     def begin(self):
         """Asks the process to stop."""
-        if self.daemon is not None:
-            self.daemon.process.terminate()
+        self.daemon.process.terminate()
 
     def end(self):
         """Starts it again once it has ended, or its grace is over."""
-        if self.daemon is None:
-            return
         until_s = time.monotonic() + STOP_S
         while self.daemon.process.alive and time.monotonic() < until_s:
             time.sleep(POLL_S)
@@ -121,9 +117,8 @@
 
     def begin(self):
         """Tells the process so, three times."""
-        if self.daemon is not None:
-            for _ in range(3):
-                self.daemon.hang_up()
+        for _ in range(3):
+            self.daemon.hang_up()
 
     def end(self):
         """Lets other faults take the daemon."""
@@ -162,16 +157,14 @@
 
     def begin(self):
         """Cuts the path."""
-        if self.daemon is not None:
-            self.daemon.store_proxy.refusing = True
-            self.daemon.store_proxy.silence()
+        self.daemon.store_proxy.refusing = True
+        self.daemon.store_proxy.silence()
 
     def end(self):
         """Heals it; what hung is reset."""
-        if self.daemon is not None:
-            self.daemon.store_proxy.refusing = False
-            self.fleet.proxies.cut(self.daemon.store_proxy)
-            self.release()
+        self.daemon.store_proxy.refusing = False
+        self.fleet.proxies.cut(self.daemon.store_proxy)
+        self.release()
 
 
 class StoreOneWay(AtDaemon):
@@ -179,14 +172,12 @@
 
     def begin(self):
         """Drops the answers."""
-        if self.daemon is not None:
-            self.daemon.store_proxy.answers_lost = True
+        self.daemon.store_proxy.answers_lost = True
 
     def end(self):
         """Lets answers pass."""
-        if self.daemon is not None:
-            self.daemon.store_proxy.answers_lost = False
-            self.release()
+        self.daemon.store_proxy.answers_lost = False
+        self.release()
 
 
 class StoreSlow(Fault):
@@ -264,14 +255,12 @@
 
     def begin(self):
         """Says so."""
-        if self.engine is not None:
-            self.since_s = self.engine.announce("draining")
+        self.since_s = self.engine.announce("draining")
 
     def end(self):
         """Takes work again."""
-        if self.engine is not None:
-            self.engine.announce("ready")
-            self.release()
+        self.engine.announce("ready")
+        self.release()
 
 
 class EngineReborn(AtEntry):
@@ -279,10 +268,9 @@
 
     def begin(self):
         """Ends the one incarnation and starts the next."""
-        if self.engine is not None:
-            self.engine.proxy.refusing = True
-            self.fleet.proxies.cut(self.engine.proxy)
-            self.engine.restart()
+        self.engine.proxy.refusing = True
+        self.fleet.proxies.cut(self.engine.proxy)
+        self.engine.restart()
 
     def end(self):
         """Lets other faults take the engine."""
