--- a/packages/samphirepost-bench/src/samphirepost_bench/fleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/fleet.py
@@ -1,5 +1,6 @@
 """Starts stand-ins and daemons as processes on loopback, and ends them."""
 
+import itertools
 import json
 import os
 import pathlib
@@ -16,6 +17,11 @@
 from samphirepost import hashing
 
 HOST = "127.0.0.1"
+# Ports for listeners: below those that Linux gives to connections (32,768).
+PORT_FIRST = 16_000
+PORT_COUNT = 16_000
+# Where this process begins, so that runs side by side rarely meet.
+_PORT_NUMBERS = itertools.count(os.getpid() * 101)
 POLL_S = 0.05
 READY_S = 30.0
 STOP_S = 90.0
@@ -28,10 +34,24 @@
 
 
 def free_port():
-    """Returns a port that nothing listens on now."""
+    """Returns a port that nothing uses now, and no connection will take.
+
+    Ports that the kernel hands out to connections are left alone: one of
+    them may be taken before its process listens, or while it restarts.
+    """
+    while True:
+        port = PORT_FIRST + next(_PORT_NUMBERS) % PORT_COUNT
+        if not _is_used(port):
+            return port
+
+
+def _is_used(port):
     with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return True
+        return False
 
 
 class Process:
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,15 @@
+"""The ports that stand-ins and daemons are given."""
+
+import pathlib
+
+from samphirepost_bench import fleet
+
+EPHEMERAL = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
+
+
+def test_ports_are_not_those_that_connections_get():
+    """Else a connection may take one before its process listens."""
+    first, last = map(int, EPHEMERAL.read_text().split())
+    ports = [fleet.free_port() for _ in range(20)]
+    assert not any(first <= port <= last for port in ports)
+    assert len(set(ports)) == len(ports)
