End the log's writer with its test

Found: on beside load test_failures_are_written_though_the_other_lines_ are_dropped failed once of two whole runs: it read a count of 5,600 lines of another log. Trace: the test before it left its writer blocked on a pipe that the fixture then closed; the next pipe got the same number, and the writer went on in it. Each test now reads its log to the end and joins its writer.

--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -23,6 +23,16 @@
             data += os.read(self._read_no, 65536)
         return [json.loads(line) for line in data.splitlines() if line]
 
+    def drain(self, log):
+        """Reads until the log tells what it dropped, and ends its writer."""
+        found = []
+        while not any(line.get("event") == "log.dropped" for line in found):
+            found += self.lines(1)
+        log.close()
+        log._thread.join(entryhelper.WAIT_S)
+        assert not log._thread.is_alive()
+        return found
+
     def close(self):
         """Closes both ends."""
         os.close(self._read_no)
@@ -57,6 +67,7 @@
     writer.join(entryhelper.WAIT_S)
     assert not writer.is_alive()
     assert log.dropped > 0
+    reader.drain(log)
 
 
 def test_failures_are_written_though_the_other_lines_are_dropped(reader):
@@ -68,9 +79,7 @@
     dropped = log.dropped
     assert dropped > 0
     log.start()
-    found = []
-    while not any(line.get("event") == "log.dropped" for line in found):
-        found += reader.lines(1)
+    found = reader.drain(log)
     assert any(line.get("request") == "failed" for line in found)
     counts = [line["lines"] for line in found if "lines" in line]
     assert counts == [dropped]
