--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -74,10 +74,11 @@
 
 
 class FailedAttempt(msgspec.Struct, frozen=True):
-    """An attempt that gave no usable response."""
+    """An attempt that gave no usable response after `events` events."""
 
     seen: attempts.AttemptFailure
     reason: str
+    events: int = 0
 
 
 class Exchange:
@@ -224,7 +225,9 @@
         or an ErrorResponse when no further attempt is allowed. Raises
         CallerDisconnected.
         """
-        failure = self._failed_attempt(part)
+        failure = msgspec.structs.replace(
+            self._failed_attempt(part), events=response.event_count
+        )
         self.close(response, slotmessages.Outcome.FAILED)
         self._is_answered = False
         self._record_failure(response.engine, failure)
@@ -248,6 +251,8 @@
             engine=engine_id,
             seen=failure.seen.value,
             reason=failure.reason,
+            events=failure.events,
+            parts=self._req.shared_parts,
             left_s=round(self.left_s(), 3),
             **self._state.age_fields(),
         )
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -18,6 +18,7 @@
 from samphirepost_daemon.entry import items
 from samphirepost_daemon.entry import jobstore
 from samphirepost_daemon.entry import takeovers
+from samphirepost_daemon.platform import wire
 
 TICK_S = 0.1
 # Interval between scans of the open jobs: a job that was closed at any daemon
@@ -390,6 +391,8 @@
                 outcome=label,
                 reason=getattr(outcome, "reason", ""),
                 events=len(run.partial.texts),
+                run_events=len(run.partial.texts) - run.events_before,
+                parts=wire.shared_parts(item),
                 failures=held_job.failure_count(run.index),
                 **self._parts.state.age_fields(),
             )
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
@@ -17,6 +17,7 @@
 TARGET_ID_HEADER = "Target-Instance"
 RESUME_AFTER_HEADER = "Last-Event-Id"
 NOT_EXECUTED_HEADER = "not-executed"
+PROMPT_HEADER = "Prompt-Prefix"
 WAIT_HEADER = "Wait-Ms"
 
 # Hop-by-hop headers, which are not forwarded.
@@ -54,6 +55,8 @@
 
     `resume_after` is the id of the last event that the caller received, and
     `caller_timeout_s` the time that the caller allows for the request.
+    `shared_parts` are the ids of the parts of its prompt, in order, without
+    the last one, which is the request's own.
     """
 
     id: str
@@ -64,6 +67,7 @@
     body: bytes
     resume_after: int | None = None
     caller_timeout_s: float | None = None
+    shared_parts: tuple[str, ...] = ()
 
 
 class _Item(msgspec.Struct):
@@ -104,9 +108,19 @@
         body=environ["wsgi.input"].read(),
         resume_after=resume_after,
         caller_timeout_s=None if timeout_ms is None else timeout_ms / 1000,
+        shared_parts=_parse_shared_parts(
+            headers_by_name.get(PROMPT_HEADER.lower(), "")
+        ),
     )
 
 
+def _parse_shared_parts(value):
+    """Returns the ids in a list of ID:TOKENS entries, without the last."""
+    entries = [entry.strip() for entry in value.split(",")]
+    ids = (entry.partition(":")[0].lower() for entry in entries[:-1])
+    return tuple(part_id for part_id in ids if part_id)
+
+
 def _parse_number(headers_by_name, name):
     value = headers_by_name.get(name.lower())
     if value is None:
@@ -182,10 +196,24 @@
             if name.lower() not in ("host", REQUEST_ID_HEADER.lower()):
                 headers.append((name, value))
     return Request(
-        item.id, "POST", item.path, record.host, tuple(headers), item.body
+        item.id,
+        "POST",
+        item.path,
+        record.host,
+        tuple(headers),
+        item.body,
+        shared_parts=shared_parts(item),
     )
 
 
+def shared_parts(item):
+    """Returns the ids of an item's shared prompt parts; see Request."""
+    for name, value in item.headers.items():
+        if name.lower() == PROMPT_HEADER.lower():
+            return _parse_shared_parts(value)
+    return ()
+
+
 def parse_submission(req, host, route):
     """Returns the Record of a submitted job.
 
