Failing tests: requests that crash engines reach engine after engine

The emulated engine crashes when it begins to answer a request with a part, and another takes its place.

--- a/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
@@ -6,8 +6,10 @@
 """
 
 import collections
+import contextlib
 import enum
 import http.server
+import socket
 import threading
 import time
 
@@ -37,7 +39,8 @@
 
     `has_run` is set when its execution starts. `resume_after` is the number
     of the last event that the daemon already has, 0 for a new request;
-    `remaining_s` is the time to its deadline.
+    `remaining_s` is the time to its deadline, `parts` the ids of the parts of
+    its prompt.
     """
 
     __slots__ = (
@@ -45,6 +48,7 @@
         "has_run",
         "headers",
         "id",
+        "parts",
         "path",
         "remaining_s",
         "resume_after",
@@ -54,6 +58,8 @@
         self.id = handler.headers["Request-Id"]
         self.path = handler.path
         self.headers = dict(handler.headers)
+        prompt = handler.headers.get("Prompt-Prefix", "")
+        self.parts = [one.partition(":")[0] for one in prompt.split(",")]
         value = handler.headers["Last-Event-Id"]
         self.resume_after = 0 if value is None else int(value)
         self.remaining_s = int(handler.headers["Deadline-Ms"]) / 1000
@@ -66,6 +72,9 @@
 
     `faults` is a queue of the faults of the next requests.
     `disconnected` is set once a connection closed during a stream.
+    `crash_parts` are the ids of prompt parts: the engine crashes when it
+    begins to answer a request that has one of them. It then calls
+    `on_crash(engine)`.
     """
 
     daemon_threads = True
@@ -78,6 +87,10 @@
         self.faults = collections.deque()
         self.arrivals = []
         self.disconnected = threading.Event()
+        self.crash_parts = frozenset()
+        self.on_crash = None
+        self.has_crashed = False
+        self._connections = set()
 
     @property
     def address(self):
@@ -88,6 +101,29 @@
         """Serves in a daemon thread until `shutdown` or process exit."""
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
+    def process_request(self, request, client_address):
+        """Serves a connection, which a crash of the engine closes."""
+        self._connections.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        """Closes a connection that was served."""
+        self._connections.discard(request)
+        super().shutdown_request(request)
+
+    def crash(self):
+        """Ends the engine: closes all connections, accepts none."""
+        if self.has_crashed:
+            return
+        self.has_crashed = True
+        for conn in list(self._connections):
+            with contextlib.suppress(OSError):
+                conn.shutdown(socket.SHUT_RDWR)
+        self.shutdown()
+        self.server_close()
+        if self.on_crash is not None:
+            self.on_crash(self)
+
     def entry(self, pool, state="ready"):
         """Returns the engine's entry in the registry."""
         return {
@@ -125,6 +161,9 @@
         Answers 421 if the request names another engine.
         """
         self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        if self.server.has_crashed:
+            self.close_connection = True
+            return None
         arrival = Arrival(self)
         self.server.arrivals.append(arrival)
         if self.headers["Target-Instance"] != self.server.name:
@@ -161,12 +200,15 @@
         self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
         pause = threading.Event()
+        if self.server.crash_parts.intersection(arrival.parts):
+            self._send_chunk(b"id: ")
+            return self.server.crash()
         if fault is Fault.SILENT:
             while True:
                 pause.wait(self.server.event_interval_s)
                 if not self._is_connected():
                     self.server.disconnected.set()
-                    return
+                    return None
         half = (
             arrival.resume_after
             + (self.server.events - arrival.resume_after) // 2
@@ -183,8 +225,9 @@
             pause.wait(self.server.event_interval_s)
         else:
             self.wfile.write(b"0\r\n\r\n")
-            return
+            return None
         self.close_connection = True
+        return None
 
     def _is_connected(self):
         self.connection.setblocking(False)
--- a/tests/entryhelper.py
+++ b/tests/entryhelper.py
@@ -110,6 +110,7 @@
             self.store.put_row(
                 "servers", engine.name, engine.entry(entryfleet.POOL)
             )
+        self.crashed = []
         self.configure(1, entryfleet.ROUTES)
         self.daemons = []
         for number in range(daemons):
@@ -123,6 +124,36 @@
         document = entryfleet.tables(version, routes)
         self.store.put_row("op", "config", document)
 
+    def crash_on(self, part):
+        """Makes all engines crash on requests with this part of a prompt.
+
+        Another engine takes the place of one that crashed at once; `crashed`
+        lists those that did.
+        """
+        for engine in self.engines:
+            engine.crash_parts = frozenset((part,))
+            engine.on_crash = self._replace
+
+    def _replace(self, crashed):
+        engine = streamengine.Engine(f"{crashed.name}+")
+        engine.crash_parts = crashed.crash_parts
+        engine.on_crash = self._replace
+        engine.start()
+        self.engines.append(engine)
+        self.crashed.append(crashed)
+        self.store.put_row(
+            "servers", engine.name, engine.entry(entryfleet.POOL)
+        )
+        self.store.remove_row("servers", crashed.name)
+
+    def arrived(self, request):
+        """Returns how often a request reached engines."""
+        return sum(
+            one.id == request
+            for engine in list(self.engines)
+            for one in list(engine.arrivals)
+        )
+
     def start(self, name):
         """Starts a daemon and waits until it is ready."""
         cfg = settings.EntrySettings(
@@ -201,13 +232,13 @@
         }
         return self.call("POST", path, request_headers, b"prompt", daemon)
 
-    def submit(self, job, count, daemon=0):
+    def submit(self, job, count, daemon=0, prompt="own:9"):
         """Submits a batch job with `count` items; returns the Reply."""
         items = [
             {
                 "id": f"{job}-{i}",
                 "path": f"/evening/{i}",
-                "headers": {"Model": "m"},
+                "headers": {"Model": "m", "Prompt-Prefix": prompt},
                 "body": "Ym9keQ==",
                 "tokens": 100,
             }
