Quarantine parts of prompts that crash engines

Cause: a lost answer was held against the engine alone. Each attempt of the request, and each later request with the same part at any daemon, took the next engine. Class: a failure attributed to the server although the request caused it (a query of death), with nothing bounded across requests.

Now each daemon reports which shared parts of a prompt a request had that it lost before its answer began; the hub finds the part under which three engines ended and no answer began, and clears the parts beside it; it announces the part and stores it, as this must outlive hub and daemons. Requests with it get 503 with Retry-After, items wait; after 60 s, doubled each time, one request each 5 s may probe it.

Ruled out: load (the first engines ran one or two requests when they ended) and how the daemons send (the first request of each series was a new one).

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/core.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/core.py
@@ -56,6 +56,7 @@
     daemon.slots.start()
     daemon.relay.start()
     daemon.membership.start()
+    daemon.quarantine_writer.start()
     daemon.readiness.start()
     daemon.callers.start()
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineclient.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineclient.py
@@ -47,11 +47,13 @@
 class CallFailure(msgspec.Struct, frozen=True):
     """The request failed: no response, a truncated or an invalid one.
 
-    `sent` is False if the engine cannot have run the request.
+    `sent` is False if the engine cannot have run the request. `lost` if the
+    connection ended, as it does when an engine crashes.
     """
 
     reason: str
     sent: bool = True
+    lost: bool = False
 
 
 class Call:
@@ -64,12 +66,14 @@
         "_conn",
         "_failures",
         "_informational",
+        "_is_ended",
         "_received_bytes",
         "_sock",
     )
 
     def __init__(self):
         self._informational = 0
+        self._is_ended = False
         self._received_bytes = 0
         self._sock = None
         self._conn = h11.Connection(h11.CLIENT)
@@ -103,7 +107,7 @@
             self._sock.sendall(data)
             self._sock.setblocking(False)
         except OSError as exc:
-            return CallFailure(f"send: {exc}")
+            return CallFailure(f"send: {exc}", lost=True)
         return None
 
     def read(self, wait_s):
@@ -129,7 +133,7 @@
         try:
             event = self._conn.next_event()
         except h11.RemoteProtocolError as exc:
-            return CallFailure(f"answer: {exc}")
+            return CallFailure(f"answer: {exc}", lost=self._is_ended)
         if event is h11.NEED_DATA or event is h11.PAUSED:
             return None
         if isinstance(event, h11.InformationalResponse):
@@ -143,7 +147,7 @@
             return BodyData(bytes(event.data))
         if isinstance(event, h11.EndOfMessage):
             return EndOfResponse()
-        return CallFailure("the engine closed the connection")
+        return CallFailure("the engine closed the connection", lost=True)
 
     def _receive(self, left_s):
         """Feeds received bytes to the parser; returns False on timeout."""
@@ -156,8 +160,9 @@
         except BlockingIOError:
             return True
         except OSError as exc:
-            self._failures.append(CallFailure(f"receive: {exc}"))
+            self._failures.append(CallFailure(f"receive: {exc}", lost=True))
             return True
+        self._is_ended = not data
         self._received_bytes += len(data)
         if self._received_bytes > RESPONSE_BYTES_MAX:
             self._failures.append(CallFailure("the response is too long"))
@@ -165,7 +170,9 @@
         try:
             self._conn.receive_data(data)
         except h11.RemoteProtocolError as exc:
-            self._failures.append(CallFailure(f"answer: {exc}"))
+            self._failures.append(
+                CallFailure(f"answer: {exc}", lost=self._is_ended)
+            )
         return True
 
     def abort(self):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -6,6 +6,7 @@
 
 from samphirepost import attempts
 from samphirepost import events
+from samphirepost import quarantine
 from samphirepost import roster
 from samphirepost import routing
 from samphirepost import slotmessages
@@ -23,6 +24,9 @@
 STALL_TIMEOUT_S = 1.0
 # Events of a stream from which an engine's pace is judged.
 PACE_EVENTS_MIN = 6
+# An answer has begun with this many events: an engine that crashes on a prompt
+# may put out one.
+BEGUN_EVENTS = 2
 
 
 OVERLONG_EVENT = engineclient.CallFailure("an event is too long")
@@ -43,7 +47,7 @@
     """
 
     call: engineclient.Call
-    engine: str
+    engine: roster.Engine
     run_id: int
     head: engineclient.ResponseHead
     events: list[events.Event]
@@ -74,11 +78,17 @@
 
 
 class FailedAttempt(msgspec.Struct, frozen=True):
-    """An attempt that gave no usable response after `events` events."""
+    """An attempt that gave no usable response after `events` events.
+
+    `lost` if the connection ended, `has_head` if the response's head had
+    arrived.
+    """
 
     seen: attempts.AttemptFailure
     reason: str
     events: int = 0
+    lost: bool = False
+    has_head: bool = False
 
 
 class Exchange:
@@ -88,6 +98,8 @@
         self._load_tracker = parts.load_tracker
         self._slots = parts.slots
         self._state = parts.state
+        self._quarantine = parts.quarantine
+        self._observations = parts.observations
         self._metrics = parts.metrics
         self._log = parts.log
         self._req = req
@@ -100,6 +112,8 @@
         self.engines_tried = []
         self.slot_wait_s = 0.0
         self._is_answered = False
+        self._has_begun = False
+        self._probed_part = ""
         self._progress_s = time.monotonic()
 
     @property
@@ -120,6 +134,9 @@
         while True:
             if self.left_s() < attempts.REMAINING_MIN_S:
                 return self._final_error()
+            blocked = self._check_quarantine()
+            if blocked is not None:
+                return blocked
             slot = self._obtain_slot()
             if isinstance(slot, attempts.ErrorResponse):
                 return slot
@@ -127,13 +144,41 @@
             if isinstance(result, OpenResponse):
                 self._is_answered = True
                 return result
-            self._record_failure(slot.engine.id, result)
+            self._record_failure(slot.engine, result)
             if (
                 self.history.next_action(self.left_s())
                 is not attempts.NextAction.RETRY
             ):
                 return self._final_error()
 
+    def _check_quarantine(self):
+        """Returns an ErrorResponse if a part of the prompt is quarantined.
+
+        A request that would probe a part goes to one engine at most.
+        """
+        if self._has_begun:
+            return None
+        found = self._quarantine.check(
+            self._req.shared_parts, time.monotonic()
+        )
+        if found is None:
+            return None
+        is_probation = isinstance(found, quarantine.Probation)
+        if is_probation and not self._probed_part:
+            self._probed_part = found.part
+            return None
+        return self._quarantine_error(found)
+
+    def _quarantine_error(self, found):
+        self._metrics.quarantine_refusals.labels("online").inc()
+        reason = f"part {found.part} of the prompt crashes engines"
+        if self.history.executions:
+            return attempts.ErrorResponse(502, reason)
+        left_s = quarantine.PROBE_INTERVAL_S
+        if isinstance(found, quarantine.Blocked):
+            left_s = found.left_s
+        return attempts.ErrorResponse(503, reason, round(left_s, 2))
+
     def _obtain_slot(self):
         """Returns a Slot, or an ErrorResponse. Raises CallerDisconnected.
 
@@ -162,6 +207,11 @@
                 return self._busy_error(reply.wait_s)
         if self._is_disconnected():
             raise CallerDisconnected
+        if self._probed_part:
+            # Only the hub knows whether another request probes the part.
+            return self._quarantine_error(
+                quarantine.Probation(self._probed_part)
+            )
         return self._choose_engine(list(engines.values()))
 
     def _request_slot(self, run_id, engines, now_s):
@@ -183,6 +233,7 @@
             wait_max_s,
             excluded=tuple(excluded),
             never_deny=self._is_under_way(),
+            probe=self._probed_part,
             returns=attempts.is_caller_retry(
                 self._req.caller_timeout_s, self._route.timeout_s
             ),
@@ -239,7 +290,28 @@
             return self._final_error()
         return self.open_response(last_id)
 
-    def _record_failure(self, engine_id, failure):
+    def record_events(self, response, count):
+        """Records events of a stream that are passed on to the caller."""
+        response.event_count += count
+        if response.event_count >= BEGUN_EVENTS or response.done:
+            self._record_begun()
+
+    def _record_begun(self):
+        if not self._has_begun:
+            self._has_begun = True
+            self._observations.record_begun(
+                self._req.shared_parts, time.monotonic()
+            )
+
+    def _record_crash(self, engine, failure):
+        """Records a lost attempt that may have crashed its engine."""
+        parts = self._req.shared_parts
+        if parts and failure.lost and not self._has_begun:
+            self._slots.record_crash(engine, parts, failure.has_head)
+
+    def _record_failure(self, engine, failure):
+        engine_id = engine.id
+        self._record_crash(engine, failure)
         self.history.record_failure(engine_id, failure.seen)
         self.last_failure = failure
         self._metrics.attempts.labels(failure.seen.value).inc()
@@ -295,14 +367,14 @@
             seen = attempts.AttemptFailure.UNREACHABLE
             if failure.sent:
                 seen = attempts.AttemptFailure.BROKEN
-            return FailedAttempt(seen, failure.reason)
+            return FailedAttempt(seen, failure.reason, lost=failure.lost)
         self.record_progress()
         head = self.receive(call)
         if isinstance(head, (engineclient.CallFailure, type(None))):
-            return self._failed_attempt(head)
+            return self._failed_attempt(head, has_head=False)
         return self._read_response(call, slot, head)
 
-    def _failed_attempt(self, part):
+    def _failed_attempt(self, part, has_head=True):
         """Returns the failure shown by `part`, a result of receive()."""
         if part is None:
             return FailedAttempt(
@@ -310,9 +382,17 @@
             )
         if isinstance(part, engineclient.EndOfResponse):
             return FailedAttempt(
-                attempts.AttemptFailure.BROKEN, "the stream ended early"
+                attempts.AttemptFailure.BROKEN,
+                "the stream ended early",
+                lost=True,
+                has_head=True,
             )
-        return FailedAttempt(attempts.AttemptFailure.BROKEN, part.reason)
+        return FailedAttempt(
+            attempts.AttemptFailure.BROKEN,
+            part.reason,
+            lost=part.lost,
+            has_head=has_head,
+        )
 
     def _read_response(self, call, slot, head):
         if wire.is_rejected(head):
@@ -326,7 +406,7 @@
                 attempts.AttemptFailure.BROKEN, "another request's answer"
             )
         response = OpenResponse(
-            call, slot.engine.id, slot.run_id, head, [], events.Parser()
+            call, slot.engine, slot.run_id, head, [], events.Parser()
         )
         if self._route.kind is routing.Kind.STREAM and head.status == 200:
             return self._read_first_events(response)
@@ -345,7 +425,7 @@
                 return self._failed_attempt(part)
         if response.done and response.parser.incomplete:
             return self._failed_attempt(engineclient.EndOfResponse())
-        self._load_tracker.record_success(response.engine)
+        self._load_tracker.record_success(response.engine.id)
         self.record_progress()
         response.began_s = time.monotonic()
         return response
@@ -363,8 +443,9 @@
                 return self._failed_attempt(part)
         response.body = b"".join(chunks)
         response.done = True
+        self._record_begun()
         if response.head.status < 500:
-            self._load_tracker.record_success(response.engine)
+            self._load_tracker.record_success(response.engine.id)
             return response
         if response.head.status == 503 or not self.history.is_last_execution:
             reason = f"status {response.head.status}"
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -12,8 +12,10 @@
 
 from samphirepost import batchjob
 from samphirepost import errors
+from samphirepost import quarantine
 from samphirepost import routing
 from samphirepost import slotmessages
+from samphirepost_daemon.entry import exchange
 from samphirepost_daemon.entry import holdermessages
 from samphirepost_daemon.entry import items
 from samphirepost_daemon.entry import jobstore
@@ -72,6 +74,7 @@
         self._scan_failed = False
         self._item_runs = {}
         self._wanted = {}
+        self._blocked_items = set()
         self._hub_answered_s = time.monotonic()
         self._duration_estimator = batchjob.DurationEstimator()
         self._next_load_log_s = 0.0
@@ -224,6 +227,7 @@
         known_ids = self._wanted
         self._wanted = {}
         wanted = {}
+        self._log_blocked_items(now_s)
         for key, index in self._ready_items(now_s):
             run_id = known_ids.get((key, index))
             if run_id is None:
@@ -250,24 +254,56 @@
             for index in held_job.runnable_indexes(now_s):
                 if len(found) >= room:
                     return found
-                found.append((key, index))
+                if (key, index) not in self._blocked_items:
+                    found.append((key, index))
         return found
 
+    def _log_blocked_items(self, now_s):
+        """Finds the items with a quarantined part; logs the new ones.
+
+        They wait until the quarantine is over or their retention has passed.
+        """
+        blocked_items = set()
+        if not self._parts.quarantine.is_empty:
+            for key, held_job in self._held_jobs.items():
+                for index in held_job.queued_indexes():
+                    item = held_job.record.items[index]
+                    if self._is_blocked(item, now_s):
+                        blocked_items.add((key, index))
+        for key, index in blocked_items - self._blocked_items:
+            self._parts.metrics.quarantine_refusals.labels("item").inc()
+            item = self._held_jobs[key].record.items[index]
+            self._parts.log.failure(
+                "item.blocked",
+                job=key[1],
+                item=item.id,
+                parts=wire.shared_parts(item),
+            )
+        self._blocked_items = blocked_items
+
+    def _is_blocked(self, item, now_s):
+        found = self._parts.quarantine.check(wire.shared_parts(item), now_s)
+        return isinstance(found, quarantine.Blocked)
+
     def _wanted_slot(self, run_id, key, index, now_s):
         held_job = self._held_jobs[key]
         route = self._find_route(held_job)
         if route is None:
             return None
+        item = held_job.record.items[index]
+        found = self._parts.quarantine.check(wire.shared_parts(item), now_s)
         return slotmessages.WantedSlot(
             run_id,
             routing.pick_pool(route),
             self._is_late(held_job, index, now_s),
             round(held_job.deadline_s - now_s, 2),
+            "" if found is None else found.part,
         )
 
     def _start_without_hub(self, wanted, now_s):
         load_tracker = self._parts.load_tracker
-        for slot in list(wanted.values())[:STARTS_PER_TICK_MAX]:
+        startable = [slot for slot in wanted.values() if not slot.probe]
+        for slot in startable[:STARTS_PER_TICK_MAX]:
             engine = load_tracker.choose_batch_engine(
                 self._parts.state.engines(slot.pool), now_s, slot.late
             )
@@ -301,6 +337,8 @@
         held_job = self._held_jobs.get(key)
         if held_job is None or index not in held_job.runnable_indexes(now_s):
             return False
+        if self._is_blocked(held_job.record.items[index], now_s):
+            return False
         route = self._find_route(held_job)
         if route is None or engine.pool not in route.pools:
             return False
@@ -353,18 +391,31 @@
                 or self._held_jobs.get(run.key) is not held_job
             )
 
+        item = held_job.record.items[run.index]
+        parts = wire.shared_parts(item)
+
+        def on_begun():
+            self._parts.observations.record_begun(parts, time.monotonic())
+
         outcome = items.InterruptedRun("internal error of the daemon", False)
         try:
             outcome = items.run_item(
-                held_job.record,
-                held_job.record.items[run.index],
-                engine,
-                run,
-                should_stop,
+                held_job.record, item, engine, run, should_stop, on_begun
             )
+            self._report_crash(run, engine, parts, outcome)
         finally:
             self.actor_ref.tell(holdermessages.ItemRunFinished(run, outcome))
 
+    def _report_crash(self, run, engine, parts, outcome):
+        """Reports a lost run that may have crashed its engine."""
+        if (
+            parts
+            and isinstance(outcome, items.InterruptedRun)
+            and outcome.lost
+            and len(run.partial.texts) < exchange.BEGUN_EVENTS
+        ):
+            self._parts.slots.record_crash(engine, parts, outcome.has_head)
+
     def _finish_item_run(self, message):
         run = message.run
         del self._item_runs[run.id]
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
@@ -4,7 +4,10 @@
 thread of slots.SlotExchange, which receives the messages.
 """
 
+import msgspec
+
 from samphirepost import allocator
+from samphirepost import quarantine
 from samphirepost import slotmessages
 
 # Shortest time between two totals for one daemon (s). They are the loads by
@@ -20,9 +23,15 @@
 
 
 class HubServer:
-    """The hub's side of the exchange; `send(address, message)` sends."""
+    """The hub's side of the exchange; `send(address, message)` sends.
+
+    `decided(part, quarantined)` and `released(part)` are called with decisions
+    that have to be stored.
+    """
 
     def __init__(self, parts, hub_selector, send):
+        self._quarantine = parts.quarantine
+        self._judge = quarantine.Judge(parts.quarantine)
         self._me = parts.me
         self._state = parts.state
         self._log = parts.log
@@ -33,9 +42,13 @@
         self._next_log_s = 0.0
         self._next_drop_s = 0.0
         self._next_announcement_s = 0.0
+        self.decided = None
+        self.released = None
 
     def serve_report(self, report, address, now_s):
         """Applies a daemon's report; answers with totals if they are due."""
+        self._apply_evidence(report, now_s)
+        report = self._without_probes(report, now_s)
         self._send_all(self._allocator.apply_report(report, address, now_s))
         sent_s = self._totals_sent_s.get(address, 0.0)
         if now_s - sent_s < TOTALS_INTERVAL_S:
@@ -43,8 +56,61 @@
         self._totals_sent_s[address] = now_s
         self._send_totals(report.vm, address)
 
+    def _apply_evidence(self, report, now_s):
+        """Applies what a daemon saw of crashed engines and begun answers."""
+        if self._judge.has_crashes:
+            for end in report.ended:
+                engine = self._allocator.engine_of(report.vm, end.id)
+                if end.outcome is slotmessages.Outcome.OK and engine:
+                    self._judge.record_success(engine, now_s)
+        for begun in report.begun:
+            if self._judge.apply_begun(begun, now_s):
+                self._log.event("part.released", part=begun.part)
+                self.released(begun.part)
+        new = [
+            crash.parts
+            for crash in report.crashes
+            if self._judge.apply_crash(crash, now_s)
+        ]
+        if new:
+            self._log.event("parts.suspected", parts=new, reporter=report.vm)
+            self._announce_to_all()
+
+    def judge(self, now_s):
+        """Quarantines the parts that crash engines."""
+        if self._judge.is_idle:
+            return
+        for part in self._judge.decide(now_s):
+            decided = self._judge.decided[part]
+            self._log.failure(
+                "part.quarantined",
+                part=part,
+                strikes=decided.strikes,
+                left_s=round(decided.until_s - now_s, 1),
+                first_crash_s=round(now_s - decided.since_s, 3),
+            )
+            self._announce_to_all()
+            self.decided(part, decided)
+
+    def _without_probes(self, report, now_s):
+        """Drops wanted slots for parts that must not be probed now."""
+        if not any(wanted.probe for wanted in report.wanted):
+            return report
+        allowed = tuple(
+            wanted
+            for wanted in report.wanted
+            if not wanted.probe or self._judge.may_probe(wanted.probe, now_s)
+        )
+        return msgspec.structs.replace(report, wanted=allowed)
+
     def serve_request(self, req, address, now_s):
         """Answers a daemon's SlotRequest."""
+        if req.probe and not self._judge.may_probe(req.probe, now_s):
+            denial = slotmessages.Denial(
+                self._me, req.id, quarantine.PROBE_INTERVAL_S
+            )
+            self._send(address, denial)
+            return
         if not self._is_informed(now_s):
             self._send(address, slotmessages.Denial(self._me, req.id, None))
             return
@@ -85,9 +151,19 @@
             if vm != self._me and not self._allocator.has_reporter(vm):
                 self._send_totals(vm, address)
 
+    def _announce_to_all(self):
+        for vm, address in self._allocator.reporters():
+            self._send_totals(vm, address)
+
     def _send_totals(self, vm, address):
         counts = self._allocator.totals_of_others(vm)
-        self._send(address, slotmessages.Totals(self._me, counts))
+        totals = slotmessages.Totals(
+            self._me,
+            counts,
+            tuple(self._judge.decided),
+            self._judge.suspects(),
+        )
+        self._send(address, totals)
 
     def _send_all(self, messages):
         for address, message in messages:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
@@ -43,12 +43,15 @@
 class InterruptedRun(msgspec.Struct, frozen=True):
     """The run stopped early and does not count as an attempt.
 
-    `is_engine_failure` is true if it is attributed to the engine.
+    `is_engine_failure` is true if it is attributed to the engine, `lost` if
+    the connection ended, and `has_head` if the response's head had arrived.
     """
 
     label = "interrupted"
     reason: str
     is_engine_failure: bool
+    lost: bool = False
+    has_head: bool = False
 
 
 def engine_outcome(outcome):
@@ -60,18 +63,19 @@
     return slotmessages.Outcome.UNKNOWN
 
 
-def run_item(record, item, engine, run, should_stop):
+def run_item(record, item, engine, run, should_stop, on_begun):
     """Runs an item on an engine and appends its events to `run.partial`.
 
     Blocks until the run is over. `should_stop()` is polled every
     `exchange.READ_POLL_S` seconds; once it is true, the run is interrupted.
+    `on_begun()` is called once the engine has begun to answer.
 
     Returns a CompletedRun, FailedRun, UnprocessableItem or InterruptedRun,
     whose `label` is the outcome in logs and metrics.
     """
     try:
         outcome = _send_and_collect(
-            run.call, record, item, engine, run.partial, should_stop
+            run.call, record, item, engine, run.partial, should_stop, on_begun
         )
     finally:
         run.call.close()
@@ -81,7 +85,9 @@
     return outcome
 
 
-def _send_and_collect(call, record, item, engine, partial, should_stop):
+def _send_and_collect(
+    call, record, item, engine, partial, should_stop, on_begun
+):
     failure = call.connect(engine.address, exchange.CONNECT_TIMEOUT_S)
     if failure is not None:
         return InterruptedRun(failure.reason, True)
@@ -89,32 +95,39 @@
     headers = wire.engine_headers(req, engine, RUN_TIMEOUT_S, partial.last_id)
     failure = call.send(req.method, req.path, headers, req.body)
     if failure is not None:
-        return InterruptedRun(failure.reason, True)
+        return InterruptedRun(failure.reason, True, failure.lost)
     deadline_s = time.monotonic() + READ_TIMEOUT_S
     head = _read_next(call, should_stop, deadline_s)
     if not isinstance(head, engineclient.ResponseHead):
-        return _interruption(head)
+        return _interruption(head, has_head=False)
     if wire.is_rejected(head):
         return InterruptedRun(f"refused with {head.status}", False)
     if not wire.is_response_to(head, req):
         return InterruptedRun("another request's answer", True)
+    if head.status in (422, 500):
+        on_begun()
     if head.status == 422:
         return UnprocessableItem()
     if head.status == 500:
         return FailedRun("the engine failed")
     if head.status != 200:
         return InterruptedRun(f"status {head.status}", True)
-    return _collect_events(call, partial, should_stop)
+    return _collect_events(call, partial, should_stop, on_begun)
 
 
-def _collect_events(call, partial, should_stop):
+def _collect_events(call, partial, should_stop, on_begun):
+    events_before = len(partial.texts)
+    has_begun = False
     parser = events.Parser()
     deadline_s = time.monotonic() + READ_TIMEOUT_S
     while True:
         part = _read_next(call, should_stop, deadline_s)
         if isinstance(part, engineclient.EndOfResponse):
             if parser.incomplete or not partial.texts:
-                return InterruptedRun("the stream ended early", True)
+                return InterruptedRun(
+                    "the stream ended early", True, True, True
+                )
+            on_begun()
             return CompletedRun()
         if not isinstance(part, engineclient.BodyData):
             return _interruption(part)
@@ -126,11 +139,15 @@
                 return InterruptedRun("an event is out of order", True)
         if found:
             deadline_s = time.monotonic() + READ_TIMEOUT_S
+        run_events = len(partial.texts) - events_before
+        if run_events >= exchange.BEGUN_EVENTS and not has_begun:
+            has_begun = True
+            on_begun()
 
 
-def _interruption(part):
+def _interruption(part, has_head=True):
     if isinstance(part, engineclient.CallFailure):
-        return InterruptedRun(part.reason, True)
+        return InterruptedRun(part.reason, True, part.lost, has_head)
     if isinstance(part, InterruptedRun):
         return part
     return InterruptedRun("the engine is silent", True)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/members.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/members.py
@@ -19,13 +19,13 @@
         self._hub_selector = hub_selector
         self._log = log
 
-    def replace(self, rows):
+    def replace(self, rows, _store_ms):
         """Replaces all members by those in `rows`."""
         self._hub_selector.members = dict(
             member for member in map(self._decode, rows) if member is not None
         )
 
-    def apply_changes(self, rows):
+    def apply_changes(self, rows, _store_ms):
         """Applies the changed rows.
 
         A new member replaces the member that had its address before.
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/metrics.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/metrics.py
@@ -28,6 +28,11 @@
         self.slots = self._counter(
             "slot_requests", "Requests to the hub for a slot", ["result"]
         )
+        self.quarantine_refusals = self._counter(
+            "quarantine_refusals",
+            "Requests and items with a quarantined part of a prompt",
+            ["kind"],
+        )
         self.preemptions = prometheus_client.Counter(
             "samphirepost_preemptions",
             "Batch items stopped for online requests",
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
@@ -86,7 +86,7 @@
         outcome, reason = "cut", None
         try:
             while True:
-                response.event_count += len(response.events)
+                self._exchange.record_events(response, len(response.events))
                 for event in response.events:
                     if event.id is not None:
                         self._last_id = event.id
--- /dev/null
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/quarantinetable.py
@@ -0,0 +1,165 @@
+"""Keeps quarantined parts of prompts in the store, and reads them there.
+
+A row outlives the hub that decided and the daemons that know of it. All
+instants are monotonic seconds, but for those in rows: store time (ms).
+"""
+
+import queue
+import threading
+import time
+
+import msgspec
+
+from samphirepost import codec
+from samphirepost import errors
+from samphirepost import quarantine
+from samphirepost_daemon.entry import store
+
+QUARANTINE_TABLE = "quarantine"
+WRITE_RETRY_DELAY_S = 0.5
+# Interval at which rows that are no longer needed are looked for (s).
+FORGET_INTERVAL_S = 60.0
+
+
+class StoredPart(msgspec.Struct, frozen=True):
+    """A row of the table: until when a part is quarantined (store ms)."""
+
+    since_ms: int
+    until_ms: int
+    strikes: int
+
+
+class StoreClock:
+    """The store's time, as last read; None before the first read."""
+
+    __slots__ = ("_offset_s",)
+
+    def __init__(self):
+        self._offset_s = None
+
+    def record(self, store_ms, now_s):
+        """Records the time in an answer of the store."""
+        self._offset_s = store_ms / 1000 - now_s
+
+    @property
+    def is_known(self):
+        """Whether the store has answered since the start."""
+        return self._offset_s is not None
+
+    def instant_s(self, store_ms):
+        """Returns the monotonic instant of a store time."""
+        return store_ms / 1000 - self._offset_s
+
+    def store_ms(self, instant_s):
+        """Returns the store time of a monotonic instant."""
+        return round((instant_s + self._offset_s) * 1000)
+
+
+class QuarantineSink:
+    """Passes the rows of the table to the daemon's Quarantine.
+
+    A sink of watch.TableWatcher, called from its thread.
+    """
+
+    def __init__(self, parts, clock):
+        self._quarantine = parts.quarantine
+        self._state = parts.state
+        self._log = parts.log
+        self._clock = clock
+
+    def replace(self, rows, store_ms):
+        """Replaces all stored parts by those in `rows`."""
+        self._clock.record(store_ms, time.monotonic())
+        decoded = {row.key.key: self._decode(row) for row in rows}
+        self._quarantine.replace(
+            {part: one for part, one in decoded.items() if one is not None}
+        )
+        self._state.quarantine_read = True
+
+    def apply_changes(self, rows, store_ms):
+        """Applies the changed rows."""
+        self._clock.record(store_ms, time.monotonic())
+        for row in rows:
+            part = row.key.key
+            found = None if row.deleted else self._decode(row)
+            if found is None:
+                self._quarantine.remove(part)
+            else:
+                self._quarantine.put(part, found)
+            self._log.event(
+                "part.stored", part=part, quarantined=found is not None
+            )
+
+    def handle_failure(self):
+        """Does nothing: the parts last read stay in quarantine."""
+
+    def _decode(self, row):
+        """Returns the Quarantined in a row; logs an invalid row."""
+        try:
+            stored = codec.unpack(row.value, StoredPart)
+        except msgspec.DecodeError as exc:
+            self._log.failure(
+                "quarantine.unusable", key=row.key.key, reason=str(exc)
+            )
+            return None
+        return quarantine.Quarantined(
+            self._clock.instant_s(stored.since_ms),
+            self._clock.instant_s(stored.until_ms),
+            stored.strikes,
+        )
+
+
+class QuarantineWriter(threading.Thread):
+    """Writes the hub's decisions to the table, each until it is stored."""
+
+    def __init__(self, client, parts, clock):
+        super().__init__(daemon=True, name="quarantine")
+        self._store = client
+        self._quarantine = parts.quarantine
+        self._log = parts.log
+        self._clock = clock
+        self._decisions = queue.SimpleQueue()
+
+    def put(self, part, quarantined):
+        """Stores a Quarantined of a part; returns at once."""
+        self._decisions.put((part, quarantined))
+
+    def remove(self, part):
+        """Removes a part from the table; returns at once."""
+        self._decisions.put((part, None))
+
+    def run(self):
+        """Writes decisions until the process exits."""
+        while True:
+            try:
+                part, decided = self._decisions.get(timeout=FORGET_INTERVAL_S)
+            except queue.Empty:
+                self._remove_forgotten()
+                continue
+            while not self._write(part, decided):
+                threading.Event().wait(WRITE_RETRY_DELAY_S)
+
+    def _remove_forgotten(self):
+        for part in self._quarantine.forgotten(time.monotonic()):
+            self.remove(part)
+
+    def _write(self, part, decided):
+        """Makes one attempt; returns whether the decision is stored."""
+        if not self._clock.is_known:
+            return False
+        key = store.Key(QUARANTINE_TABLE, "", part)
+        transaction = store.Transaction({}, {}, (key,))
+        if decided is not None:
+            row = StoredPart(
+                self._clock.store_ms(decided.since_s),
+                self._clock.store_ms(decided.until_s),
+                decided.strikes,
+            )
+            transaction = store.Transaction({}, {key: codec.pack(row)})
+        result = self._store.commit(transaction)
+        if isinstance(result, errors.Failure):
+            self._log.failure(
+                "quarantine.unwritten", part=part, reason=result.reason
+            )
+            return False
+        return True
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -75,6 +75,9 @@
         self._address = (address, port)
         self._zone = parts.zone
         self._load_tracker = parts.load_tracker
+        self._quarantine = parts.quarantine
+        self._observations = parts.observations
+        self._suspects = ()
         self._metrics = parts.metrics
         self._log = parts.log
         self._sock = None
@@ -87,7 +90,7 @@
         self._ended = []
         self._wanted = {}
         self._wanted_ids = ()
-        self._hub_server = hub.HubServer(parts, self._hub.selector, self._send)
+        self.hub_server = hub.HubServer(parts, self._hub.selector, self._send)
         self.on_grant = None
         self.on_preemption = None
 
@@ -160,6 +163,16 @@
             self._ended.append(slotmessages.RunEnd(run_id, outcome, pace_s))
         self._send_report()
 
+    def record_crash(self, engine, parts, has_head):
+        """Reports a request lost with an engine before its answer had begun.
+
+        `parts` are the shared parts of its prompt.
+        """
+        self._observations.record_crash(
+            engine, parts, has_head, time.monotonic()
+        )
+        self._send_report()
+
     def want(self, wanted):
         """Sets the batch items for which slots are wanted, by run id."""
         wanted_ids = tuple(wanted)
@@ -190,9 +203,10 @@
         self._select_hub(now_s)
         if now_s >= self._next_report_s:
             self._send_report()
-        self._hub_server.allocate(now_s)
+        self.hub_server.allocate(now_s)
+        self.hub_server.judge(now_s)
         if self._hub.vm == self._me:
-            self._hub_server.announce_and_log(now_s)
+            self.hub_server.announce_and_log(now_s)
 
     def _select_hub(self, now_s):
         hub_vm = self._hub.selector.select_hub(self._me, now_s)
@@ -204,11 +218,13 @@
         self._hub.address = self._hub.selector.members.get(hub_vm)
         if hub_vm == self._me:
             self._hub.address = self._address
+        self._observations.report_again(now_s)
         self._send_report()
 
     def _send_report(self):
         with self._report_lock:
-            self._next_report_s = time.monotonic() + REPORT_INTERVAL_S
+            now_s = time.monotonic()
+            self._next_report_s = now_s + REPORT_INTERVAL_S
             address = self._hub.address
             if address is None:
                 self._ended.clear()
@@ -217,9 +233,11 @@
             report = slotmessages.Report(
                 self._me,
                 next(self._sequence),
-                self._load_tracker.own_runs(time.monotonic()),
+                self._load_tracker.own_runs(now_s),
                 tuple(ended),
                 tuple(self._wanted.values()),
+                self._observations.crashes(now_s),
+                self._observations.begun(self._suspects, now_s),
             )
             self._send(address, report)
 
@@ -254,9 +272,9 @@
             return
         now_s = time.monotonic()
         if isinstance(message, slotmessages.Report):
-            self._hub_server.serve_report(message, address, now_s)
+            self.hub_server.serve_report(message, address, now_s)
         elif isinstance(message, slotmessages.SlotRequest):
-            self._hub_server.serve_request(message, address, now_s)
+            self.hub_server.serve_request(message, address, now_s)
         else:
             self._apply_hub_message(message, now_s)
 
@@ -271,6 +289,7 @@
         if isinstance(message, slotmessages.Totals):
             if message.vm == self._hub.vm:
                 self._load_tracker.record_others(message.counts, now_s)
+                self._apply_suspects(message, now_s)
         elif isinstance(message, slotmessages.Preemption):
             self._metrics.preemptions.inc(len(message.ids))
             self.on_preemption(message.ids)
@@ -281,6 +300,14 @@
         else:
             self._apply_reply(message)
 
+    def _apply_suspects(self, totals, now_s):
+        """Reports at once which new suspects the daemon saw answered."""
+        self._quarantine.announce(totals.quarantined, now_s)
+        new = set(totals.suspects) - set(self._suspects)
+        self._suspects = totals.suspects
+        if self._observations.begun(new, now_s):
+            self._send_report()
+
     def _apply_reply(self, reply):
         pending = self._pending.pop(reply.id, None)
         if pending is not None:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/state.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/state.py
@@ -10,10 +10,12 @@
     """The active tables, the engines, and what a shutdown waits for.
 
     The tables and all times are None until known; times are monotonic (s).
+    `quarantine_read` once the quarantined parts of prompts have been read.
     """
 
     __slots__ = (
         "held_jobs",
+        "quarantine_read",
         "roster",
         "stop_began_s",
         "table",
@@ -26,6 +28,7 @@
         self.roster = roster.Roster()
         self.stop_began_s = None
         self.held_jobs = 0
+        self.quarantine_read = False
 
     def apply_table(self, table):
         """Activates a table if it is newer; returns whether it is."""
@@ -40,6 +43,7 @@
         return (
             self.table is not None
             and self.roster.last_read_s is not None
+            and self.quarantine_read
             and self.stop_began_s is None
         )
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/watch.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/watch.py
@@ -1,9 +1,10 @@
 """Follows tables of the store and passes their rows to sinks.
 
 A sink has three methods, called from the thread of its TableWatcher:
-replace(rows) with all rows, apply_changes(rows) with the rows changed since,
-and handle_failure() for each request that the store does not answer. Sinks
-are TablesSink, EnginesSink and members.MembersSink.
+replace(rows, store_ms) with all rows, apply_changes(rows, store_ms) with the
+rows changed since, and handle_failure() for each request that the store does
+not answer. `store_ms` is the store's time of its answer. Sinks are TablesSink,
+EnginesSink, members.MembersSink and quarantinetable.QuarantineSink.
 """
 
 import threading
@@ -71,9 +72,9 @@
             self._log.event("store.regained", table=self._table)
             self._in_outage = False
         if isinstance(answer, store.Page):
-            self._sink.replace(answer.rows)
+            self._sink.replace(answer.rows, answer.store_ms)
         else:
-            self._sink.apply_changes(answer.rows)
+            self._sink.apply_changes(answer.rows, answer.store_ms)
         self._revision = answer.revision
         return True
 
@@ -93,11 +94,11 @@
         self._state = state
         self._log = log
 
-    def replace(self, rows):
+    def replace(self, rows, store_ms):
         """Applies all rows."""
-        self.apply_changes(rows)
+        self.apply_changes(rows, store_ms)
 
-    def apply_changes(self, rows):
+    def apply_changes(self, rows, _store_ms):
         """Applies the tables in the changed rows; logs invalid ones."""
         self._state.table_read_s = time.monotonic()
         for row in rows:
@@ -126,7 +127,7 @@
         self._roster = state.roster
         self._log = log
 
-    def replace(self, rows):
+    def replace(self, rows, _store_ms):
         """Replaces the roster by the engines in `rows`."""
         engines = [
             engine for engine in map(self._decode, rows) if engine is not None
@@ -134,7 +135,7 @@
         self._roster.apply_full_read(engines, time.monotonic())
         self._log.event("engines.read", engines=len(engines))
 
-    def apply_changes(self, rows):
+    def apply_changes(self, rows, _store_ms):
         """Applies changed and removed engines."""
         now_s = time.monotonic()
         self._roster.record_read(now_s)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -3,6 +3,7 @@
 import logging
 import secrets
 
+from samphirepost import quarantine
 from samphirepost import selection
 from samphirepost_daemon.entry import batch
 from samphirepost_daemon.entry import boundedhttp
@@ -12,6 +13,7 @@
 from samphirepost_daemon.entry import members
 from samphirepost_daemon.entry import metrics
 from samphirepost_daemon.entry import online
+from samphirepost_daemon.entry import quarantinetable
 from samphirepost_daemon.entry import slots
 from samphirepost_daemon.entry import state
 from samphirepost_daemon.entry import storerelay
@@ -31,6 +33,8 @@
 # Longest wait of one feed of the members table. Its changes are not urgent: a
 # new member only adds to the known loads.
 MEMBERS_FEED_WAIT_MAX_S = 5.0
+# The same of the quarantine table, whose changes the hub announces.
+QUARANTINE_FEED_WAIT_MAX_S = 10.0
 BODY_BYTES_MAX = 8_000_000
 
 # waitress logs connections that callers closed; the daemon logs these itself,
@@ -49,6 +53,8 @@
         "log",
         "me",
         "metrics",
+        "observations",
+        "quarantine",
         "slots",
         "state",
         "zone",
@@ -61,6 +67,8 @@
         self.metrics = metrics.Metrics()
         self.state = state.State()
         self.load_tracker = selection.LoadTracker(zone)
+        self.quarantine = quarantine.Quarantine()
+        self.observations = quarantine.Observations()
         self.slots = None
 
 
@@ -107,6 +115,12 @@
         self.membership = members.MembershipWriter(
             store_client, me, cfg.peer_address, cfg.peer_port, parts.log
         )
+        clock = quarantinetable.StoreClock()
+        self.quarantine_writer = quarantinetable.QuarantineWriter(
+            store_client, parts, clock
+        )
+        self.slots.hub_server.decided = self.quarantine_writer.put
+        self.slots.hub_server.released = self.quarantine_writer.remove
         self.watchers = [
             watch.TableWatcher(
                 store_client,
@@ -127,6 +141,13 @@
                 parts.log,
                 MEMBERS_FEED_WAIT_MAX_S,
             ),
+            watch.TableWatcher(
+                store_client,
+                quarantinetable.QUARANTINE_TABLE,
+                quarantinetable.QuarantineSink(parts, clock),
+                parts.log,
+                QUARANTINE_FEED_WAIT_MAX_S,
+            ),
         ]
         app = web.CallerApp(
             parts,
--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -277,6 +277,15 @@
         if not self._reporters:
             self._first_report_s = None
 
+    def reporters(self):
+        """Returns the VMs and addresses of the daemons that report."""
+        return [(vm, one.address) for vm, one in self._reporters.items()]
+
+    def engine_of(self, vm, run_id):
+        """Returns the id of the engine of a daemon's run, or None."""
+        run = self._runs.get((vm, run_id))
+        return run.engine if run is not None else None
+
     def has_reporter(self, vm):
         """Whether a daemon reports to this hub."""
         return vm in self._reporters
--- a/packages/samphirepost/src/samphirepost/slotmessages.py
+++ b/packages/samphirepost/src/samphirepost/slotmessages.py
@@ -48,23 +48,53 @@
 class WantedSlot(msgspec.Struct, frozen=True, array_like=True):
     """A slot that a daemon wants for a batch item, as soon as one is free.
 
-    The grant has the same `id`; see Run for `late` and `left_s`.
+    The grant has the same `id`; see Run for `late` and `left_s`, SlotRequest
+    for `probe`.
     """
 
     id: int
     pool: str
     late: bool
     left_s: float
+    probe: str = ""
+
+
+class Crash(msgspec.Struct, frozen=True, array_like=True):
+    """A request lost `age_s` ago with an engine, before its answer had begun.
+
+    `parts` are the shared parts of its prompt, in order; `started_ms` tells
+    incarnations of the engine apart. With `has_head`, the head of its answer
+    had arrived, so that it was not waiting for a slot there.
+    """
+
+    engine: str
+    started_ms: int
+    parts: tuple[str, ...]
+    has_head: bool
+    age_s: float
+
+
+class Begun(msgspec.Struct, frozen=True, array_like=True):
+    """An answer to a prompt with this part last began `age_s` ago."""
+
+    part: str
+    age_s: float
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True, tag=11):
-    """All that one daemon runs and wants; a higher `seq` replaces a lower."""
+    """All that one daemon runs and wants; a higher `seq` replaces a lower.
+
+    `crashes` may come in several reports; `begun` answers the last
+    Totals.suspects.
+    """
 
     vm: str
     seq: int
     runs: tuple[Run, ...] = ()
     ended: tuple[RunEnd, ...] = ()
     wanted: tuple[WantedSlot, ...] = ()
+    crashes: tuple[Crash, ...] = ()
+    begun: tuple[Begun, ...] = ()
 
 
 class SlotRequest(msgspec.Struct, frozen=True, array_like=True, tag=12):
@@ -72,7 +102,8 @@
 
     It waits `wait_max_s` at most; one that `returns` was rejected before and
     goes before others of its priority. With `never_deny`, it gets an engine
-    even if none has a free slot.
+    even if none has a free slot. `probe` is the part of its prompt, if any,
+    whose quarantine is over and that it would probe.
     """
 
     vm: str
@@ -84,6 +115,7 @@
     excluded: tuple[str, ...] = ()
     never_deny: bool = False
     returns: bool = False
+    probe: str = ""
 
 
 class Grant(msgspec.Struct, frozen=True, array_like=True, tag=13):
@@ -131,10 +163,16 @@
 
 
 class Totals(msgspec.Struct, frozen=True, array_like=True, tag=17):
-    """All other daemons' running requests by engine, sent by hub `vm`."""
+    """All other daemons' running requests by engine, sent by hub `vm`.
+
+    `quarantined` are parts of prompts that must not be sent to engines, and
+    `suspects` those for which the hub asks whether answers have begun.
+    """
 
     vm: str
     counts: dict[str, Count]
+    quarantined: tuple[str, ...] = ()
+    suspects: tuple[str, ...] = ()
 
 
 Message = Report | SlotRequest | Grant | Queued | Denial | Preemption | Totals
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -247,7 +247,9 @@
         id = "e0"
         address = server.address
 
-    outcome = items.run_item(record, item, Target, run, lambda: False)
+    outcome = items.run_item(
+        record, item, Target, run, lambda: False, lambda: None
+    )
     assert isinstance(outcome, items.InterruptedRun)
     assert outcome.is_engine_failure
     assert server.closed.wait(entryhelper.WAIT_S)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -77,9 +77,9 @@
             ("10.0.0.3:7000", b"\xff"),
         )
     ]
-    sink.replace(rows)
+    sink.replace(rows, 0)
     assert selector.members == {"vm1": ("10.0.0.1", 7000)}
-    sink.apply_changes(rows)
+    sink.apply_changes(rows, 0)
     assert selector.members == {"vm1": ("10.0.0.1", 7000)}
 
 
