--- a/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
@@ -74,7 +74,8 @@
     `disconnected` is set once a connection closed during a stream.
     `crash_parts` are the ids of prompt parts: the engine crashes when it
     begins to answer a request that has one of them. It then calls
-    `on_crash(engine)`.
+    `on_crash(engine)`. With `limit_per_s`, its answers name that rate of
+    requests as its limit.
     """
 
     daemon_threads = True
@@ -89,6 +90,7 @@
         self.disconnected = threading.Event()
         self.crash_parts = frozenset()
         self.on_crash = None
+        self.limit_per_s = None
         self.has_crashed = False
         self._connections = set()
 
@@ -186,11 +188,16 @@
     def _send_status(self, status, *headers):
         self.send_response(status)
         self.send_header("Request-Id", self.headers["Request-Id"])
+        self._send_limit()
         for name, value in headers:
             self.send_header(name, value)
         self.send_header("Content-Length", "0")
         self.end_headers()
 
+    def _send_limit(self):
+        if self.server.limit_per_s is not None:
+            self.send_header("Server-Limit", f"{self.server.limit_per_s:g}")
+
     def _send_stream(self, arrival, fault):
         name = arrival.id if fault is not Fault.CROSS else "other"
         self.send_response(200)
@@ -198,6 +205,7 @@
         self.send_header("Response-Seal", f"seal-{self.server.name}")
         self.send_header("Content-Type", "text/event-stream")
         self.send_header("Transfer-Encoding", "chunked")
+        self._send_limit()
         self.end_headers()
         pause = threading.Event()
         if self.server.crash_parts.intersection(arrival.parts):
