Keep the limits that engines name

An engine that named 3 requests a second got 30 in 4 s from daemons that had passed its answers on.

Cause: an engine's word of what it takes was not read; it got requests by its free slots. Class: back pressure that nobody applies across many senders.

Now daemons report the limits that answers name, the hub counts every grant against a token bucket an engine, and announces the limits; while no hub answers, a daemon prefers engines without a limit and else takes its share. The newest answer counts, of the engine's present incarnation. The expected wait is reckoned from the limits, so what they cannot serve is denied at once.

Ruled out: limits kept by each daemon alone, or past the hub only: the code had no word of the header.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -7,6 +7,7 @@
 from samphirepost import attempts
 from samphirepost import events
 from samphirepost import quarantine
+from samphirepost import ratelimit
 from samphirepost import roster
 from samphirepost import routing
 from samphirepost import slotmessages
@@ -100,6 +101,7 @@
         self._state = parts.state
         self._quarantine = parts.quarantine
         self._observations = parts.observations
+        self._limits = parts.limits
         self._metrics = parts.metrics
         self._log = parts.log
         self._req = req
@@ -252,6 +254,13 @@
     def _choose_engine(self, engines):
         """Returns a Slot of this daemon's own choice, or an ErrorResponse."""
         now_s = time.monotonic()
+        daemon_count = self._slots.daemon_count
+        engines = self._limits.sendable(engines, daemon_count, now_s)
+        if not engines:
+            # All named a limit, and this daemon's share of it is used up.
+            if self._is_under_way():
+                return self._final_error()
+            return self._busy_error(ratelimit.BURST_S)
         wait_s = self._load_tracker.queue_wait_s(engines, now_s)
         wait_max_s = attempts.queue_wait_max_s(
             self._route, self._req.caller_timeout_s
@@ -259,6 +268,7 @@
         if wait_s > wait_max_s and not self._is_under_way():
             return self._busy_error(wait_s)
         engine = self._load_tracker.choose_engine(engines, (), now_s)
+        self._limits.take(engine, daemon_count, now_s)
         return Slot(engine, self._slots.next_run_id(), False)
 
     def _busy_error(self, wait_s):
@@ -395,6 +405,8 @@
         )
 
     def _read_response(self, call, slot, head):
+        if isinstance(head, engineclient.ResponseHead):
+            self._slots.record_head(slot.engine, head)
         if wire.is_rejected(head):
             return FailedAttempt(
                 attempts.AttemptFailure.REFUSED, f"status {head.status}"
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -52,6 +52,26 @@
 TAKEOVERS_PER_SCAN_MAX = 2
 
 
+class SlotObserver(items.RunObserver):
+    """Passes on what a run shows of its engine and its prompt's `parts`."""
+
+    __slots__ = ("_engine", "_observations", "_parts", "_slots")
+
+    def __init__(self, shared, engine, parts):
+        self._slots = shared.slots
+        self._observations = shared.observations
+        self._engine = engine
+        self._parts = parts
+
+    def head_received(self, head):
+        """Records the limit that the engine names."""
+        self._slots.record_head(self._engine, head)
+
+    def begun(self):
+        """Records that the prompt's parts are answered."""
+        self._observations.record_begun(self._parts, time.monotonic())
+
+
 class Holder(pykka.ThreadingActor):
     """The actor that owns the state of the held jobs.
 
@@ -302,14 +322,21 @@
 
     def _start_without_hub(self, wanted, now_s):
         load_tracker = self._parts.load_tracker
+        limits = self._parts.limits
+        daemon_count = self._parts.slots.daemon_count
         startable = [slot for slot in wanted.values() if not slot.probe]
         for slot in startable[:STARTS_PER_TICK_MAX]:
+            engines = limits.sendable(
+                self._parts.state.engines(slot.pool), daemon_count, now_s
+            )
             engine = load_tracker.choose_batch_engine(
-                self._parts.state.engines(slot.pool), now_s, slot.late
+                engines, now_s, slot.late
             )
             if engine is None:
                 return
-            self._start_item(self._parts.slots.next_run_id(), slot.id, engine)
+            run_id = self._parts.slots.next_run_id()
+            if self._start_item(run_id, slot.id, engine):
+                limits.take(engine, daemon_count, now_s)
 
     def _use_grant(self, message):
         """Starts the item for which the hub granted a slot."""
@@ -394,13 +421,11 @@
         item = held_job.record.items[run.index]
         parts = wire.shared_parts(item)
 
-        def on_begun():
-            self._parts.observations.record_begun(parts, time.monotonic())
-
+        observer = SlotObserver(self._parts, engine, parts)
         outcome = items.InterruptedRun("internal error of the daemon", False)
         try:
             outcome = items.run_item(
-                held_job.record, item, engine, run, should_stop, on_begun
+                held_job.record, item, engine, run, should_stop, observer
             )
             self._report_crash(run, engine, parts, outcome)
         finally:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
@@ -48,6 +48,7 @@
     def serve_report(self, report, address, now_s):
         """Applies a daemon's report; answers with totals if they are due."""
         self._apply_evidence(report, now_s)
+        self._apply_limits(report, now_s)
         report = self._without_probes(report, now_s)
         self._send_all(self._allocator.apply_report(report, address, now_s))
         sent_s = self._totals_sent_s.get(address, 0.0)
@@ -56,6 +57,22 @@
         self._totals_sent_s[address] = now_s
         self._send_totals(report.vm, address)
 
+    def _apply_limits(self, report, now_s):
+        """Applies what engines named in their answers to a daemon."""
+        changed = [
+            named
+            for named in report.limits
+            if self._allocator.limits.apply(named, now_s)
+        ]
+        for named in changed:
+            self._log.event(
+                "hub.limit",
+                engine=named.engine,
+                per_s=named.per_s,
+                age_s=named.age_s,
+                reporter=report.vm,
+            )
+
     def _apply_evidence(self, report, now_s):
         """Applies what a daemon saw of crashed engines and begun answers."""
         if self._judge.has_crashes:
@@ -122,6 +139,7 @@
         if now_s >= self._next_drop_s:
             self._next_drop_s = now_s + DROP_INTERVAL_S
             self._allocator.drop_stale_reporters(now_s)
+            self._allocator.limits.forget(now_s)
         if not self._is_informed(now_s):
             return
         for pool in self._allocator.pools():
@@ -162,6 +180,7 @@
             counts,
             tuple(self._judge.decided),
             self._judge.suspects(),
+            self._allocator.limits.all_rates(),
         )
         self._send(address, totals)
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
@@ -63,19 +63,31 @@
     return slotmessages.Outcome.UNKNOWN
 
 
-def run_item(record, item, engine, run, should_stop, on_begun):
+class RunObserver:
+    """Told what the run of an item shows; all its methods do nothing."""
+
+    __slots__ = ()
+
+    def head_received(self, head):
+        """Called with each ResponseHead of the engine."""
+
+    def begun(self):
+        """Called once the engine has begun to answer; maybe repeatedly."""
+
+
+def run_item(record, item, engine, run, should_stop, observer):
     """Runs an item on an engine and appends its events to `run.partial`.
 
     Blocks until the run is over. `should_stop()` is polled every
     `exchange.READ_POLL_S` seconds; once it is true, the run is interrupted.
-    `on_begun()` is called once the engine has begun to answer.
+    `observer` is a RunObserver.
 
     Returns a CompletedRun, FailedRun, UnprocessableItem or InterruptedRun,
     whose `label` is the outcome in logs and metrics.
     """
     try:
         outcome = _send_and_collect(
-            run.call, record, item, engine, run.partial, should_stop, on_begun
+            run.call, record, item, engine, run.partial, should_stop, observer
         )
     finally:
         run.call.close()
@@ -86,7 +98,7 @@
 
 
 def _send_and_collect(
-    call, record, item, engine, partial, should_stop, on_begun
+    call, record, item, engine, partial, should_stop, observer
 ):
     failure = call.connect(engine.address, exchange.CONNECT_TIMEOUT_S)
     if failure is not None:
@@ -100,22 +112,23 @@
     head = _read_next(call, should_stop, deadline_s)
     if not isinstance(head, engineclient.ResponseHead):
         return _interruption(head, has_head=False)
+    observer.head_received(head)
     if wire.is_rejected(head):
         return InterruptedRun(f"refused with {head.status}", False)
     if not wire.is_response_to(head, req):
         return InterruptedRun("another request's answer", True)
     if head.status in (422, 500):
-        on_begun()
+        observer.begun()
     if head.status == 422:
         return UnprocessableItem()
     if head.status == 500:
         return FailedRun("the engine failed")
     if head.status != 200:
         return InterruptedRun(f"status {head.status}", True)
-    return _collect_events(call, partial, should_stop, on_begun)
+    return _collect_events(call, partial, should_stop, observer)
 
 
-def _collect_events(call, partial, should_stop, on_begun):
+def _collect_events(call, partial, should_stop, observer):
     events_before = len(partial.texts)
     has_begun = False
     parser = events.Parser()
@@ -127,7 +140,7 @@
                 return InterruptedRun(
                     "the stream ended early", True, True, True
                 )
-            on_begun()
+            observer.begun()
             return CompletedRun()
         if not isinstance(part, engineclient.BodyData):
             return _interruption(part)
@@ -142,7 +155,7 @@
         run_events = len(partial.texts) - events_before
         if run_events >= exchange.BEGUN_EVENTS and not has_begun:
             has_begun = True
-            on_begun()
+            observer.begun()
 
 
 def _interruption(part, has_head=True):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -15,6 +15,7 @@
 from samphirepost import loadshare
 from samphirepost import slotmessages
 from samphirepost_daemon.entry import hub
+from samphirepost_daemon.platform import wire
 
 # Longest time that the thread waits for a datagram (s), after which it checks
 # what has expired.
@@ -77,6 +78,7 @@
         self._load_tracker = parts.load_tracker
         self._quarantine = parts.quarantine
         self._observations = parts.observations
+        self._limits = parts.limits
         self._suspects = ()
         self._metrics = parts.metrics
         self._log = parts.log
@@ -163,6 +165,20 @@
             self._ended.append(slotmessages.RunEnd(run_id, outcome, pace_s))
         self._send_report()
 
+    @property
+    def daemon_count(self):
+        """The number of daemons that are known to be members."""
+        return len(self._hub.selector.members)
+
+    def record_head(self, engine, head):
+        """Records the limit that an engine's response names, if any."""
+        if wire.is_from_another_engine(head):
+            return
+        per_s = wire.named_limit(head)
+        if self._limits.record_answer(engine, per_s, time.monotonic()):
+            self._log.event("engine.limit", engine=engine.id, per_s=per_s)
+            self._send_report()
+
     def record_crash(self, engine, parts, has_head):
         """Reports a request lost with an engine before its answer had begun.
 
@@ -219,6 +235,7 @@
         if hub_vm == self._me:
             self._hub.address = self._address
         self._observations.report_again(now_s)
+        self._limits.report_again(now_s)
         self._send_report()
 
     def _send_report(self):
@@ -238,6 +255,7 @@
                 tuple(self._wanted.values()),
                 self._observations.crashes(now_s),
                 self._observations.begun(self._suspects, now_s),
+                self._limits.to_report(now_s),
             )
             self._send(address, report)
 
@@ -289,6 +307,7 @@
         if isinstance(message, slotmessages.Totals):
             if message.vm == self._hub.vm:
                 self._load_tracker.record_others(message.counts, now_s)
+                self._limits.announce(message.limits)
                 self._apply_suspects(message, now_s)
         elif isinstance(message, slotmessages.Preemption):
             self._metrics.preemptions.inc(len(message.ids))
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -4,6 +4,7 @@
 import secrets
 
 from samphirepost import quarantine
+from samphirepost import ratelimit
 from samphirepost import selection
 from samphirepost_daemon.entry import batch
 from samphirepost_daemon.entry import boundedhttp
@@ -49,6 +50,7 @@
     """
 
     __slots__ = (
+        "limits",
         "load_tracker",
         "log",
         "me",
@@ -69,6 +71,7 @@
         self.load_tracker = selection.LoadTracker(zone)
         self.quarantine = quarantine.Quarantine()
         self.observations = quarantine.Observations()
+        self.limits = ratelimit.SeenLimits()
         self.slots = None
 
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
@@ -1,6 +1,7 @@
 """The platform's HTTP formats for callers and for engines."""
 
 import base64
+import math
 import urllib.parse
 
 import msgspec
@@ -18,6 +19,7 @@
 RESUME_AFTER_HEADER = "Last-Event-Id"
 NOT_EXECUTED_HEADER = "not-executed"
 PROMPT_HEADER = "Prompt-Prefix"
+LIMIT_HEADER = "server-limit"
 WAIT_HEADER = "Wait-Ms"
 
 # Hop-by-hop headers, which are not forwarded.
@@ -165,6 +167,26 @@
     return head.get(REQUEST_ID_HEADER.lower()) == req.id
 
 
+def named_limit(head):
+    """Returns the requests a second that an engine takes, or None.
+
+    The rate is for all daemons together; None if the response names none.
+    """
+    value = head.get(LIMIT_HEADER)
+    if value is None:
+        return None
+    try:
+        per_s = float(value)
+    except ValueError:
+        return None
+    return per_s if math.isfinite(per_s) and per_s >= 0 else None
+
+
+def is_from_another_engine(head):
+    """Whether the engine at the address is not the one that was meant."""
+    return head.status == 421
+
+
 def is_rejected(head):
     """Whether an engine reports that it has not run the request."""
     return NOT_EXECUTED_HEADER in head.headers or head.status == 421
--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -12,6 +12,7 @@
 
 from samphirepost import enginehealth
 from samphirepost import poolview
+from samphirepost import ratelimit
 from samphirepost import slotmessages
 
 # A daemon that has not reported for this long (s) is not counted.
@@ -127,6 +128,7 @@
         "_wanting",
         "granted",
         "health",
+        "limits",
         "preempted",
         "service_time_s",
     )
@@ -142,6 +144,7 @@
         self._wanting = set()
         self._first_report_s = None
         self.health = enginehealth.FleetHealth()
+        self.limits = ratelimit.HubLimits()
         self.service_time_s = SERVICE_TIME_INITIAL_S
         self.granted = 0
         self.preempted = 0
@@ -207,6 +210,7 @@
         if known is None:
             known = AllocatedRun(run.engine, run.batch, now_s, True)
             self._add_run(vm, reporter, run.id, known)
+            self.limits.take(run.engine, now_s)
         known.confirmed = True
         known.late = run.late
         known.deadline_s = now_s + run.left_s
@@ -320,6 +324,8 @@
         for engine_id in view.engines.keys() - set(engine_ids):
             self._pool_names.pop(engine_id, None)
             self.health.remove(engine_id)
+            self.limits.remove(engine_id)
+        self.limits.set_engines(engines)
         self._pool_names |= dict.fromkeys(engine_ids, pool)
         slow = self.health.slow_engines(engine_ids, now_s)
         view.refresh(engines, self._engines, slow, now_s)
@@ -345,9 +351,13 @@
                 return sent
         if req.never_deny:
             engine = view.least_occupied(
-                lambda engine_id: engine_id not in req.excluded
+                lambda engine_id: (
+                    engine_id not in req.excluded
+                    and self.limits.allows(engine_id, now_s)
+                )
             )
-            return [self._grant(req.vm, req.id, engine, False, now_s)]
+            if engine is not None:
+                return [self._grant(req.vm, req.id, engine, False, now_s)]
         return self._queue(queue, req, address, view, now_s)
 
     def _queue(self, queue, req, address, view, now_s):
@@ -364,8 +374,14 @@
 
     def _queue_wait_s(self, ahead, view, now_s):
         """Returns how long a request waits behind `ahead` others (s)."""
-        avoided = self._avoided(view, now_s)
+        avoided = set(self._avoided(view, now_s))
         slots = view.slots - sum(view.engines[one].slots for one in avoided)
+        rates = self.limits.rates(view.engines.keys() - avoided)
+        if rates and len(rates) == len(view.engines) - len(avoided):
+            return self.limits.wait_s(rates, ahead + 1, now_s)
+        for engine_id, per_s in rates.items():
+            usable = per_s * self.service_time_s
+            slots -= max(0.0, view.engines[engine_id].slots - usable)
         if not slots:
             return 0.0
         return (ahead + 1) * self.service_time_s / slots
@@ -394,24 +410,26 @@
         """Returns tests for engine ids, the strictest first.
 
         Engines that are reliable and not slow come first. If all engines of
-        the pool are avoided, any one is better than none.
+        the pool are avoided, any one is better than none. None gets more than
+        the limit that it named.
         """
 
         def is_reliable(engine_id):
             return (
-                engine_id not in req.excluded
+                is_untried(engine_id)
                 and engine_id not in self.health.suspects
                 and engine_id not in view.slow
             )
 
         def is_healthy(engine_id):
-            return (
-                engine_id not in req.excluded
-                and not self.health.is_avoided(engine_id, now_s)
+            return is_untried(engine_id) and not self.health.is_avoided(
+                engine_id, now_s
             )
 
         def is_untried(engine_id):
-            return engine_id not in req.excluded
+            return engine_id not in req.excluded and self.limits.allows(
+                engine_id, now_s
+            )
 
         if len(self._avoided(view, now_s)) == len(view.engines):
             return (is_untried,)
@@ -455,6 +473,7 @@
         run = AllocatedRun(engine.id, batch, now_s, False)
         self._add_run(vm, reporter, run_id, run)
         self.health.record_probe(engine.id, now_s)
+        self.limits.take(engine.id, now_s)
         self.granted += 1
         message = slotmessages.Grant(self._me, run_id, engine.id)
         return (reporter.address, message)
@@ -497,9 +516,16 @@
         return sent
 
     def _serve_items(self, pool, view, now_s):
-        avoided = self._avoided(view, now_s)
+        avoided = set(self._avoided(view, now_s))
+        avoided |= self.limits.rates(view.engines).keys()
         slots = view.slots - sum(view.engines[one].slots for one in avoided)
         free = view.free_total - sum(view.free(one) for one in avoided)
+        # A limited engine takes one request at a time, if any.
+        free += sum(
+            view.free(one) > 0 and self.limits.allows(one, now_s)
+            for one in self.limits.rates(view.engines)
+            if not self.health.is_avoided(one, now_s)
+        )
         budget = free - RESERVE_DEVIATIONS * math.sqrt(view.online)
         if budget <= 0:
             return []
@@ -535,7 +561,9 @@
         """
 
         def is_usable(engine_id):
-            return not self.health.is_avoided(engine_id, now_s)
+            return self.limits.allows(
+                engine_id, now_s
+            ) and not self.health.is_avoided(engine_id, now_s)
 
         for engine_id in self.health.suspects:
             if view.free(engine_id) and is_usable(engine_id):
--- a/packages/samphirepost/src/samphirepost/slotmessages.py
+++ b/packages/samphirepost/src/samphirepost/slotmessages.py
@@ -81,11 +81,24 @@
     age_s: float
 
 
+class NamedLimit(msgspec.Struct, frozen=True, array_like=True):
+    """The rate of requests that an engine named in an answer `age_s` ago.
+
+    `per_s` is None if the answer named none; `started_ms` tells incarnations
+    of the engine apart.
+    """
+
+    engine: str
+    started_ms: int
+    per_s: float | None
+    age_s: float
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True, tag=11):
     """All that one daemon runs and wants; a higher `seq` replaces a lower.
 
-    `crashes` may come in several reports; `begun` answers the last
-    Totals.suspects.
+    `crashes` and `limits` may come in several reports; `begun` answers the
+    last Totals.suspects.
     """
 
     vm: str
@@ -95,6 +108,7 @@
     wanted: tuple[WantedSlot, ...] = ()
     crashes: tuple[Crash, ...] = ()
     begun: tuple[Begun, ...] = ()
+    limits: tuple[NamedLimit, ...] = ()
 
 
 class SlotRequest(msgspec.Struct, frozen=True, array_like=True, tag=12):
@@ -167,12 +181,14 @@
 
     `quarantined` are parts of prompts that must not be sent to engines, and
     `suspects` those for which the hub asks whether answers have begun.
+    `limits` are the rates (requests a second) that engines named.
     """
 
     vm: str
     counts: dict[str, Count]
     quarantined: tuple[str, ...] = ()
     suspects: tuple[str, ...] = ()
+    limits: dict[str, float] = {}
 
 
 Message = Report | SlotRequest | Grant | Queued | Denial | Preemption | Totals
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -248,7 +248,7 @@
         address = server.address
 
     outcome = items.run_item(
-        record, item, Target, run, lambda: False, lambda: None
+        record, item, Target, run, lambda: False, items.RunObserver()
     )
     assert isinstance(outcome, items.InterruptedRun)
     assert outcome.is_engine_failure
