A stream that ends after its head is no whole answer

A caller got 200 with an empty stream if the engine ended after its head; a batch item that was resumed there passed for complete with part of its text; and neither counted as a crash, so that a part of a prompt could crash engine after engine unseen.

Cause: the end of the connection was taken for the end of the response, as its framing says. Now the client tells such an end apart, and without a new event it is a broken attempt. Streams that end inside an event were handled already.

--- a/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
@@ -21,6 +21,7 @@
 
     REFUSE: refused as not executed (503). CUT: the connection closes in the
     middle of the stream. CUT_EVENT: it closes in the middle of an event.
+    EMPTY: it closes after the head.
     SILENT: no event follows the headers. FAIL: status 500 after execution.
     IMPOSSIBLE: status 422. CROSS: the headers name another request.
     """
@@ -28,6 +29,7 @@
     REFUSE = "refuse"
     CUT = "cut"
     CUT_EVENT = "cut-event"
+    EMPTY = "empty"
     SILENT = "silent"
     FAIL = "fail"
     IMPOSSIBLE = "impossible"
@@ -75,7 +77,8 @@
     `crash_parts` are the ids of prompt parts: the engine crashes when it
     begins to answer a request that has one of them. It then calls
     `on_crash(engine)`. With `limit_per_s`, its answers name that rate of
-    requests as its limit.
+    requests as its limit. If `unframed`, its streams have no length and end
+    with the connection.
     """
 
     daemon_threads = True
@@ -91,6 +94,7 @@
         self.crash_parts = frozenset()
         self.on_crash = None
         self.limit_per_s = None
+        self.unframed = False
         self.has_crashed = False
         self._connections = set()
 
@@ -204,13 +208,18 @@
         self.send_header("Request-Id", name)
         self.send_header("Response-Seal", f"seal-{self.server.name}")
         self.send_header("Content-Type", "text/event-stream")
-        self.send_header("Transfer-Encoding", "chunked")
+        if not self.server.unframed:
+            self.send_header("Transfer-Encoding", "chunked")
         self._send_limit()
         self.end_headers()
         pause = threading.Event()
         if self.server.crash_parts.intersection(arrival.parts):
-            self._send_chunk(b"id: ")
+            if not self.server.unframed:
+                self._send_chunk(b"id: ")
             return self.server.crash()
+        if fault is Fault.EMPTY:
+            self.close_connection = True
+            return None
         if fault is Fault.SILENT:
             while True:
                 pause.wait(self.server.event_interval_s)
@@ -232,7 +241,8 @@
                 break
             pause.wait(self.server.event_interval_s)
         else:
-            self.wfile.write(b"0\r\n\r\n")
+            if not self.server.unframed:
+                self.wfile.write(b"0\r\n\r\n")
             return None
         self.close_connection = True
         return None
@@ -249,5 +259,8 @@
             self.connection.setblocking(True)
 
     def _send_chunk(self, data):
+        if self.server.unframed:
+            self.wfile.write(data)
+            return
         self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
         self.wfile.flush()
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineclient.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineclient.py
@@ -41,7 +41,13 @@
 
 
 class EndOfResponse(msgspec.Struct, frozen=True):
-    """The response is complete."""
+    """The response is complete, as far as its framing tells.
+
+    With `unframed`, it had no length, and ended with the connection: it may
+    have been broken off.
+    """
+
+    unframed: bool = False
 
 
 class CallFailure(msgspec.Struct, frozen=True):
@@ -67,6 +73,7 @@
         "_failures",
         "_informational",
         "_is_ended",
+        "_is_unframed",
         "_received_bytes",
         "_sock",
     )
@@ -74,6 +81,7 @@
     def __init__(self):
         self._informational = 0
         self._is_ended = False
+        self._is_unframed = False
         self._received_bytes = 0
         self._sock = None
         self._conn = h11.Connection(h11.CLIENT)
@@ -142,11 +150,15 @@
                 return CallFailure("too many informational responses")
             return self._next_event()
         if isinstance(event, h11.Response):
-            return _response_head(event)
+            head = _response_head(event)
+            self._is_unframed = not (
+                head.get("content-length") or head.get("transfer-encoding")
+            )
+            return head
         if isinstance(event, h11.Data):
             return BodyData(bytes(event.data))
         if isinstance(event, h11.EndOfMessage):
-            return EndOfResponse()
+            return EndOfResponse(self._is_unframed)
         return CallFailure("the engine closed the connection", lost=True)
 
     def _receive(self, left_s):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -432,11 +432,11 @@
                 if response.parser.is_overlong:
                     return self._failed_attempt(OVERLONG_EVENT)
             elif isinstance(part, engineclient.EndOfResponse):
+                if response.parser.incomplete or part.unframed:
+                    return self._failed_attempt(part)
                 response.done = True
             else:
                 return self._failed_attempt(part)
-        if response.done and response.parser.incomplete:
-            return self._failed_attempt(engineclient.EndOfResponse())
         self._load_tracker.record_success(response.engine.id)
         self.record_progress()
         response.began_s = time.monotonic()
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
@@ -136,7 +136,12 @@
     while True:
         part = _read_next(call, should_stop, deadline_s)
         if isinstance(part, engineclient.EndOfResponse):
-            if parser.incomplete or not partial.texts:
+            is_empty = len(partial.texts) == events_before
+            if (
+                parser.incomplete
+                or not partial.texts
+                or (is_empty and part.unframed)
+            ):
                 return InterruptedRun(
                     "the stream ended early", True, True, True
                 )
--- a/tests/entryhelper.py
+++ b/tests/entryhelper.py
@@ -137,6 +137,7 @@
     def _replace(self, crashed):
         engine = streamengine.Engine(f"{crashed.name}+")
         engine.crash_parts = crashed.crash_parts
+        engine.unframed = crashed.unframed
         engine.on_crash = self._replace
         engine.start()
         self.engines.append(engine)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -90,6 +90,19 @@
             assert float(reply.headers["Retry-After"]) > 0
 
 
+# An answer without a length that ends after its head passed for a whole one,
+# so that nothing told of the crash.
+def test_a_crash_after_the_head_of_an_unframed_answer_counts(fleet):
+    for engine in fleet.engines:
+        engine.unframed = True
+    caller = Caller(fleet)
+    crash_engines(fleet, caller, "/bills/1")
+    sent_before = len(caller.sent)
+    for _ in range(3 * DAEMONS):
+        assert caller.send(BAD, "/bills/1").status in (502, 503)
+    assert caller.arrived(sent_before) <= MORE_MAX
+
+
 # A false suspicion of a shared part would refuse sound requests.
 def test_sound_requests_beside_them_are_served(fleet):
     caller = Caller(fleet)
