Start an item that loses its engines less and less often

An item whose own text crashes engines, with no part shared with others, ended an engine at each start: 200 in its retention of 60 s. The pause now doubles from 0.3 to 20 s with each run in a row that lost its engine before the answer began: 10 starts at most in 60 s. The test was written with the change.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -46,7 +46,7 @@
 LOADS_LOG_INTERVAL_S = 2.0
 # Items started in one tick without a hub, as load counts lag behind.
 STARTS_PER_TICK_MAX = 2
-# Pause before an unfinished item or a failed write is retried.
+# Pause before a failed write is retried (s).
 RETRY_DELAY_S = 0.3
 # Jobs taken over after one scan; leaves some to the other daemons.
 TAKEOVERS_PER_SCAN_MAX = 2
@@ -433,12 +433,7 @@
 
     def _report_crash(self, run, engine, parts, outcome):
         """Reports a lost run that may have crashed its engine."""
-        if (
-            parts
-            and isinstance(outcome, items.InterruptedRun)
-            and outcome.lost
-            and len(run.partial.texts) < exchange.BEGUN_EVENTS
-        ):
+        if parts and _may_have_crashed_engine(run, outcome):
             self._parts.slots.record_crash(engine, parts, outcome.has_head)
 
     def _finish_item_run(self, message):
@@ -500,7 +495,8 @@
             if outcome.is_engine_failure:
                 self._parts.load_tracker.record_failure(run.engine, now_s)
         if not run.stop_requested:
-            held_job.retry_at_s[index] = now_s + RETRY_DELAY_S
+            is_lost = _may_have_crashed_engine(run, outcome)
+            held_job.postpone_item(index, is_lost, now_s)
 
     def _count_failure(self, held_job, index):
         route = self._find_route(held_job)
@@ -662,6 +658,15 @@
             self._commit_if_due(key, held_job, time.monotonic())
 
 
+def _may_have_crashed_engine(run, outcome):
+    """Whether a run lost its engine before the item's answer had begun."""
+    return (
+        isinstance(outcome, items.InterruptedRun)
+        and outcome.lost
+        and len(run.partial.texts) < exchange.BEGUN_EVENTS
+    )
+
+
 _HANDLERS = {
     holdermessages.HoldJob: "_hold_submitted_job",
     holdermessages.JobTakeover: "_hold_taken_over_job",
--- a/packages/samphirepost/src/samphirepost/batchjob.py
+++ b/packages/samphirepost/src/samphirepost/batchjob.py
@@ -15,6 +15,11 @@
 # Longest time between two progress writes of a holder (s), which serve as its
 # heartbeat: others take over after about three missed ones (TAKEOVER_S).
 HEARTBEAT_S = 1.2
+# Pause (s) before an unfinished item is started again. It is doubled, up to
+# the longest one, with each run that lost its engine before its answer began:
+# the item may be what crashes engines.
+RETRY_DELAY_S = 0.3
+RETRY_DELAY_MAX_S = 20.0
 # A job whose progress has not changed for this long (s) is taken over: its
 # holder is assumed to have failed.
 TAKEOVER_S = 4.0
@@ -224,14 +229,17 @@
     not listed yet, `partial_outputs` the outputs of unfinished items,
     `stale_checkpoints` how many checkpoints are to be deleted,
     `pending_failures` the failure counts that are not yet durable, and
-    `retry_at_s` the instants before which items are not started again.
-    `pending_commit` is the commit whose outcome is unknown, or None.
+    `retry_at_s` the instants before which items are not started again, and
+    `lost_counts` the runs in a row that lost their engine before their answer
+    began, by index. `pending_commit` is the commit whose outcome is unknown,
+    or None.
     """
 
     __slots__ = (
         "commit_started_s",
         "deadline_s",
         "give_up_s",
+        "lost_counts",
         "next_heartbeat_s",
         "partial_outputs",
         "pending_commit",
@@ -257,6 +265,7 @@
         self.partial_outputs = {}
         self.stale_checkpoints = {}
         self.retry_at_s = {}
+        self.lost_counts = {}
         self.pending_failures = {}
         self.pending_commit = None
         self.next_heartbeat_s = now_s + HEARTBEAT_S
@@ -296,6 +305,17 @@
             found, key=lambda index: index not in self.partial_outputs
         )
 
+    def postpone_item(self, index, is_lost, now_s):
+        """Sets when an unfinished item may be started again.
+
+        `is_lost` if its run lost its engine before its answer began.
+        """
+        lost_count = self.lost_counts.get(index, 0) + 1 if is_lost else 0
+        self.lost_counts[index] = lost_count
+        doublings = min(max(0, lost_count - 1), 16)
+        delay_s = min(RETRY_DELAY_S * 2**doublings, RETRY_DELAY_MAX_S)
+        self.retry_at_s[index] = now_s + delay_s
+
     def failure_count(self, index):
         """Returns the number of failed attempts of an item."""
         durable = self.progress.failures.get(index, 0)
--- a/tests/test_batchjob.py
+++ b/tests/test_batchjob.py
@@ -513,3 +513,34 @@
     max_examples=150, stateful_step_count=30, derandomize=True, deadline=None
 )
 TestHolders = HoldersMachine.TestCase
+
+
+class TestAnItemThatCrashesEngines:
+    """Load pattern: each run of an item ends an engine at once."""
+
+    def held_job(self, rows):
+        """Returns the state of a job with one item."""
+        store = jobstore.JobStore(rows, "vm1", ROW_BYTES)
+        record = make_record(count=1)
+        accepted = store.submit(record, make_route(retention_s=60.0))
+        return make_held_job(record, accepted)
+
+    def runs_in(self, held_job, seconds):
+        """Returns how often the item is started if each run is lost."""
+        count = 0
+        for tick in range(int(seconds * 20)):
+            now_s = tick / 20
+            if held_job.runnable_indexes(now_s):
+                count += 1
+                held_job.postpone_item(0, True, now_s)
+        return count
+
+    # It was started every 0.3 s until its retention was over.
+    def test_it_is_started_less_and_less_often(self, rows):
+        assert self.runs_in(self.held_job(rows), 60.0) <= 10
+
+    def test_a_run_that_got_further_starts_the_count_anew(self, rows):
+        held_job = self.held_job(rows)
+        self.runs_in(held_job, 10.0)
+        held_job.postpone_item(0, False, 10.0)
+        assert held_job.runnable_indexes(10.0 + batchjob.RETRY_DELAY_S) == [0]
