Bound the hub's work when many daemons report crashes at once

Each report with a new suspect sent totals to all daemons: 195 daemons that lose engines at once cost 38,000 datagrams, and the suspects were counted anew for each. Announcements are sent at most every 0.1 s, longer for larger fleets; suspects are counted once a change, parts are judged every 50 ms, and a success looks up its engine. test_suspects_are_announced_once_for_many_ reports has the pattern and failed before (by its count of datagrams).

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -42,6 +42,8 @@
 # after its job's deadline. The share is below 1 because only an upper limit of
 # the item's tokens is known.
 FEASIBLE_SHARE = 0.8
+# Interval at which items with a quarantined part are looked for (s).
+BLOCK_INTERVAL_S = 0.25
 # Interval at which the loads are logged while jobs are held.
 LOADS_LOG_INTERVAL_S = 2.0
 # Items started in one tick without a hub, as load counts lag behind.
@@ -95,6 +97,7 @@
         self._item_runs = {}
         self._wanted = {}
         self._blocked_items = set()
+        self._next_block_s = 0.0
         self._hub_answered_s = time.monotonic()
         self._duration_estimator = batchjob.DurationEstimator()
         self._next_load_log_s = 0.0
@@ -247,7 +250,7 @@
         known_ids = self._wanted
         self._wanted = {}
         wanted = {}
-        self._log_blocked_items(now_s)
+        self._find_blocked_items(now_s)
         for key, index in self._ready_items(now_s):
             run_id = known_ids.get((key, index))
             if run_id is None:
@@ -278,11 +281,14 @@
                     found.append((key, index))
         return found
 
-    def _log_blocked_items(self, now_s):
+    def _find_blocked_items(self, now_s):
         """Finds the items with a quarantined part; logs the new ones.
 
         They wait until the quarantine is over or their retention has passed.
         """
+        if now_s < self._next_block_s:
+            return
+        self._next_block_s = now_s + BLOCK_INTERVAL_S
         blocked_items = set()
         if not self._parts.quarantine.is_empty:
             for key, held_job in self._held_jobs.items():
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
@@ -18,6 +18,12 @@
 ANNOUNCEMENT_INTERVAL_S = 1.0
 # Interval at which daemons that no longer report are looked for (s).
 DROP_INTERVAL_S = 0.1
+# Interval at which the hub looks for parts of prompts that crash engines (s).
+JUDGE_INTERVAL_S = 0.05
+# Shortest interval at which it announces new suspects and quarantined parts to
+# all daemons (s), and more for each daemon: many report crashes at once.
+PARTS_ANNOUNCEMENT_INTERVAL_S = 0.1
+PARTS_ANNOUNCEMENT_PER_DAEMON_S = 0.0002
 # Interval at which the hub logs its loads (s).
 LOG_INTERVAL_S = 2.0
 
@@ -42,6 +48,9 @@
         self._next_log_s = 0.0
         self._next_drop_s = 0.0
         self._next_announcement_s = 0.0
+        self._next_judgement_s = 0.0
+        self._next_parts_s = 0.0
+        self._has_new_parts = False
         self.decided = None
         self.released = None
 
@@ -91,12 +100,26 @@
         ]
         if new:
             self._log.event("parts.suspected", parts=new, reporter=report.vm)
-            self._announce_to_all()
+            self._has_new_parts = True
 
     def judge(self, now_s):
-        """Quarantines the parts that crash engines."""
+        """Quarantines the parts that crash engines; announces what is new."""
         if self._judge.is_idle:
             return
+        if now_s >= self._next_judgement_s:
+            self._next_judgement_s = now_s + JUDGE_INTERVAL_S
+            self._decide(now_s)
+        if self._has_new_parts and now_s >= self._next_parts_s:
+            reporters = self._allocator.reporters()
+            self._has_new_parts = False
+            self._next_parts_s = now_s + max(
+                PARTS_ANNOUNCEMENT_INTERVAL_S,
+                PARTS_ANNOUNCEMENT_PER_DAEMON_S * len(reporters),
+            )
+            for vm, address in reporters:
+                self._send_totals(vm, address)
+
+    def _decide(self, now_s):
         for part in self._judge.decide(now_s):
             decided = self._judge.decided[part]
             self._log.failure(
@@ -106,7 +129,7 @@
                 left_s=round(decided.until_s - now_s, 1),
                 first_crash_s=round(now_s - decided.since_s, 3),
             )
-            self._announce_to_all()
+            self._has_new_parts = True
             self.decided(part, decided)
 
     def _without_probes(self, report, now_s):
@@ -169,10 +192,6 @@
             if vm != self._me and not self._allocator.has_reporter(vm):
                 self._send_totals(vm, address)
 
-    def _announce_to_all(self):
-        for vm, address in self._allocator.reporters():
-            self._send_totals(vm, address)
-
     def _send_totals(self, vm, address):
         counts = self._allocator.totals_of_others(vm)
         totals = slotmessages.Totals(
--- a/packages/samphirepost/src/samphirepost/quarantine.py
+++ b/packages/samphirepost/src/samphirepost/quarantine.py
@@ -256,18 +256,22 @@
 
     __slots__ = (
         "_begun_s",
+        "_by_engine",
         "_crashed",
         "_probed_s",
         "_quarantine",
         "_suspected_s",
+        "_suspects",
         "decided",
     )
 
     def __init__(self, quarantine):
         self._quarantine = quarantine
         self._crashed = {}
+        self._by_engine = {}
         self._begun_s = {}
         self._suspected_s = {}
+        self._suspects = None
         self._probed_s = {}
         self.decided = {}
 
@@ -280,6 +284,8 @@
         crashed = self._crashed.get(key)
         if crashed is None:
             crashed = self._crashed[key] = CrashedEngine(at_s)
+            self._by_engine[crash.engine] = crashed
+        self._suspects = None
         if any(self._is_blocked(part, now_s) for part in crash.parts):
             crashed.explain()
         if crashed.explained:
@@ -315,6 +321,7 @@
             now_s - begun.age_s, self._begun_s.get(part, now_s - MEMORY_S)
         )
         self._begun_s[part] = at_s
+        self._suspects = None
         for crashed in self._crashed.values():
             if at_s > crashed.at_s:
                 crashed.positions.pop(part, None)
@@ -326,10 +333,12 @@
 
     def record_success(self, engine_id, now_s):
         """Records that a run succeeded at an engine: it has not crashed."""
-        for (crashed_id, _), crashed in self._crashed.items():
-            age_s = now_s - crashed.at_s
-            if crashed_id == engine_id and ALIVE_MIN_S < age_s < ALIVE_MAX_S:
-                crashed.explain()
+        crashed = self._by_engine.get(engine_id)
+        if crashed is None:
+            return
+        if ALIVE_MIN_S < now_s - crashed.at_s < ALIVE_MAX_S:
+            crashed.explain()
+            self._suspects = None
 
     @property
     def has_crashes(self):
@@ -345,10 +354,11 @@
 
     def suspects(self):
         """Returns the parts for which the daemons shall report answers."""
-        counts = self._counts()
-        by_count = sorted(counts, key=lambda part: -counts[part])
+        if self._suspects is None:
+            most_common = self._counts().most_common(SUSPECTS_MAX)
+            self._suspects = tuple(part for part, _ in most_common)
         known = (*self.decided, *self._quarantine.stored_parts)
-        return tuple(dict.fromkeys((*by_count, *known)))[:SUSPECTS_MAX]
+        return tuple(dict.fromkeys((*self._suspects, *known)))[:SUSPECTS_MAX]
 
     def decide(self, now_s):
         """Quarantines the parts that are due; returns them."""
@@ -448,10 +458,13 @@
 
     def _forget(self, now_s):
         old_s = now_s - MEMORY_S
+        self._suspects = None
         for key, crashed in list(self._crashed.items()):
             is_excess = len(self._crashed) > CRASHED_ENGINES_MAX
             if crashed.at_s < old_s or is_excess:
                 del self._crashed[key]
+                if self._by_engine.get(key[0]) is crashed:
+                    del self._by_engine[key[0]]
         for part, at_s in list(self._begun_s.items()):
             if at_s < old_s:
                 del self._begun_s[part]
--- a/tests/test_slotexchange.py
+++ b/tests/test_slotexchange.py
@@ -88,3 +88,28 @@
     exchange = make_exchange([(b"\xc1", ADDRESS), (b"\x93\x01\x02", ADDRESS)])
     exchange._receive()
     assert exchange._sock.sent == []
+
+
+def crash_report(number):
+    """Returns the packed report of a daemon that lost an engine."""
+    crash = slotmessages.Crash(
+        f"e{number % 20}", 0, ("first", f"part{number}"), True, 0.0
+    )
+    report = slotmessages.Report(f"vm{number}", 1, crashes=(crash,))
+    return codec.pack(report), ("10.0.1.0", number)
+
+
+def test_suspects_are_announced_once_for_many_reports():
+    """Load pattern: 195 daemons lose engines at once, each its own prompts.
+
+    An announcement to all for each of the reports would fill the hub's link.
+    """
+    exchange = make_exchange(crash_report(i) for i in range(195))
+    exchange._receive()
+    sent_before = len(exchange._sock.sent)
+    for tick in range(10):
+        exchange.hub_server.judge(200.0 + tick / 100)
+    announced = exchange._sock.sent[sent_before:]
+    assert len(announced) == 195
+    assert {len(one.suspects) for one, _ in announced} == {32}
+    assert {"first" in one.suspects for one, _ in announced} == {True}
