Let one item at a time ask to probe a part

Items whose part's quarantine is over filled the 16 places of the list of wanted items; the hub strips all but one of them, so items of other jobs waited behind. Now all but one a part wait. The test, written with the change, has 40 such items before 20 sound ones.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -285,17 +285,25 @@
         """Finds the items with a quarantined part; logs the new ones.
 
         They wait until the quarantine is over or their retention has passed.
+        Of those that could probe a part, all but one wait, so that they do not
+        keep other items from being wanted.
         """
         if now_s < self._next_block_s:
             return
         self._next_block_s = now_s + BLOCK_INTERVAL_S
         blocked_items = set()
+        probing = set()
         if not self._parts.quarantine.is_empty:
             for key, held_job in self._held_jobs.items():
                 for index in held_job.queued_indexes():
                     item = held_job.record.items[index]
-                    if self._is_blocked(item, now_s):
+                    found = self._check_quarantine(item, now_s)
+                    if found is None:
+                        continue
+                    is_blocked = isinstance(found, quarantine.Blocked)
+                    if is_blocked or found.part in probing:
                         blocked_items.add((key, index))
+                    probing.add(found.part)
         for key, index in blocked_items - self._blocked_items:
             self._parts.metrics.quarantine_refusals.labels("item").inc()
             item = self._held_jobs[key].record.items[index]
@@ -307,17 +315,16 @@
             )
         self._blocked_items = blocked_items
 
-    def _is_blocked(self, item, now_s):
-        found = self._parts.quarantine.check(wire.shared_parts(item), now_s)
-        return isinstance(found, quarantine.Blocked)
+    def _check_quarantine(self, item, now_s):
+        parts = wire.shared_parts(item)
+        return self._parts.quarantine.check(parts, now_s)
 
     def _wanted_slot(self, run_id, key, index, now_s):
         held_job = self._held_jobs[key]
         route = self._find_route(held_job)
         if route is None:
             return None
-        item = held_job.record.items[index]
-        found = self._parts.quarantine.check(wire.shared_parts(item), now_s)
+        found = self._check_quarantine(held_job.record.items[index], now_s)
         return slotmessages.WantedSlot(
             run_id,
             routing.pick_pool(route),
@@ -370,7 +377,8 @@
         held_job = self._held_jobs.get(key)
         if held_job is None or index not in held_job.runnable_indexes(now_s):
             return False
-        if self._is_blocked(held_job.record.items[index], now_s):
+        found = self._check_quarantine(held_job.record.items[index], now_s)
+        if isinstance(found, quarantine.Blocked):
             return False
         route = self._find_route(held_job)
         if route is None or engine.pool not in route.pools:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -92,6 +92,8 @@
             parts, cfg.peer_address, cfg.peer_port
         )
         self.metrics = parts.metrics
+        self.quarantine = parts.quarantine
+        self.observations = parts.observations
         self.watchdog = boundedhttp.Watchdog(parts.log)
         self.store = storerelay.FailoverStore(
             me,
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from samphirepost import quarantine
+from samphirepost_bench import streamengine
 from tests import entryhelper
 
 FIRST = "a0"
@@ -147,3 +149,32 @@
     wait_until_contact()
     assert sum(map(fleet.arrived, items)) - arrived_before <= MORE_MAX
     assert fleet.results("bad1")["results"] == []
+
+
+# A failure of an engine with a free slot told that the part was sound.
+def test_an_answer_that_is_a_failure_clears_no_part(fleet):
+    for engine in fleet.engines:
+        engine.faults.append(streamengine.Fault.FAIL)
+    caller = Caller(fleet)
+    assert caller.send("b1", "/bills/1").status == 500
+    observations = fleet.daemons[0].observations
+    assert observations.begun(("b1",), time.monotonic()) == ()
+    caller.send("b2", "/bills/1")
+
+
+# Items that may probe a part filled the list of wanted items, and those of
+# other jobs waited behind them.
+def test_items_go_on_beside_those_whose_quarantine_is_over(fleet):
+    now_s = time.monotonic()
+    over = quarantine.Quarantined(now_s - 100.0, now_s - 40.0, 1)
+    for daemon in fleet.daemons:
+        daemon.quarantine_writer.put("q1", over)
+        entryhelper.wait_until(
+            lambda one=daemon: one.quarantine.get("q1"), "the part is stored"
+        )
+    fleet.submit("slow", 40, 0, f"{FIRST}:8,q1:8,own1:8")
+    fleet.submit("sound", 20, 0, f"{FIRST}:8,b1:8,own2:8")
+    for job in ("sound", "slow"):
+        entryhelper.wait_until(
+            lambda job=job: fleet.complete_results(job), "a job is complete"
+        )
