Take only a whole answer as proof that a part is sound

A 500, 422 or 504 of an engine, which need not have looked at the prompt, counted as an answer that had begun and could release a part. A request that would probe a part and is denied says so instead of that engines are busy.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -7,7 +7,6 @@
 from samphirepost import attempts
 from samphirepost import events
 from samphirepost import quarantine
-from samphirepost import ratelimit
 from samphirepost import roster
 from samphirepost import routing
 from samphirepost import slotmessages
@@ -25,6 +24,8 @@
 STALL_TIMEOUT_S = 1.0
 # Events of a stream from which an engine's pace is judged.
 PACE_EVENTS_MIN = 6
+# Expected wait (s) while no hub answers and all engines named a limit.
+LIMITED_WAIT_S = 1.0
 # An answer has begun with this many events: an engine that crashes on a prompt
 # may put out one.
 BEGUN_EVENTS = 2
@@ -202,6 +203,11 @@
             if reply.engine in engines:
                 return Slot(engines[reply.engine], run_id, True)
             self._slots.end_run(run_id, slotmessages.Outcome.UNKNOWN)
+        elif self._probed_part:
+            # Only the hub knows whether another request probes the part.
+            return self._quarantine_error(
+                quarantine.Probation(self._probed_part)
+            )
         elif isinstance(reply, slotmessages.Denial):
             # After an attempt, 503 could be untrue: an engine may have run
             # the request.
@@ -209,11 +215,6 @@
                 return self._busy_error(reply.wait_s)
         if self._is_disconnected():
             raise CallerDisconnected
-        if self._probed_part:
-            # Only the hub knows whether another request probes the part.
-            return self._quarantine_error(
-                quarantine.Probation(self._probed_part)
-            )
         return self._choose_engine(list(engines.values()))
 
     def _request_slot(self, run_id, engines, now_s):
@@ -260,7 +261,7 @@
             # All named a limit, and this daemon's share of it is used up.
             if self._is_under_way():
                 return self._final_error()
-            return self._busy_error(ratelimit.BURST_S)
+            return self._busy_error(LIMITED_WAIT_S)
         wait_s = self._load_tracker.queue_wait_s(engines, now_s)
         wait_max_s = attempts.queue_wait_max_s(
             self._route, self._req.caller_timeout_s
@@ -455,7 +456,8 @@
                 return self._failed_attempt(part)
         response.body = b"".join(chunks)
         response.done = True
-        self._record_begun()
+        if response.head.status == 200:
+            self._record_begun()
         if response.head.status < 500:
             self._load_tracker.record_success(response.engine.id)
             return response
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
@@ -117,8 +117,6 @@
         return InterruptedRun(f"refused with {head.status}", False)
     if not wire.is_response_to(head, req):
         return InterruptedRun("another request's answer", True)
-    if head.status in (422, 500):
-        observer.begun()
     if head.status == 422:
         return UnprocessableItem()
     if head.status == 500:
