Bound the evidence of crashes in bytes and in time

A report of crashes with long prompts could be larger than a datagram, and was lost with the daemon's runs: parts are bounded in length and number. Engines that are lost in one moment had parts that were sound before by chance, and no answer can begin while the pool is down: such crashes count once a second for those parts. Tests of both patterns were written with the change.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
@@ -20,6 +20,9 @@
 NOT_EXECUTED_HEADER = "not-executed"
 PROMPT_HEADER = "Prompt-Prefix"
 LIMIT_HEADER = "server-limit"
+# Longest id of a part of a prompt, and most shared parts of one.
+PART_ID_LENGTH_MAX = 64
+SHARED_PARTS_MAX = 64
 WAIT_HEADER = "Wait-Ms"
 
 # Hop-by-hop headers, which are not forwarded.
@@ -120,7 +123,9 @@
     """Returns the ids in a list of ID:TOKENS entries, without the last."""
     entries = [entry.strip() for entry in value.split(",")]
     ids = (entry.partition(":")[0].lower() for entry in entries[:-1])
-    return tuple(part_id for part_id in ids if part_id)
+    return tuple(
+        part_id for part_id in ids if 0 < len(part_id) <= PART_ID_LENGTH_MAX
+    )[:SHARED_PARTS_MAX]
 
 
 def _parse_number(headers_by_name, name):
--- a/packages/samphirepost/src/samphirepost/quarantine.py
+++ b/packages/samphirepost/src/samphirepost/quarantine.py
@@ -18,12 +18,17 @@
 # Crashed engines under one part before it is quarantined. A sound part that
 # few requests have may be at two engines that crash for another reason.
 CRASHES_MIN = 3
+# Crashes of engines under a part to which answers had begun count once in this
+# time (s): engines that are lost together had such parts by chance.
+SEPARATE_S = 1.0
 # Crashes and begun answers are remembered for this long (s).
 MEMORY_S = 60.0
 # Crashes that a daemon remembers, the parts whose answers had begun, and the
 # crashed engines that the hub remembers.
 OWN_CRASHES_MAX = 32
 BEGUN_PARTS_MAX = 4096
+# Parts in the crashes of one report, which has to fit into a datagram.
+REPORTED_PARTS_MAX = 256
 CRASHED_ENGINES_MAX = 256
 # A crash is reported for this long (s), as a report may be lost.
 REPORT_S = 2.0
@@ -102,20 +107,29 @@
                 crash.report_until_s = now_s + REPORT_S
 
     def crashes(self, now_s):
-        """Returns the slotmessages.Crash entries to report."""
+        """Returns the slotmessages.Crash entries to report.
+
+        The newest come first, with REPORTED_PARTS_MAX parts at most.
+        """
+        found = []
+        part_count = 0
         with self._lock:
-            return tuple(
-                slotmessages.Crash(
-                    crash.engine.id,
-                    crash.engine.started_ms,
-                    crash.parts,
-                    crash.has_head,
-                    round(now_s - crash.at_s, 3),
+            for crash in reversed(self._crashes):
+                if now_s >= min(crash.report_until_s, crash.at_s + MEMORY_S):
+                    continue
+                part_count += len(crash.parts)
+                if part_count > REPORTED_PARTS_MAX:
+                    break
+                found.append(
+                    slotmessages.Crash(
+                        crash.engine.id,
+                        crash.engine.started_ms,
+                        crash.parts,
+                        crash.has_head,
+                        round(now_s - crash.at_s, 3),
+                    )
                 )
-                for crash in self._crashes
-                if now_s < crash.report_until_s
-                and now_s - crash.at_s < MEMORY_S
-            )
+        return tuple(found)
 
     def begun(self, parts, now_s):
         """Returns slotmessages.Begun entries for those parts that began."""
@@ -424,15 +438,24 @@
         )
 
     def _unexplained_count(self, part, counts):
-        """Counts the crashes of a part that no likelier one explains."""
-        return sum(
-            part in crashed.positions
+        """Counts the crashes of a part that no likelier one explains.
+
+        Those within SEPARATE_S count once.
+        """
+        instants = sorted(
+            crashed.at_s
+            for crashed in self._crashed.values()
+            if part in crashed.positions
             and not any(
                 counts[other] > 1 and other not in self._begun_s
                 for other in crashed.positions
             )
-            for crashed in self._crashed.values()
         )
+        count, counted_s = 0, -SEPARATE_S
+        for at_s in instants:
+            if at_s - counted_s >= SEPARATE_S:
+                count, counted_s = count + 1, at_s
+        return count
 
     def _answered_count(self, part):
         return sum(
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -6,6 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from samphirepost import codec
 from samphirepost import quarantine
 from samphirepost import roster
 from samphirepost import slotmessages
@@ -135,7 +136,7 @@
         for number in range(4):
             hub.begin((FIRST, f"s{number}"), 1)
             hub.crash(number, (FIRST, BAD, f"t{number}"))
-            hub.wait(0.1)
+            hub.wait(1.0)
             hub.begin((FIRST, f"u{number}"), 2)
         hub.wait()
         assert hub.found == [BAD]
@@ -185,6 +186,16 @@
         hub.wait()
         assert hub.found == []
 
+    def test_a_pool_that_is_lost_at_once_proves_nothing(self):
+        """No answer can begin then, to whatever part."""
+        hub = Hub()
+        hub.begin((FIRST,), 1)
+        hub.wait(0.1)
+        for number in range(8):
+            hub.crash(number, (FIRST, f"s{number}"), number % 3)
+        hub.wait(5.0)
+        assert hub.found == []
+
     def test_old_crashes_are_forgotten(self):
         """Three in an hour are no proof."""
         hub = Hub()
@@ -313,3 +324,14 @@
         hub.wait(0.3)
     hub.wait()
     assert hub.found == [BAD]
+
+
+def test_a_report_of_many_long_prompts_fits_into_a_datagram():
+    """One that does not fit is lost as a whole, with the daemon's runs."""
+    one = quarantine.Observations()
+    for number in range(40):
+        parts = tuple(f"{number:060}-{i:03}" for i in range(64))
+        one.record_crash(engine(number), parts, True, 100.0)
+    found = one.crashes(100.0)
+    assert found[0].engine == "e39"
+    assert len(codec.pack(found)) < 20_000
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -31,3 +31,13 @@
     assert wire.shared_parts(item_with({"Model": "m"})) == ()
     record = batchjob.Record("j", "h", "r", "/evening/", ())
     assert wire.item_request(record, item_with({})).shared_parts == ()
+
+
+def test_the_shared_parts_of_a_long_prompt_are_bounded():
+    """They are kept, logged and sent to other daemons."""
+    value = ",".join(f"{number:x}:1" for number in range(1000))
+    found = wire.shared_parts(item_with({"Prompt-Prefix": value}))
+    assert len(found) == wire.SHARED_PARTS_MAX
+    value = "a" * 65 + ":1,b:1,c:1"
+    found = wire.shared_parts(item_with({"Prompt-Prefix": value}))
+    assert found == ("b",)
