--- a/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
@@ -135,12 +135,19 @@
 
 
 class Engine:
-    """One engine id; each restart gets a new incarnation and address."""
+    """One engine id; each restart gets a new incarnation and address.
+
+    An incarnation that crashes on one of `crash_parts` is followed by the
+    next one; `crashes_s` has the times (monotonic, s).
+    """
 
     def __init__(self, name, proxies, store):
         self.name = name
         self._proxies = proxies
         self._store = store
+        self.crash_parts = frozenset()
+        self.crashes_s = []
+        self.limit_per_s = None
         self.incarnations = []
         self.proxy = None
         self.restart()
@@ -153,11 +160,28 @@
     def restart(self):
         """Starts a new incarnation, without the state of the previous one."""
         incarnation = streamengine.Engine(self.name)
+        incarnation.crash_parts = self.crash_parts
+        incarnation.on_crash = self._restart_crashed
+        incarnation.limit_per_s = self.limit_per_s
         incarnation.start()
         self.incarnations.append(incarnation)
         self.proxy = self._proxies.open_proxy(incarnation.address)
         self.register("ready")
 
+    def _restart_crashed(self, _):
+        self.crashes_s.append(time.monotonic())
+        self.restart()
+
+    def crash_on(self, part):
+        """Makes the engine crash on prompts with a part."""
+        self.crash_parts = frozenset((part,))
+        self.newest_incarnation.crash_parts = self.crash_parts
+
+    def name_limit(self, per_s):
+        """Makes the engine name a limit in its answers."""
+        self.limit_per_s = per_s
+        self.newest_incarnation.limit_per_s = per_s
+
     def register(self, state):
         """Writes the engine's registry entry to the store.
 
--- a/packages/samphirepost-bench/src/samphirepost_bench/soak.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/soak.py
@@ -37,6 +37,22 @@
 ITEMS_PER_JOB = 4
 CALL_TIMEOUT_S = 6.0
 CONCURRENT_FAULTS_MAX = 3
+# Engines crash on prompts with the part BAD in seeds that are a multiple of
+# CRASH_SEEDS and CRASH_SEED more; the first engine also names a limit there
+# (requests/s). Later than FAULT_EFFECT_S after the crash with the number
+# CRASHES, so many more requests with the part may reach engines.
+BAD = "bad"
+CRASH_SEEDS = 3
+CRASH_SEED = 2
+CRASHES = 5
+BAD_MAX = 3
+BAD_PAUSE_S = 0.3
+LIMIT_PER_S = 3.0
+# In any window of this length (s), an engine may get this many times what its
+# limit allows, and LIMIT_MORE_MAX requests more.
+LIMIT_WINDOW_S = 4.0
+LIMIT_EXCESS = 1.5
+LIMIT_MORE_MAX = 5
 # Statuses that guarantee that a request was not run and will not be.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -127,6 +143,7 @@
         self.requested = 0
         self.jobs = []
         self._refused = []
+        self._bad = []
         self._unrepeatable = []
         self._drain_spans = []
         self._faults_over = threading.Event()
@@ -146,7 +163,11 @@
         path = rng.choice(["/notes/1", "/bills/1"])
         name = f"r{self.seed}-{number}-{rng.getrandbits(32):08x}"
         daemon = rng.choice(self.fleet.daemons)
-        headers = {"Request-Id": name, "Deadline-Ms": "5000"}
+        headers = {
+            "Request-Id": name,
+            "Deadline-Ms": "5000",
+            "Prompt-Prefix": f"a{number % 2}:8,s{number}:8,{name}:8",
+        }
         faults_over = self._faults_over.is_set()
         found = send_request(daemon, "POST", path, headers, b"prompt")
         with self._lock:
@@ -178,6 +199,33 @@
                 "ORDER", f"{name} has wrong events: {found.body!r}"
             )
 
+    @property
+    def has_crashes(self):
+        """Whether engines crash on BAD and name limits in this run."""
+        return self.seed % CRASH_SEEDS == CRASH_SEED
+
+    def ask_bad(self, number, rng):
+        """Sends a request on which engines crash.
+
+        The function's name is part of the callers' random seed.
+        """
+        path = rng.choice(["/notes/1", "/bills/1"])
+        name = f"b{self.seed}-{number}-{rng.getrandbits(32):08x}"
+        prompt = f"a{rng.getrandbits(1)}:8,{BAD}:8,{name}:8"
+        headers = {
+            "Request-Id": name,
+            "Deadline-Ms": "5000",
+            "Prompt-Prefix": prompt,
+        }
+        daemon = rng.choice(self.fleet.daemons)
+        found = send_request(daemon, "POST", path, headers, b"prompt")
+        with self._lock:
+            self._bad.append(name)
+            if path.startswith("/bills/"):
+                self._unrepeatable.append(name)
+            if found.status in NOT_RUN_STATUSES:
+                self._refused.append(name)
+
     def submit(self, number, rng):
         """Submits a job; tries up to three daemons until one accepts it.
 
@@ -281,12 +329,18 @@
         The violations are in `violations` afterwards.
         """
         self._wait_ready()
+        callers = [
+            (self.ask, CALLER_COUNT, REQUEST_PAUSE_S),
+            (self.submit, SUBMITTER_COUNT, JOB_PAUSE_S),
+        ]
+        if self.has_crashes:
+            callers.append((self.ask_bad, 1, BAD_PAUSE_S))
+            for engine in self.fleet.engines:
+                engine.crash_on(BAD)
+            self.fleet.engines[0].name_limit(LIMIT_PER_S)
         threads = [
             threading.Thread(target=self._run_caller, args=(n, act, pause_s))
-            for act, count, pause_s in (
-                (self.ask, CALLER_COUNT, REQUEST_PAUSE_S),
-                (self.submit, SUBMITTER_COUNT, JOB_PAUSE_S),
-            )
+            for act, count, pause_s in callers
             for n in range(count)
         ]
         threads.append(threading.Thread(target=self._run_reader))
@@ -355,7 +409,7 @@
         fault = entry.fault
         if isinstance(fault, soakfaults.EngineDrains):
             span = (fault.draining_since_s, time.monotonic())
-            self._drain_spans.append((fault.engine.newest_incarnation, *span))
+            self._drain_spans.append((fault.incarnation, *span))
         fault.end()
         entry.end_s = time.monotonic()
 
@@ -391,9 +445,50 @@
                 self.record_violation("TWICE", f"{name} has run {runs} times")
         for job in self.jobs:
             self._check_job(job)
+        self._check_bad()
+        for engine in self.fleet.engines:
+            for incarnation in engine.incarnations:
+                self._check_limit(incarnation)
         for engine, begin_s, end_s in self._drain_spans:
             self._check_drained(engine, begin_s, end_s)
 
+    def _check_bad(self):
+        """Checks how many requests with BAD reached engines too late."""
+        crashes_s = sorted(
+            at_s for engine in self.fleet.engines for at_s in engine.crashes_s
+        )
+        if len(crashes_s) < CRASHES:
+            return
+        from_s = crashes_s[CRASHES - 1] + FAULT_EFFECT_S
+        late = [
+            one.id
+            for name in self._bad
+            for one in self.fleet.arrivals(name)
+            if one.at_s > from_s and self._is_undisturbed(one.at_s, one.at_s)
+        ]
+        if len(late) > BAD_MAX:
+            self.record_violation("BUDGET", f"{len(late)} reach engines")
+
+    def _check_limit(self, engine):
+        """Checks how many requests an engine with a limit got."""
+        if engine.limit_per_s is None or not engine.arrivals:
+            return
+        from_s = engine.arrivals[0].at_s + FAULT_EFFECT_S
+        times = [
+            one.at_s
+            for one in list(engine.arrivals)
+            if one.at_s > from_s and self._is_undisturbed(one.at_s, one.at_s)
+        ]
+        allowed = LIMIT_EXCESS * engine.limit_per_s * LIMIT_WINDOW_S
+        for begin_s in times:
+            end_s = begin_s + LIMIT_WINDOW_S
+            count = sum(begin_s <= at_s < end_s for at_s in times)
+            if count > allowed + LIMIT_MORE_MAX:
+                self.record_violation(
+                    "LIMIT", f"{engine.name} got {count} in {LIMIT_WINDOW_S} s"
+                )
+                return
+
     def _check_job(self, job):
         arrivals = [
             one for item in job.items for one in self.fleet.arrivals(item)
--- a/packages/samphirepost-bench/src/samphirepost_bench/soakfaults.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/soakfaults.py
@@ -280,6 +280,7 @@
 
     def begin(self):
         """Registers the engine as draining."""
+        self.incarnation = self.engine.newest_incarnation
         self.draining_since_s = self.engine.register("draining")
 
     def end(self):
--- a/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
@@ -117,6 +117,9 @@
         self._connections.discard(request)
         super().shutdown_request(request)
 
+    def handle_error(self, request, client_address):
+        """Does nothing: a crash ends connections that are being served."""
+
     def crash(self):
         """Ends the engine: closes all connections, accepts none."""
         if self.has_crashed:
