--- a/tests/entryhelper.py
+++ b/tests/entryhelper.py
@@ -254,8 +254,17 @@
         )
 
     def results(self, job, after=0, daemon=0):
-        """Reads a job's results from a position; returns the decoded body."""
-        reply = self.call("GET", f"/lots/{job}?after={after}", daemon=daemon)
+        """Reads a job's results from a position; returns the decoded body.
+
+        Asks again after 503 and 504, as callers do: the store may be slow.
+        """
+
+        def read():
+            path = f"/lots/{job}?after={after}"
+            reply = self.call("GET", path, daemon=daemon)
+            return None if reply.status in (503, 504) else reply
+
+        reply = wait_until(read, f"{job} can be read")
         assert reply.status == 200, reply.body
         return json.loads(reply.body)
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -191,3 +191,29 @@
         check=False,
     )
     assert (result.returncode, result.stdout) == (0, b"settings.json\n")
+
+
+def test_a_read_that_the_store_answers_too_late_can_be_repeated(
+    fleet, monkeypatch
+):
+    """A reader gets 503 and asks again; nothing of the job is lost."""
+    fleet.submit("job", 2)
+    entryhelper.wait_until(
+        lambda: fleet.complete_results("job"), "the job is complete"
+    )
+    rows = fleet.store.store
+    read_rows = rows.read_rows
+    slow = threading.Event()
+
+    def read_late(*args, **fields):
+        if not slow.is_set():
+            slow.set()
+            threading.Event().wait(2 * client.READ_TIMEOUT_S)
+        return read_rows(*args, **fields)
+
+    monkeypatch.setattr(rows, "read_rows", read_late)
+    reply = fleet.call("GET", "/lots/job?after=0")
+    assert slow.is_set()
+    assert reply.status == 503
+    assert b"timed out" in reply.body
+    assert len(fleet.results("job")["results"]) == 2
