Tests: a daemon that does not wake from a freeze shows its exit status

Its exit status was not kept, so that a signal could not be told from an exit. The daemons of the fleet run with faulthandler from now on, and the two tests that freeze them fail with the status and the last output.

--- a/packages/samphirepost-bench/src/samphirepost_bench/fleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/fleet.py
@@ -29,6 +29,8 @@
 POLL_INTERVAL_S = 0.05
 READY_WAIT_S = 30.0
 STOP_WAIT_S = 90.0
+# Output of a process that is shown when it has exited unexpectedly.
+EXIT_REPORT_BYTES = 2000
 CALLER_TOKENS = {"nurseries": "lily-token", "umoja": "notice-token"}
 OPERATOR_TOKEN = "operator-token"
 
@@ -73,6 +75,16 @@
         """Whether the process is running."""
         return self.popen.poll() is None
 
+    def exit_report(self):
+        """Returns the exit status and the last output, for a test's message.
+
+        The status is None while the process runs.
+        """
+        with open(self._log.name, "rb") as log:
+            tail = log.read()[-EXIT_REPORT_BYTES:]
+        output = tail.decode(errors="replace")
+        return f"{self.name}: exit status {self.popen.poll()}, {output}"
+
     def kill(self):
         """Kills the process with SIGKILL, as the failure of a VM would."""
         self.popen.kill()
@@ -227,7 +239,9 @@
         path = self.folder / f"{name}.json"
         path.write_text("// Settings of one daemon.\n" + json.dumps(config))
         program = pathlib.Path(sys.executable).parent / "samphirepostd"
-        argv = [sys.executable, str(program), "--settings", str(path)]
+        # A fault of a native library leaves a trace in the log.
+        interpreter = [sys.executable, "-X", "faulthandler"]
+        argv = [*interpreter, str(program), "--settings", str(path)]
         daemon = Daemon(name, zone, argv, self._log(name), listen)
         self.processes.append(daemon)
         self.daemons.append(daemon)
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -195,6 +195,19 @@
     return fleet.http.json("GET", url)[0] == 200
 
 
+def wait_ready_again(fleet, daemon):
+    """Waits until a daemon that was suspended is ready.
+
+    Fails with its exit status if it has exited.
+    """
+
+    def is_ready_or_gone():
+        return not daemon.alive or is_ready(fleet, daemon)
+
+    eventually(is_ready_or_gone)
+    assert daemon.alive, daemon.exit_report()
+
+
 def owner_index(fleet, work):
     """Returns the index of the daemon that owns a work id's partition."""
     partition = str(int(work.split("-")[1], 16))
@@ -587,7 +600,7 @@
     found = wait_for_results(fleet, job, other)
     frozen.thaw()
     check_items(found, lines)
-    eventually(lambda: is_ready(fleet, frozen))
+    wait_ready_again(fleet, frozen)
     assert wait_for_results(fleet, job, index) == found
 
 
@@ -729,7 +742,8 @@
     fleet.set_service_mode("table", "ok")
     for daemon in others:
         daemon.thaw()
-    eventually(lambda: all(is_ready(fleet, d) for d in fleet.daemons[:3]))
+    for daemon in fleet.daemons[:3]:
+        wait_ready_again(fleet, daemon)
 
 
 def count_members(fleet, daemon):
