--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -15,13 +15,18 @@
 
     def __init__(self):
         self._read_no, self.write_no = os.pipe()
+        self._rest = b""
 
     def lines(self, count):
-        """Reads at least `count` lines; returns those that are not empty."""
-        data = b""
+        """Reads at least `count` lines; returns those that are not empty.
+
+        A read may end inside a line, whose rest comes with the next one.
+        """
+        data = self._rest
         while data.count(b"\n") < count:
             data += os.read(self._read_no, 65536)
-        return [json.loads(line) for line in data.splitlines() if line]
+        whole, _, self._rest = data.rpartition(b"\n")
+        return [json.loads(line) for line in whole.splitlines() if line]
 
     def drain(self, log):
         """Reads until the log reports its drops; stops its writer thread.
@@ -55,6 +60,16 @@
     pipe.close()
 
 
+# A CI run failed when a read of the test ended inside a line.
+def test_a_line_that_is_read_in_two_parts_is_whole():
+    pipe = Reader()
+    os.write(pipe.write_no, b'{"event":1}\n{"eve')
+    assert pipe.lines(1) == [{"event": 1}]
+    os.write(pipe.write_no, b'nt":2}\n')
+    assert pipe.lines(1) == [{"event": 2}]
+    pipe.close()
+
+
 def test_a_reader_that_stops_reading_holds_up_nobody(reader):
     """A stalled reader of standard output must not block those who log.
 
