--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -331,6 +331,7 @@
         self._log.event(
             "attempt.failed",
             request=self._req.id,
+            digest=self._req.digest,
             engine=engine_id,
             seen=failure.seen.value,
             reason=failure.reason,
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
@@ -90,9 +90,7 @@
                 if end.outcome is slotmessages.Outcome.OK and engine:
                     self._judge.record_success(engine, now_s)
         for begun in report.begun:
-            if self._judge.apply_begun(begun, now_s):
-                self._log.event("part.released", part=begun.part)
-                self.released(begun.part)
+            self._apply_begun(begun, report.vm, now_s)
         new = [
             crash.parts
             for crash in report.crashes
@@ -102,6 +100,22 @@
             self._log.event("parts.suspected", parts=new, reporter=report.vm)
             self._has_new_parts = True
 
+    def _apply_begun(self, begun, reporter, now_s):
+        cleared_before = self._judge.cleared_count
+        is_released = self._judge.apply_begun(begun, now_s)
+        cleared = self._judge.cleared_count - cleared_before
+        if cleared:
+            self._log.event(
+                "part.cleared",
+                part=begun.part,
+                crashes=cleared,
+                age_s=begun.age_s,
+                reporter=reporter,
+            )
+        if is_released:
+            self._log.event("part.released", part=begun.part)
+            self.released(begun.part)
+
     def judge(self, now_s):
         """Quarantines the parts that crash engines; announces what is new."""
         if self._judge.is_idle:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
@@ -8,6 +8,7 @@
 
 from samphirepost import batchjob
 from samphirepost import errors
+from samphirepost import fingerprint
 
 READINESS_PATH = "/readiness"
 JOBS_PREFIX = "/lots/"
@@ -20,6 +21,7 @@
 NOT_EXECUTED_HEADER = "not-executed"
 PROMPT_HEADER = "Prompt-Prefix"
 LIMIT_HEADER = "server-limit"
+CREDENTIAL_HEADER = "Credential"
 # Longest id of a part of a prompt, and most shared parts of one.
 PART_ID_LENGTH_MAX = 64
 SHARED_PARTS_MAX = 64
@@ -61,7 +63,8 @@
     `resume_after` is the id of the last event that the caller received, and
     `caller_timeout_s` the time that the caller allows for the request.
     `shared_parts` are the ids of the parts of its prompt, in order, without
-    the last one, which is the request's own.
+    the last one, which is the request's own. `credential` is the caller's, or
+    empty.
     """
 
     id: str
@@ -73,6 +76,14 @@
     resume_after: int | None = None
     caller_timeout_s: float | None = None
     shared_parts: tuple[str, ...] = ()
+    credential: str = ""
+
+    @property
+    def digest(self):
+        """Equal for requests of one caller with the same content."""
+        return fingerprint.request_digest(
+            self.method, self.host, self.path, self.credential, self.body
+        )
 
 
 class _Item(msgspec.Struct):
@@ -116,6 +127,7 @@
         shared_parts=_parse_shared_parts(
             headers_by_name.get(PROMPT_HEADER.lower(), "")
         ),
+        credential=headers_by_name.get(CREDENTIAL_HEADER.lower(), ""),
     )
 
 
--- a/packages/samphirepost/src/samphirepost/quarantine.py
+++ b/packages/samphirepost/src/samphirepost/quarantine.py
@@ -276,10 +276,12 @@
         "_quarantine",
         "_suspected_s",
         "_suspects",
+        "cleared_count",
         "decided",
     )
 
     def __init__(self, quarantine):
+        self.cleared_count = 0
         self._quarantine = quarantine
         self._crashed = {}
         self._by_engine = {}
@@ -328,7 +330,7 @@
         """Applies a slotmessages.Begun; returns whether it lifts a quarantine.
 
         An answer that began after a crash shows that the part has not caused
-        that crash.
+        that crash. `cleared_count` counts the crashes it was suspected of.
         """
         part = begun.part
         at_s = max(
@@ -337,8 +339,9 @@
         self._begun_s[part] = at_s
         self._suspects = None
         for crashed in self._crashed.values():
-            if at_s > crashed.at_s:
-                crashed.positions.pop(part, None)
+            if at_s > crashed.at_s and part in crashed.positions:
+                del crashed.positions[part]
+                self.cleared_count += 1
         known = self.decided.get(part) or self._quarantine.get(part)
         if known is None or at_s <= known.since_s:
             return False
