--- a/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
@@ -47,6 +47,7 @@
 
     __slots__ = (
         "at_s",
+        "body",
         "has_run",
         "headers",
         "id",
@@ -56,8 +57,9 @@
         "resume_after",
     )
 
-    def __init__(self, handler):
+    def __init__(self, handler, body):
         self.id = handler.headers["Request-Id"]
+        self.body = body
         self.path = handler.path
         self.headers = dict(handler.headers)
         prompt = handler.headers.get("Prompt-Prefix", "")
@@ -74,9 +76,9 @@
 
     `faults` is a queue of the faults of the next requests.
     `disconnected` is set once a connection closed during a stream.
-    `crash_parts` are the ids of prompt parts: the engine crashes when it
-    begins to answer a request that has one of them. It then calls
-    `on_crash(engine)`. With `limit_per_s`, its answers name that rate of
+    `crash_parts` are the ids of prompt parts, `crash_bodies` the bodies of
+    requests: the engine crashes when it begins to answer a request that has
+    one of them. It then calls `on_crash(engine)`. With `limit_per_s`, its answers name that rate of
     requests as its limit. If `unframed`, its streams have no length and end
     with the connection.
     """
@@ -91,6 +93,7 @@
         self.faults = collections.deque()
         self.arrivals = []
         self.disconnected = threading.Event()
+        self.crash_bodies = frozenset()
         self.crash_parts = frozenset()
         self.on_crash = None
         self.limit_per_s = None
@@ -169,11 +172,11 @@
 
         Answers 421 if the request names another engine.
         """
-        self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
         if self.server.has_crashed:
             self.close_connection = True
             return None
-        arrival = Arrival(self)
+        arrival = Arrival(self, body)
         self.server.arrivals.append(arrival)
         if self.headers["Target-Instance"] != self.server.name:
             return self._send_status(421)
@@ -216,7 +219,7 @@
         self._send_limit()
         self.end_headers()
         pause = threading.Event()
-        if self.server.crash_parts.intersection(arrival.parts):
+        if self._is_crashed_by(arrival):
             if not self.server.unframed:
                 self._send_chunk(b"id: ")
             return self.server.crash()
@@ -250,6 +253,11 @@
         self.close_connection = True
         return None
 
+    def _is_crashed_by(self, arrival):
+        return arrival.body in self.server.crash_bodies or bool(
+            self.server.crash_parts.intersection(arrival.parts)
+        )
+
     def _is_connected(self):
         self.connection.setblocking(False)
         try:
--- a/tests/entryhelper.py
+++ b/tests/entryhelper.py
@@ -124,18 +124,22 @@
         document = entryfleet.tables(version, routes)
         self.store.put_row("op", "config", document)
 
-    def crash_on(self, part):
-        """Makes all engines crash on requests with this part of a prompt.
+    def crash_on(self, part=None, body=None):
+        """Makes all engines crash on a part of a prompt or on a body.
 
         Another engine takes the place of one that crashed at once; `crashed`
         lists those that did.
         """
         for engine in self.engines:
-            engine.crash_parts = frozenset((part,))
+            if part is not None:
+                engine.crash_parts = frozenset((part,))
+            if body is not None:
+                engine.crash_bodies = frozenset((body,))
             engine.on_crash = self._replace
 
     def _replace(self, crashed):
         engine = streamengine.Engine(f"{crashed.name}+")
+        engine.crash_bodies = crashed.crash_bodies
         engine.crash_parts = crashed.crash_parts
         engine.unframed = crashed.unframed
         engine.on_crash = self._replace
@@ -224,14 +228,24 @@
         finally:
             conn.close()
 
-    def send_online(self, request, path="/notes/1", daemon=0, **headers):
+    def restart_all(self):
+        """Replaces all daemons, as if every VM was lost at once."""
+        count = len(self.daemons)
+        for daemon in self.daemons:
+            daemon.actor.stop()
+            daemon.slots._receive = _exit_thread
+        self.daemons[:] = [self.start(f"again-{i}") for i in range(count)]
+
+    def send_online(
+        self, request, path="/notes/1", daemon=0, body=b"prompt", **headers
+    ):
         """Sends an online request; returns the Reply."""
         request_headers = {
             "Request-Id": request,
             "Deadline-Ms": "5000",
             **headers,
         }
-        return self.call("POST", path, request_headers, b"prompt", daemon)
+        return self.call("POST", path, request_headers, body, daemon)
 
     def submit(self, job, count, daemon=0, prompt="own:9"):
         """Submits a batch job with `count` items; returns the Reply."""
