Quarantine requests that crash engines, not only parts of their prompts

Cause: crashes added up only under shared parts of prompts. The request shared all of them with sound requests of its session, whose answers cleared them; without shared parts nothing was reported at all.

Change: the request's digest is a possible cause beside the parts: same report, judge, announcement and table. Probation after two crashes, stored, so that a loss of all daemons forgets nothing; quarantine after three; a part needs crashes with two requests, as what one request does is held against it.

--- a/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
@@ -78,9 +78,9 @@
     `disconnected` is set once a connection closed during a stream.
     `crash_parts` are the ids of prompt parts, `crash_bodies` the bodies of
     requests: the engine crashes when it begins to answer a request that has
-    one of them. It then calls `on_crash(engine)`. With `limit_per_s`, its answers name that rate of
-    requests as its limit. If `unframed`, its streams have no length and end
-    with the connection.
+    one of them. It then calls `on_crash(engine)`. With `limit_per_s`, its
+    answers name that rate of requests as its limit. If `unframed`, its streams
+    have no length and end with the connection.
     """
 
     daemon_threads = True
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -29,6 +29,8 @@
 # An answer has begun with this many events: an engine that crashes on a prompt
 # may put out one.
 BEGUN_EVENTS = 2
+# Longest Retry-After (s) of a request that crashes engines.
+RETRY_AFTER_MAX_S = 3600.0
 
 
 OVERLONG_EVENT = engineclient.CallFailure("an event is too long")
@@ -115,8 +117,9 @@
         self.engines_tried = []
         self.slot_wait_s = 0.0
         self._is_answered = False
+        self._request_key = quarantine.request_key(req.digest)
         self._has_begun = False
-        self._probed_part = ""
+        self._probed_cause = ""
         self._progress_s = time.monotonic()
 
     @property
@@ -155,31 +158,36 @@
                 return self._final_error()
 
     def _check_quarantine(self):
-        """Returns an ErrorResponse if a part of the prompt is quarantined.
+        """Returns an ErrorResponse if a cause of crashes is quarantined.
 
-        A request that would probe a part goes to one engine at most.
+        A request that would probe a cause goes to one engine at most.
         """
         if self._has_begun:
             return None
+        now_s = time.monotonic()
         found = self._quarantine.check(
-            self._req.shared_parts, time.monotonic()
+            (*self._req.shared_parts, self._request_key), now_s
         )
+        if found is None and self._observations.is_suspect(
+            self._request_key, now_s
+        ):
+            found = quarantine.Probation(self._request_key)
         if found is None:
             return None
         is_probation = isinstance(found, quarantine.Probation)
-        if is_probation and not self._probed_part:
-            self._probed_part = found.part
+        if is_probation and not self._probed_cause:
+            self._probed_cause = found.cause
             return None
         return self._quarantine_error(found)
 
     def _quarantine_error(self, found):
         self._metrics.quarantine_refusals.labels("online").inc()
-        reason = f"part {found.part} of the prompt crashes engines"
+        reason = quarantine.describe(found.cause)
         if self.history.executions:
             return attempts.ErrorResponse(502, reason)
         left_s = quarantine.PROBE_INTERVAL_S
         if isinstance(found, quarantine.Blocked):
-            left_s = found.left_s
+            left_s = min(found.left_s, RETRY_AFTER_MAX_S)
         return attempts.ErrorResponse(503, reason, round(left_s, 2))
 
     def _obtain_slot(self):
@@ -203,10 +211,10 @@
             if reply.engine in engines:
                 return Slot(engines[reply.engine], run_id, True)
             self._slots.end_run(run_id, slotmessages.Outcome.UNKNOWN)
-        elif self._probed_part:
-            # Only the hub knows whether another request probes the part.
+        elif self._probed_cause:
+            # Only the hub knows whether another request probes the cause.
             return self._quarantine_error(
-                quarantine.Probation(self._probed_part)
+                quarantine.Probation(self._probed_cause)
             )
         elif isinstance(reply, slotmessages.Denial):
             # After an attempt, 503 could be untrue: an engine may have run
@@ -236,7 +244,7 @@
             wait_max_s,
             excluded=tuple(excluded),
             never_deny=self._is_under_way(),
-            probe=self._probed_part,
+            probe=self._probed_cause,
             returns=attempts.is_caller_retry(
                 self._req.caller_timeout_s, self._route.timeout_s
             ),
@@ -310,15 +318,17 @@
     def _record_begun(self):
         if not self._has_begun:
             self._has_begun = True
-            self._observations.record_begun(
-                self._req.shared_parts, time.monotonic()
-            )
+            self._slots.record_begun(self._req.shared_parts, self._request_key)
 
     def _record_crash(self, engine, failure):
         """Records a lost attempt that may have crashed its engine."""
-        parts = self._req.shared_parts
-        if parts and failure.lost and not self._has_begun:
-            self._slots.record_crash(engine, parts, failure.has_head)
+        if failure.lost and not self._has_begun:
+            self._slots.record_crash(
+                engine,
+                self._request_key,
+                self._req.shared_parts,
+                failure.has_head,
+            )
 
     def _record_failure(self, engine, failure):
         engine_id = engine.id
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -55,15 +55,15 @@
 
 
 class SlotObserver(items.RunObserver):
-    """Passes on what a run shows of its engine and its prompt's `parts`."""
+    """Passes on what a run of an item shows of its engine and its prompt."""
 
-    __slots__ = ("_engine", "_observations", "_parts", "_slots")
+    __slots__ = ("_engine", "_item", "_parts", "_slots")
 
-    def __init__(self, shared, engine, parts):
+    def __init__(self, shared, engine, item):
         self._slots = shared.slots
-        self._observations = shared.observations
         self._engine = engine
-        self._parts = parts
+        self._item = quarantine.item_key(item.id)
+        self._parts = wire.shared_parts(item)
 
     def head_received(self, head):
         """Records the limit that the engine names."""
@@ -71,7 +71,7 @@
 
     def begun(self):
         """Records that the prompt's parts are answered."""
-        self._observations.record_begun(self._parts, time.monotonic())
+        self._slots.record_begun(self._parts, self._item)
 
 
 class Holder(pykka.ThreadingActor):
@@ -301,9 +301,9 @@
                     if found is None:
                         continue
                     is_blocked = isinstance(found, quarantine.Blocked)
-                    if is_blocked or found.part in probing:
+                    if is_blocked or found.cause in probing:
                         blocked_items.add((key, index))
-                    probing.add(found.part)
+                    probing.add(found.cause)
         for key, index in blocked_items - self._blocked_items:
             self._parts.metrics.quarantine_refusals.labels("item").inc()
             item = self._held_jobs[key].record.items[index]
@@ -330,7 +330,7 @@
             routing.pick_pool(route),
             self._is_late(held_job, index, now_s),
             round(held_job.deadline_s - now_s, 2),
-            "" if found is None else found.part,
+            "" if found is None else found.cause,
         )
 
     def _start_without_hub(self, wanted, now_s):
@@ -433,22 +433,24 @@
             )
 
         item = held_job.record.items[run.index]
-        parts = wire.shared_parts(item)
-
-        observer = SlotObserver(self._parts, engine, parts)
+        observer = SlotObserver(self._parts, engine, item)
         outcome = items.InterruptedRun("internal error of the daemon", False)
         try:
             outcome = items.run_item(
                 held_job.record, item, engine, run, should_stop, observer
             )
-            self._report_crash(run, engine, parts, outcome)
+            self._report_crash(run, engine, item, outcome)
         finally:
             self.actor_ref.tell(holdermessages.ItemRunFinished(run, outcome))
 
-    def _report_crash(self, run, engine, parts, outcome):
+    def _report_crash(self, run, engine, item, outcome):
         """Reports a lost run that may have crashed its engine."""
+        parts = wire.shared_parts(item)
         if parts and _may_have_crashed_engine(run, outcome):
-            self._parts.slots.record_crash(engine, parts, outcome.has_head)
+            key = quarantine.item_key(item.id)
+            self._parts.slots.record_crash(
+                engine, key, parts, outcome.has_head
+            )
 
     def _finish_item_run(self, message):
         run = message.run
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from samphirepost import allocator
+from samphirepost import judge
 from samphirepost import quarantine
 from samphirepost import slotmessages
 
@@ -18,12 +19,12 @@
 ANNOUNCEMENT_INTERVAL_S = 1.0
 # Interval at which daemons that no longer report are looked for (s).
 DROP_INTERVAL_S = 0.1
-# Interval at which the hub looks for parts of prompts that crash engines (s).
+# Interval at which the hub looks for what crashes engines (s).
 JUDGE_INTERVAL_S = 0.05
-# Shortest interval at which it announces new suspects and quarantined parts to
-# all daemons (s), and more for each daemon: many report crashes at once.
-PARTS_ANNOUNCEMENT_INTERVAL_S = 0.1
-PARTS_ANNOUNCEMENT_PER_DAEMON_S = 0.0002
+# Shortest interval at which it announces new suspects and quarantined causes
+# to all daemons (s), and more for each daemon: many report crashes at once.
+CAUSES_ANNOUNCEMENT_INTERVAL_S = 0.1
+CAUSES_ANNOUNCEMENT_PER_DAEMON_S = 0.0002
 # Interval at which the hub logs its loads (s).
 LOG_INTERVAL_S = 2.0
 
@@ -31,13 +32,13 @@
 class HubServer:
     """The hub's side of the exchange; `send(address, message)` sends.
 
-    `decided(part, quarantined)` and `released(part)` are called with decisions
-    that have to be stored.
+    `decided(cause, quarantined)` and `released(cause)` are called with
+    decisions that have to be stored.
     """
 
     def __init__(self, parts, hub_selector, send):
         self._quarantine = parts.quarantine
-        self._judge = quarantine.Judge(parts.quarantine)
+        self._judge = judge.Judge(parts.quarantine)
         self._me = parts.me
         self._state = parts.state
         self._log = parts.log
@@ -49,8 +50,8 @@
         self._next_drop_s = 0.0
         self._next_announcement_s = 0.0
         self._next_judgement_s = 0.0
-        self._next_parts_s = 0.0
-        self._has_new_parts = False
+        self._next_causes_s = 0.0
+        self._has_new_causes = False
         self.decided = None
         self.released = None
 
@@ -92,13 +93,13 @@
         for begun in report.begun:
             self._apply_begun(begun, report.vm, now_s)
         new = [
-            crash.parts
+            (crash.request, *crash.parts)
             for crash in report.crashes
             if self._judge.apply_crash(crash, now_s)
         ]
         if new:
-            self._log.event("parts.suspected", parts=new, reporter=report.vm)
-            self._has_new_parts = True
+            self._log.event("causes.suspected", causes=new, reporter=report.vm)
+            self._has_new_causes = True
 
     def _apply_begun(self, begun, reporter, now_s):
         cleared_before = self._judge.cleared_count
@@ -106,48 +107,47 @@
         cleared = self._judge.cleared_count - cleared_before
         if cleared:
             self._log.event(
-                "part.cleared",
-                part=begun.part,
+                "cause.cleared",
+                cause=begun.cause,
                 crashes=cleared,
                 age_s=begun.age_s,
                 reporter=reporter,
             )
         if is_released:
-            self._log.event("part.released", part=begun.part)
-            self.released(begun.part)
+            self._log.event("cause.released", cause=begun.cause)
+            self.released(begun.cause)
 
-    def judge(self, now_s):
-        """Quarantines the parts that crash engines; announces what is new."""
+    def decide_causes(self, now_s):
+        """Quarantines what crashes engines; announces what is new."""
         if self._judge.is_idle:
             return
         if now_s >= self._next_judgement_s:
             self._next_judgement_s = now_s + JUDGE_INTERVAL_S
             self._decide(now_s)
-        if self._has_new_parts and now_s >= self._next_parts_s:
+        if self._has_new_causes and now_s >= self._next_causes_s:
             reporters = self._allocator.reporters()
-            self._has_new_parts = False
-            self._next_parts_s = now_s + max(
-                PARTS_ANNOUNCEMENT_INTERVAL_S,
-                PARTS_ANNOUNCEMENT_PER_DAEMON_S * len(reporters),
+            self._has_new_causes = False
+            self._next_causes_s = now_s + max(
+                CAUSES_ANNOUNCEMENT_INTERVAL_S,
+                CAUSES_ANNOUNCEMENT_PER_DAEMON_S * len(reporters),
             )
             for vm, address in reporters:
                 self._send_totals(vm, address)
 
     def _decide(self, now_s):
-        for part in self._judge.decide(now_s):
-            decided = self._judge.decided[part]
+        for cause, decided in self._judge.decide(now_s).items():
             self._log.failure(
-                "part.quarantined",
-                part=part,
+                "cause.quarantined" if decided.strikes else "cause.probation",
+                cause=cause,
                 strikes=decided.strikes,
                 left_s=round(decided.until_s - now_s, 1),
                 first_crash_s=round(now_s - decided.since_s, 3),
             )
-            self._has_new_parts = True
-            self.decided(part, decided)
+            self._has_new_causes = True
+            self.decided(cause, decided)
 
     def _without_probes(self, report, now_s):
-        """Drops wanted slots for parts that must not be probed now."""
+        """Drops wanted slots for causes that must not be probed now."""
         if not any(wanted.probe for wanted in report.wanted):
             return report
         allowed = tuple(
@@ -214,6 +214,7 @@
             tuple(self._judge.decided),
             self._judge.suspects(),
             self._allocator.limits.all_rates(),
+            tuple(self._judge.on_probation),
         )
         self._send(address, totals)
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
@@ -165,6 +165,7 @@
         log_line(
             "request.ended",
             request=self._req.id,
+            digest=self._req.digest,
             route=self._route.name,
             outcome=outcome,
             engines=self._exchange.engines_tried,
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/quarantinetable.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/quarantinetable.py
@@ -1,4 +1,4 @@
-"""Keeps quarantined parts of prompts in the store, and reads them there.
+"""Keeps what crashes engines in the store, and reads it there.
 
 A row outlives the hub that decided and the daemons that know of it. All
 instants are monotonic seconds, but for those in rows: store time (ms).
@@ -21,8 +21,8 @@
 FORGET_INTERVAL_S = 60.0
 
 
-class StoredPart(msgspec.Struct, frozen=True):
-    """A row of the table: until when a part is quarantined (store ms)."""
+class StoredCause(msgspec.Struct, frozen=True):
+    """A row of the table: until when a cause is quarantined (store ms)."""
 
     since_ms: int
     until_ms: int
@@ -68,11 +68,11 @@
         self._clock = clock
 
     def replace(self, rows, store_ms):
-        """Replaces all stored parts by those in `rows`."""
+        """Replaces all stored causes by those in `rows`."""
         self._clock.record(store_ms, time.monotonic())
         decoded = {row.key.key: self._decode(row) for row in rows}
         self._quarantine.replace(
-            {part: one for part, one in decoded.items() if one is not None}
+            {cause: one for cause, one in decoded.items() if one is not None}
         )
         self._state.quarantine_read = True
 
@@ -80,23 +80,23 @@
         """Applies the changed rows."""
         self._clock.record(store_ms, time.monotonic())
         for row in rows:
-            part = row.key.key
+            cause = row.key.key
             found = None if row.deleted else self._decode(row)
             if found is None:
-                self._quarantine.remove(part)
+                self._quarantine.remove(cause)
             else:
-                self._quarantine.put(part, found)
+                self._quarantine.put(cause, found)
             self._log.event(
-                "part.stored", part=part, quarantined=found is not None
+                "cause.stored", cause=cause, quarantined=found is not None
             )
 
     def handle_failure(self):
-        """Does nothing: the parts last read stay in quarantine."""
+        """Does nothing: the causes last read stay in quarantine."""
 
     def _decode(self, row):
         """Returns the Quarantined in a row; logs an invalid row."""
         try:
-            stored = codec.unpack(row.value, StoredPart)
+            stored = codec.unpack(row.value, StoredCause)
         except msgspec.DecodeError as exc:
             self._log.failure(
                 "quarantine.unusable", key=row.key.key, reason=str(exc)
@@ -120,37 +120,37 @@
         self._clock = clock
         self._decisions = queue.SimpleQueue()
 
-    def put(self, part, quarantined):
-        """Stores a Quarantined of a part; returns at once."""
-        self._decisions.put((part, quarantined))
+    def put(self, cause, quarantined):
+        """Stores a Quarantined of a cause; returns at once."""
+        self._decisions.put((cause, quarantined))
 
-    def remove(self, part):
-        """Removes a part from the table; returns at once."""
-        self._decisions.put((part, None))
+    def remove(self, cause):
+        """Removes a cause from the table; returns at once."""
+        self._decisions.put((cause, None))
 
     def run(self):
         """Writes decisions until the process exits."""
         while True:
             try:
-                part, decided = self._decisions.get(timeout=FORGET_INTERVAL_S)
+                cause, decided = self._decisions.get(timeout=FORGET_INTERVAL_S)
             except queue.Empty:
                 self._remove_forgotten()
                 continue
-            while not self._write(part, decided):
+            while not self._write(cause, decided):
                 threading.Event().wait(WRITE_RETRY_DELAY_S)
 
     def _remove_forgotten(self):
-        for part in self._quarantine.forgotten(time.monotonic()):
-            self.remove(part)
+        for cause in self._quarantine.forgotten(time.monotonic()):
+            self.remove(cause)
 
-    def _write(self, part, decided):
+    def _write(self, cause, decided):
         """Makes one attempt; returns whether the decision is stored."""
         if not self._clock.is_known:
             return False
-        key = store.Key(QUARANTINE_TABLE, "", part)
+        key = store.Key(QUARANTINE_TABLE, "", cause)
         transaction = store.Transaction({}, {}, (key,))
         if decided is not None:
-            row = StoredPart(
+            row = StoredCause(
                 self._clock.store_ms(decided.since_s),
                 self._clock.store_ms(decided.until_s),
                 decided.strikes,
@@ -159,7 +159,7 @@
         result = self._store.commit(transaction)
         if isinstance(result, errors.Failure):
             self._log.failure(
-                "quarantine.unwritten", part=part, reason=result.reason
+                "quarantine.unwritten", cause=cause, reason=result.reason
             )
             return False
         return True
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from samphirepost import codec
+from samphirepost import crashes
 from samphirepost import loadshare
 from samphirepost import slotmessages
 from samphirepost_daemon.entry import hub
@@ -80,6 +81,7 @@
         self._observations = parts.observations
         self._limits = parts.limits
         self._suspects = ()
+        self._begun_known = {}
         self._metrics = parts.metrics
         self._log = parts.log
         self._sock = None
@@ -179,16 +181,42 @@
             self._log.event("engine.limit", engine=engine.id, per_s=per_s)
             self._send_report()
 
-    def record_crash(self, engine, parts, has_head):
+    def record_crash(self, engine, request, parts, has_head):
         """Reports a request lost with an engine before its answer had begun.
 
-        `parts` are the shared parts of its prompt.
+        `request` is its key, `parts` are the shared parts of its prompt.
         """
         self._observations.record_crash(
-            engine, parts, has_head, time.monotonic()
+            engine, request, parts, has_head, time.monotonic()
         )
         self._send_report()
 
+    def record_begun(self, parts, request):
+        """Records a begun answer; reports at once what ends a quarantine.
+
+        See record_crash() for `request` and `parts`.
+        """
+        now_s = time.monotonic()
+        self._observations.record_begun(parts, request, now_s)
+        known = [
+            cause
+            for cause in (*parts, request)
+            if self._quarantine.get(cause) is not None
+        ]
+        if known:
+            until_s = now_s + crashes.REPORT_S
+            self._begun_known = self._begun_known | dict.fromkeys(
+                known, until_s
+            )
+            self._send_report()
+
+    def _asked_causes(self, now_s):
+        """Returns the causes of which the hub is told that answers began."""
+        known = self._begun_known
+        if known and now_s > max(known.values()):
+            self._begun_known = {}
+        return tuple(dict.fromkeys((*known, *self._suspects)))
+
     def want(self, wanted):
         """Sets the batch items for which slots are wanted, by run id."""
         wanted_ids = tuple(wanted)
@@ -220,7 +248,7 @@
         if now_s >= self._next_report_s:
             self._send_report()
         self.hub_server.allocate(now_s)
-        self.hub_server.judge(now_s)
+        self.hub_server.decide_causes(now_s)
         if self._hub.vm == self._me:
             self.hub_server.announce_and_log(now_s)
 
@@ -254,7 +282,7 @@
                 tuple(ended),
                 tuple(self._wanted.values()),
                 self._observations.crashes(now_s),
-                self._observations.begun(self._suspects, now_s),
+                self._observations.begun(self._asked_causes(now_s), now_s),
                 self._limits.to_report(now_s),
             )
             self._send(address, report)
@@ -321,7 +349,9 @@
 
     def _apply_suspects(self, totals, now_s):
         """Reports at once which new suspects the daemon saw answered."""
-        self._quarantine.announce(totals.quarantined, now_s)
+        self._quarantine.announce(
+            totals.quarantined, totals.on_probation, now_s
+        )
         new = set(totals.suspects) - set(self._suspects)
         self._suspects = totals.suspects
         if self._observations.begun(new, now_s):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -3,6 +3,7 @@
 import logging
 import secrets
 
+from samphirepost import crashes
 from samphirepost import quarantine
 from samphirepost import ratelimit
 from samphirepost import selection
@@ -70,7 +71,7 @@
         self.state = state.State()
         self.load_tracker = selection.LoadTracker(zone)
         self.quarantine = quarantine.Quarantine()
-        self.observations = quarantine.Observations()
+        self.observations = crashes.Observations()
         self.limits = ratelimit.SeenLimits()
         self.slots = None
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
@@ -63,8 +63,8 @@
     `resume_after` is the id of the last event that the caller received, and
     `caller_timeout_s` the time that the caller allows for the request.
     `shared_parts` are the ids of the parts of its prompt, in order, without
-    the last one, which is the request's own. `credential` is the caller's, or
-    empty.
+    the last one, which is the request's own. `digest` is equal for requests
+    of one caller with the same content.
     """
 
     id: str
@@ -76,14 +76,7 @@
     resume_after: int | None = None
     caller_timeout_s: float | None = None
     shared_parts: tuple[str, ...] = ()
-    credential: str = ""
-
-    @property
-    def digest(self):
-        """Equal for requests of one caller with the same content."""
-        return fingerprint.request_digest(
-            self.method, self.host, self.path, self.credential, self.body
-        )
+    digest: str = ""
 
 
 class _Item(msgspec.Struct):
@@ -115,19 +108,28 @@
         timeout_ms = _parse_number(headers_by_name, DEADLINE_HEADER)
     except ValueError as exc:
         return errors.Failure(errors.Kind.BAD_REQUEST, str(exc))
+    method, path = environ["REQUEST_METHOD"], environ["REQUEST_URI"]
+    host = headers_by_name.get("host", "")
+    body = environ["wsgi.input"].read()
     return Request(
         id=headers_by_name.get(REQUEST_ID_HEADER.lower(), ""),
-        method=environ["REQUEST_METHOD"],
-        path=environ["REQUEST_URI"],
-        host=headers_by_name.get("host", ""),
+        method=method,
+        path=path,
+        host=host,
         headers=_forwarded_headers(headers),
-        body=environ["wsgi.input"].read(),
+        body=body,
         resume_after=resume_after,
         caller_timeout_s=None if timeout_ms is None else timeout_ms / 1000,
         shared_parts=_parse_shared_parts(
             headers_by_name.get(PROMPT_HEADER.lower(), "")
         ),
-        credential=headers_by_name.get(CREDENTIAL_HEADER.lower(), ""),
+        digest=fingerprint.request_digest(
+            method,
+            host,
+            path,
+            headers_by_name.get(CREDENTIAL_HEADER.lower(), ""),
+            body,
+        ),
     )
 
 
--- a/packages/samphirepost/src/samphirepost/slotmessages.py
+++ b/packages/samphirepost/src/samphirepost/slotmessages.py
@@ -64,7 +64,8 @@
 
     `parts` are the shared parts of its prompt, in order; `started_ms` tells
     incarnations of the engine apart. With `has_head`, the head of its answer
-    had arrived, so that it was not waiting for a slot there.
+    had arrived, so that it was not waiting for a slot there. `request` is its
+    key, of quarantine.request_key or item_key.
     """
 
     engine: str
@@ -72,12 +73,13 @@
     parts: tuple[str, ...]
     has_head: bool
     age_s: float
+    request: str = ""
 
 
 class Begun(msgspec.Struct, frozen=True, array_like=True):
-    """An answer to a prompt with this part last began `age_s` ago."""
+    """An answer to requests with this cause last began `age_s` ago."""
 
-    part: str
+    cause: str
     age_s: float
 
 
@@ -98,7 +100,7 @@
     """All that one daemon runs and wants; a higher `seq` replaces a lower.
 
     `crashes` and `limits` may come in several reports; `begun` answers the
-    last Totals.suspects.
+    last Totals.suspects and has quarantined causes.
     """
 
     vm: str
@@ -116,8 +118,8 @@
 
     It waits `wait_max_s` at most; one that `returns` was rejected before and
     goes before others of its priority. With `never_deny`, it gets an engine
-    even if none has a free slot. `probe` is the part of its prompt, if any,
-    whose quarantine is over and that it would probe.
+    even if none has a free slot. `probe` is the cause of crashes, if any, that
+    it has and would probe.
     """
 
     vm: str
@@ -179,9 +181,10 @@
 class Totals(msgspec.Struct, frozen=True, array_like=True, tag=17):
     """All other daemons' running requests by engine, sent by hub `vm`.
 
-    `quarantined` are parts of prompts that must not be sent to engines, and
-    `suspects` those for which the hub asks whether answers have begun.
-    `limits` are the rates (requests a second) that engines named.
+    Requests with a cause of crashes that is `quarantined` must not be sent to
+    engines, those with one `on_probation` only as a probe. `suspects` are the
+    causes for which the hub asks whether answers have begun. `limits` are the
+    rates (requests a second) that engines named.
     """
 
     vm: str
@@ -189,6 +192,7 @@
     quarantined: tuple[str, ...] = ()
     suspects: tuple[str, ...] = ()
     limits: dict[str, float] = {}
+    on_probation: tuple[str, ...] = ()
 
 
 Message = Report | SlotRequest | Grant | Queued | Denial | Preemption | Totals
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -3,10 +3,14 @@
 No network: daemons' observations go to the judge by hand, with a clock.
 """
 
+import itertools
+
 import hypothesis
 from hypothesis import strategies
 
 from samphirepost import codec
+from samphirepost import crashes
+from samphirepost import judge
 from samphirepost import quarantine
 from samphirepost import roster
 from samphirepost import slotmessages
@@ -24,21 +28,33 @@
 
     def __init__(self, daemons=3):
         self.quarantine = quarantine.Quarantine()
-        self.judge = quarantine.Judge(self.quarantine)
-        self.daemons = [quarantine.Observations() for _ in range(daemons)]
+        self.judge = judge.Judge(self.quarantine)
+        self.daemons = [crashes.Observations() for _ in range(daemons)]
         self.now_s = 100.0
         self.found = []
+        self._numbers = itertools.count()
 
-    def crash(self, number, parts, daemon=0, has_head=True):
-        """Lets a daemon lose a request with an engine, and report it."""
+    def lose(self, number, parts, daemon=0, has_head=True, request=None):
+        """Lets a daemon lose a request with an engine.
+
+        It is one that did not come before unless `request` names it.
+        """
         self.daemons[daemon].record_crash(
-            engine(number), tuple(parts), has_head, self.now_s
+            engine(number),
+            request or quarantine.request_key(f"new{next(self._numbers)}"),
+            tuple(parts),
+            has_head,
+            self.now_s,
         )
+
+    def crash(self, *args, **fields):
+        """Lets a daemon lose a request with an engine, and report it."""
+        self.lose(*args, **fields)
         self.exchange()
 
-    def begin(self, parts, daemon=0):
-        """Lets a daemon see an answer to a prompt begin."""
-        self.daemons[daemon].record_begun(tuple(parts), self.now_s)
+    def begin(self, parts, daemon=0, request=""):
+        """Lets a daemon see an answer to a request begin."""
+        self.daemons[daemon].record_begun(tuple(parts), request, self.now_s)
 
     def exchange(self):
         """Reports all observations, twice, as the daemons do."""
@@ -57,13 +73,14 @@
         """
         self.now_s += seconds
         self.exchange()
-        for part in self.judge.decide(self.now_s):
-            self.quarantine.put(part, self.judge.decided[part])
-            self.found.append(part)
+        for cause, decided in self.judge.decide(self.now_s).items():
+            self.quarantine.put(cause, decided)
+            if decided.strikes:
+                self.found.append(cause)
 
     def change(self):
         """Replaces the judge by that of a new hub."""
-        self.judge = quarantine.Judge(self.quarantine)
+        self.judge = judge.Judge(self.quarantine)
         for one in self.daemons:
             one.report_again(self.now_s)
         self.exchange()
@@ -161,6 +178,167 @@
         assert hub.found == [BAD]
 
 
+class TestOneRequestCrashesEngines:
+    """Load pattern: one request comes again, beside sound ones of its session.
+
+    Both share all parts of their prompts.
+    """
+
+    REPEATED = quarantine.request_key("repeated")
+
+    def crash(self, hub, number, parts=(FIRST, SOUND), daemon=0):
+        """Lets the request crash an engine."""
+        hub.crash(number, parts, daemon, request=self.REPEATED)
+
+    def test_the_request_is_found_and_not_what_it_shares(self):
+        """Answers to its session begin all the time."""
+        hub = Hub()
+        for number in range(3):
+            hub.begin((FIRST, SOUND), 1)
+            self.crash(hub, number, daemon=number)
+            hub.wait(0.3)
+            hub.begin((FIRST, SOUND), 2)
+            hub.wait(0.3)
+        hub.wait()
+        assert hub.found == [self.REPEATED]
+
+    def test_no_other_answer_needs_to_have_begun(self):
+        """Its parts have crashed as many engines, but with it alone."""
+        hub = Hub()
+        for number in range(3):
+            self.crash(hub, number)
+        hub.wait()
+        hub.wait(5.0)
+        assert hub.found == [self.REPEATED]
+
+    def test_a_request_without_shared_parts_is_found(self):
+        """Calls of plain services have no prompt."""
+        hub = Hub()
+        for number in range(3):
+            self.crash(hub, number, ())
+        hub.wait()
+        assert hub.found == [self.REPEATED]
+
+    def test_two_crashes_put_it_on_probation(self):
+        """One at a time may run then, wherever it comes."""
+        hub = Hub()
+        for number in range(2):
+            self.crash(hub, number)
+        hub.wait()
+        assert hub.found == []
+        found = hub.quarantine.check((FIRST, self.REPEATED), hub.now_s)
+        assert found == quarantine.Probation(self.REPEATED)
+        probes = [hub.judge.may_probe(self.REPEATED, hub.now_s) for _ in "123"]
+        assert probes == [True, False, False]
+
+    def test_two_crashes_count_after_all_daemons_were_lost(self):
+        """Only the stored row is left of them."""
+        hub = Hub()
+        for number in range(2):
+            self.crash(hub, number)
+        hub.wait()
+        hub.daemons = [crashes.Observations() for _ in range(3)]
+        hub.change()
+        hub.wait(5.0)
+        assert hub.found == []
+        self.crash(hub, 9)
+        hub.wait()
+        assert hub.found == [self.REPEATED]
+
+    def test_it_gets_few_probes_however_long_it_comes(self):
+        """A month of tries, one whenever the hub allows it."""
+        hub = Hub()
+        tries = 0
+        end_s = hub.now_s + 29 * 86_400.0
+        while hub.now_s < end_s:
+            check = hub.quarantine.check((self.REPEATED,), hub.now_s)
+            if not isinstance(check, quarantine.Blocked) and (
+                check is None or hub.judge.may_probe(check.cause, hub.now_s)
+            ):
+                tries += 1
+                self.crash(hub, tries)
+                hub.wait(0.3)
+            hub.wait(1.0 if tries < 5 else 600.0)
+            if tries % 2:
+                hub.change()
+        assert tries <= judge.CRASHES_MIN + quarantine.PROBES_MAX
+
+    def test_a_part_is_found_though_requests_come_again(self):
+        """Each request is sent to two engines, and comes once more."""
+        hub = Hub()
+        for number in range(6):
+            hub.crash(
+                number,
+                (FIRST, BAD),
+                request=quarantine.request_key(f"r{number // 3}"),
+            )
+            hub.begin((FIRST, SOUND), 1)
+            hub.wait(0.3)
+            if BAD in hub.found:
+                break
+        assert BAD in hub.found
+        assert number < 5
+
+    def test_sound_requests_at_the_same_engines_are_cleared(self):
+        """They waited for a slot where it ran, at two engines each."""
+        hub = Hub()
+        sound = quarantine.request_key("sound")
+        for number in range(3):
+            if number < 2:
+                hub.crash(
+                    number, (FIRST, SOUND), 1, has_head=False, request=sound
+                )
+            self.crash(hub, number)
+            hub.wait(0.1)
+        hub.wait()
+        assert hub.found == [self.REPEATED]
+        found = hub.quarantine.check((FIRST, SOUND, sound), hub.now_s)
+        assert not isinstance(found, quarantine.Blocked)
+
+    def test_an_answer_releases_a_suspected_request(self):
+        """It was at two engines that crashed for another reason."""
+        hub = Hub()
+        for number in range(2):
+            self.crash(hub, number)
+        hub.wait()
+        begun = slotmessages.Begun(self.REPEATED, 0.0)
+        assert hub.judge.apply_begun(begun, hub.now_s)
+        hub.quarantine.remove(self.REPEATED)
+        hub.wait(5.0)
+        assert hub.quarantine.check((self.REPEATED,), hub.now_s) is None
+        assert hub.judge.on_probation == {}
+
+    def test_a_request_that_is_answered_elsewhere_is_not_suspected(self):
+        """Many callers send the same one."""
+        hub = Hub()
+        for number in range(2):
+            self.crash(hub, number)
+        hub.wait(0.1)
+        hub.begin((FIRST,), 1, self.REPEATED)
+        hub.wait()
+        assert hub.judge.on_probation == {}
+
+    def test_items_are_no_cause_by_themselves(self):
+        """An item that lost three engines is owed."""
+        hub = Hub()
+        for number in range(4):
+            hub.crash(number, (), request=quarantine.item_key("i1"))
+        hub.wait()
+        assert hub.found == []
+        assert hub.judge.on_probation == {}
+
+    def test_a_daemon_without_a_hub_suspects_what_it_saw(self):
+        """The hub may be lost together with the engines."""
+        one = crashes.Observations()
+        for number in range(2):
+            assert not one.is_suspect(self.REPEATED, 100.0)
+            one.record_crash(engine(number), self.REPEATED, (), True, 100.0)
+        assert one.is_suspect(self.REPEATED, 101.0)
+        assert not one.is_suspect(quarantine.request_key("sound"), 101.0)
+        one.record_begun((), self.REPEATED, 101.0)
+        assert not one.is_suspect(self.REPEATED, 102.0)
+
+
 class TestEnginesCrashForOtherReasons:
     """Load pattern: racks and whole pools are lost, engines break off."""
 
@@ -201,7 +379,7 @@
         hub = Hub()
         for number in range(5):
             hub.crash(number, (FIRST, SOUND))
-            hub.wait(quarantine.MEMORY_S / 2 + 1)
+            hub.wait(crashes.MEMORY_S / 2 + 1)
         assert hub.found == []
 
 
@@ -276,7 +454,7 @@
     def test_an_announced_part_is_blocked_until_it_is_stored(self):
         """The store may be out; a hub that is gone announces nothing."""
         one = quarantine.Quarantine()
-        one.announce((BAD,), 100.0)
+        one.announce((BAD,), (), 100.0)
         assert isinstance(one.check((BAD,), 101.0), quarantine.Blocked)
         assert one.check((BAD,), 103.0) is None
         assert one.check((SOUND,), 101.0) is None
@@ -315,9 +493,7 @@
         for at, other, second, seen_by in bystanders:
             if at == number:
                 parts = (f"f{other}", f"s{second}")
-                hub.daemons[seen_by].record_crash(
-                    engine(number), parts, False, hub.now_s
-                )
+                hub.lose(number, parts, seen_by, has_head=False)
         if number == change_at:
             hub.change()
         hub.crash(number, (f"f{first}", BAD), daemon)
@@ -328,10 +504,10 @@
 
 def test_a_report_of_many_long_prompts_fits_into_a_datagram():
     """One that does not fit is lost as a whole, with the daemon's runs."""
-    one = quarantine.Observations()
+    one = crashes.Observations()
     for number in range(40):
         parts = tuple(f"{number:060}-{i:03}" for i in range(64))
-        one.record_crash(engine(number), parts, True, 100.0)
+        one.record_crash(engine(number), "request:1", parts, True, 100.0)
     found = one.crashes(100.0)
     assert found[0].engine == "e39"
     assert len(codec.pack(found)) < 20_000
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -49,6 +49,7 @@
             request,
             path,
             daemon=number % len(self._fleet.daemons),
+            body=b"prompt %d" % number,
             **{"Prompt-Prefix": f"{FIRST}:8,{part}:8,own{number}:8"},
         )
 
