--- a/packages/samphirepost/src/samphirepost/judge.py
+++ b/packages/samphirepost/src/samphirepost/judge.py
@@ -257,10 +257,7 @@
     def is_idle(self):
         """Whether there is nothing to decide or to forget."""
         return not (
-            self._crashed
-            or self.decided
-            or self.on_probation
-            or self._begun_s
+            self._crashed or self.decided or self.on_probation or self._begun_s
         )
 
     def _all_evidence(self):
