--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -115,6 +115,7 @@
         self.history = attempts.History(route.repeatable, route.attempts_max)
         self.last_failure = None
         self.engines_tried = []
+        self.versions_tried = []
         self.slot_wait_s = 0.0
         self._is_answered = False
         self._request_key = quarantine.request_key(req.digest)
@@ -343,6 +344,7 @@
             request=self._req.id,
             digest=self._req.digest,
             engine=engine_id,
+            version=engine.version,
             seen=failure.seen.value,
             reason=failure.reason,
             events=failure.events,
@@ -364,6 +366,7 @@
 
     def _attempt(self, slot, resume_after):
         self.engines_tried.append(slot.engine.id)
+        self.versions_tried.append(slot.engine.version)
         call = engineclient.Call()
         self._slots.start_run(slot.run_id, slot.engine.id, slot.granted)
         result = None
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -389,7 +389,7 @@
             index, batchjob.PartialOutput()
         )
         late = self._is_late(held_job, index, now_s)
-        run = holdermessages.ItemRun(run_id, key, index, engine.id, partial)
+        run = holdermessages.ItemRun(run_id, key, index, engine, partial)
         self._item_runs[run_id] = run
         self._parts.slots.start_run(
             run_id,
@@ -479,6 +479,7 @@
                 reason=getattr(outcome, "reason", ""),
                 events=len(run.partial.texts),
                 run_events=len(run.partial.texts) - run.events_before,
+                version=run.version,
                 parts=wire.shared_parts(item),
                 failures=held_job.failure_count(run.index),
                 **self._parts.state.age_fields(),
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holdermessages.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holdermessages.py
@@ -58,6 +58,7 @@
         "key",
         "partial",
         "stop_requested",
+        "version",
     )
 
     def __init__(self, run_id, key, index, engine, partial):
@@ -66,7 +67,8 @@
         self.events_before = len(partial.texts)
         self.key = key
         self.index = index
-        self.engine = engine
+        self.engine = engine.id
+        self.version = engine.version
         self.partial = partial
         self.call = engineclient.Call()
         self.stop_requested = False
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
@@ -152,6 +152,9 @@
         parts.metrics.requests.labels(self._route.name, outcome).inc()
         log_line = parts.log.event
         fields = {"reason": reason} if reason else {}
+        if self._req.resume_after is not None:
+            fields["resumes"] = self._req.resumes
+            fields["resume_after"] = self._req.resume_after
         if outcome in ("refused", "cut", "error"):
             log_line = parts.log.failure
             fields |= parts.state.age_fields()
@@ -169,6 +172,7 @@
             route=self._route.name,
             outcome=outcome,
             engines=self._exchange.engines_tried,
+            versions=self._exchange.versions_tried,
             runs=self._exchange.run_count,
             resumed=self._resume_count,
             slot_ms=round(self._exchange.slot_wait_s * 1000),
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/watch.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/watch.py
@@ -161,6 +161,7 @@
                 engine=engine.id,
                 pool=engine.pool,
                 draining=engine.draining,
+                version=engine.version,
             )
 
     def _decode(self, row):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/registry.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/registry.py
@@ -71,6 +71,7 @@
     zone: str = ""
     slots: int = DEFAULT_SLOTS
     born: int = 0
+    version: str = ""
 
 
 def decode_routing_table(row):
@@ -145,6 +146,7 @@
         slots=max(1, found.slots),
         draining=_DRAINING_BY_STATE[found.state],
         started_ms=found.born,
+        version=found.version,
     )
 
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
@@ -18,6 +18,7 @@
 DEADLINE_HEADER = "Deadline-Ms"
 TARGET_ID_HEADER = "Target-Instance"
 RESUME_AFTER_HEADER = "Last-Event-Id"
+RESUMES_HEADER = "Resumes"
 NOT_EXECUTED_HEADER = "not-executed"
 PROMPT_HEADER = "Prompt-Prefix"
 LIMIT_HEADER = "server-limit"
@@ -60,7 +61,8 @@
 class Request(msgspec.Struct, frozen=True):
     """A caller's request, as it is sent to an engine.
 
-    `resume_after` is the id of the last event that the caller received, and
+    `resume_after` is the id of the last event that the caller received,
+    `resumes` the id of the request that brought the first one, and
     `caller_timeout_s` the time that the caller allows for the request.
     `shared_parts` are the ids of the parts of its prompt, in order, without
     the last one, which is the request's own. `digest` is equal for requests
@@ -77,6 +79,7 @@
     caller_timeout_s: float | None = None
     shared_parts: tuple[str, ...] = ()
     digest: str = ""
+    resumes: str = ""
 
 
 class _Item(msgspec.Struct):
@@ -119,6 +122,7 @@
         headers=_forwarded_headers(headers),
         body=body,
         resume_after=resume_after,
+        resumes=headers_by_name.get(RESUMES_HEADER.lower(), ""),
         caller_timeout_s=None if timeout_ms is None else timeout_ms / 1000,
         shared_parts=_parse_shared_parts(
             headers_by_name.get(PROMPT_HEADER.lower(), "")
--- a/packages/samphirepost/src/samphirepost/roster.py
+++ b/packages/samphirepost/src/samphirepost/roster.py
@@ -14,7 +14,10 @@
 
 
 class Engine(msgspec.Struct, frozen=True):
-    """One incarnation of an engine; `started_ms` is unique to it."""
+    """One incarnation of an engine; `started_ms` is unique to it.
+
+    `version` is that of its software, empty if the registry names none.
+    """
 
     id: str
     pool: str
@@ -23,6 +26,7 @@
     slots: int
     draining: bool = False
     started_ms: int = 0
+    version: str = ""
 
 
 class Roster:
