--- a/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
@@ -46,6 +46,7 @@
 ROUTES = (
     route("notes", "/notes/", resumable=True, maxAttempts=2),
     route("bills", "/bills/"),
+    route("drafts", "/drafts/", resumable=True),
     route("evening", "/evening/", "batch", maxAttempts=2, retentionS=60),
 )
 
--- a/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
@@ -74,6 +74,8 @@
 class Engine(http.server.ThreadingHTTPServer):
     """One engine; `arrivals` lists all requests in order.
 
+    `version` is that of its software; engines do not check whether a stream
+    that they resume was begun by the same.
     `faults` is a queue of the faults of the next requests.
     `disconnected` is set once a connection closed during a stream.
     `crash_parts` are the ids of prompt parts, `crash_bodies` the bodies of
@@ -85,9 +87,16 @@
 
     daemon_threads = True
 
-    def __init__(self, name, events=8, event_interval_s=EVENT_INTERVAL_S):
+    def __init__(
+        self,
+        name,
+        events=8,
+        event_interval_s=EVENT_INTERVAL_S,
+        version="v1",
+    ):
         super().__init__(("127.0.0.1", 0), Handler)
         self.name = name
+        self.version = version
         self.events = events
         self.event_interval_s = event_interval_s
         self.faults = collections.deque()
@@ -142,6 +151,7 @@
             "service": pool,
             "address": self.address,
             "zone": "a",
+            "version": self.version,
             "slots": 8,
             "state": state,
             "seq": 1,
--- a/tests/entryhelper.py
+++ b/tests/entryhelper.py
@@ -99,17 +99,12 @@
 class Fleet:
     """Entry daemons with emulators of the store and engines, on loopback."""
 
-    def __init__(self, engines=2, daemons=1):
+    def __init__(self, engines=2, daemons=1, versions=("v1",)):
         self.store = storeserver.StoreServer()
         self.store.start()
-        self.engines = [
-            streamengine.Engine(f"engine-{i}") for i in range(engines)
-        ]
-        for engine in self.engines:
-            engine.start()
-            self.store.put_row(
-                "servers", engine.name, engine.entry(entryfleet.POOL)
-            )
+        self.engines = []
+        for number in range(engines):
+            self.add_engine(versions[number % len(versions)])
         self.crashed = []
         self.configure(1, entryfleet.ROUTES)
         self.daemons = []
@@ -119,6 +114,31 @@
         self._ticker = threading.Thread(target=self._tick, daemon=True)
         self._ticker.start()
 
+    def add_engine(self, version="v1"):
+        """Starts an engine of a version and lists it; returns it."""
+        engine = streamengine.Engine(
+            f"engine-{len(self.engines)}", version=version
+        )
+        engine.start()
+        self.engines.append(engine)
+        self.list_engine(engine)
+        return engine
+
+    def list_engine(self, engine, state="ready"):
+        """Writes an engine's entry in the registry."""
+        self.store.put_row(
+            "servers", engine.name, engine.entry(entryfleet.POOL, state)
+        )
+
+    def remove_engine(self, engine):
+        """Removes an engine and waits until the daemons know."""
+        self.store.remove_row("servers", engine.name)
+        for daemon in self.daemons:
+            wait_until(
+                lambda one=daemon: one.state.roster.get(engine.name) is None,
+                f"{engine.name} is gone",
+            )
+
     def configure(self, version, routes):
         """Writes the configuration tables to the store as an operator."""
         document = entryfleet.tables(version, routes)
@@ -146,9 +166,7 @@
         engine.start()
         self.engines.append(engine)
         self.crashed.append(crashed)
-        self.store.put_row(
-            "servers", engine.name, engine.entry(entryfleet.POOL)
-        )
+        self.list_engine(engine)
         self.store.remove_row("servers", crashed.name)
 
     def arrived(self, request):
--- /dev/null
+++ b/tests/test_versions.py
@@ -0,0 +1,193 @@
+"""Engines of two software versions serve side by side.
+
+What two versions write does not fit together, and engines do not check it: a
+stream may go on only at the version that began it. The daemons run in this
+process, with emulated store and engines.
+"""
+
+import pytest
+
+from samphirepost_bench import streamengine
+from tests import entryhelper
+
+OLD, NEW = "v1", "v2"
+DAEMONS = 3
+EVENTS = 8
+
+
+@pytest.fixture
+def fleet():
+    """Three daemons with two engines of the old version."""
+    new_fleet = entryhelper.Fleet(engines=2, daemons=DAEMONS, versions=(OLD,))
+    yield new_fleet
+    new_fleet.stop()
+
+
+def add_new_engines(fleet, count=2):
+    """Adds engines of the new version; waits until all daemons know them."""
+    for _ in range(count):
+        engine = fleet.add_engine(NEW)
+        for daemon in fleet.daemons:
+            entryhelper.wait_until(
+                lambda one=daemon, engine=engine: one.state.roster.get(
+                    engine.name
+                ),
+                f"{engine.name} is listed",
+            )
+
+
+def versions_of(fleet, request):
+    """Returns the versions of the engines that ran a request."""
+    return {
+        engine.version
+        for engine in fleet.engines
+        for one in list(engine.arrivals)
+        if one.id == request and one.has_run
+    }
+
+
+class Stream:
+    """A caller's stream, which breaks off and is taken up elsewhere."""
+
+    def __init__(self, fleet, name, path="/drafts/1"):
+        self._fleet = fleet
+        self._path = path
+        self.name = name
+        self.text = ""
+        self.tries = 0
+
+    @property
+    def count(self):
+        """The number of events received."""
+        return len(self.text.splitlines())
+
+    def send(self, daemon):
+        """Sends the first try, or one that takes the stream up."""
+        request = f"{self.name}.{self.tries}"
+        headers = {}
+        if self.tries:
+            headers["Resumes"] = f"{self.name}.0"
+            headers["Last-Event-Id"] = str(self.count)
+        self.tries += 1
+        reply = self._fleet.send_online(
+            request, self._path, daemon % DAEMONS, **headers
+        )
+        if reply.status == 200:
+            lines = [*self.text.splitlines(), *reply.text.splitlines()]
+            self.text = "\n".join(lines)
+        return reply
+
+    @property
+    def versions(self):
+        """The versions of the engines that ran any of its tries."""
+        return set().union(
+            *(
+                versions_of(self._fleet, f"{self.name}.{number}")
+                for number in range(self.tries)
+            )
+        )
+
+
+def begin_streams(fleet, count):
+    """Returns streams that broke off in the middle, of both versions."""
+    streams = []
+    for number in range(count):
+        for engine in fleet.engines:
+            engine.faults.clear()
+            engine.faults.append(streamengine.Fault.CUT)
+        stream = Stream(fleet, f"stream-{number}")
+        reply = stream.send(number)
+        assert reply.status == 200 and not reply.complete
+        streams.append(stream)
+    for engine in fleet.engines:
+        engine.faults.clear()
+    return streams
+
+
+def take_up(streams):
+    """Takes streams up at the next daemon; returns those that completed."""
+    done = []
+    for number, stream in enumerate(streams):
+        reply = stream.send(number + 1)
+        assert len(stream.versions) == 1
+        if reply.status == 200 and reply.complete:
+            assert stream.count == EVENTS
+            done.append(stream)
+        else:
+            assert reply.status == 503
+    return done
+
+
+# Incident second1 of issue 28: a daemon that resumed a stream within its
+# answer took any engine of the pool.
+def test_a_stream_goes_on_within_its_answer_at_its_version_only(fleet):
+    add_new_engines(fleet)
+    for number in range(12):
+        for engine in fleet.engines:
+            engine.faults.clear()
+        fleet.engines[number % 4].faults.append(streamengine.Fault.CUT)
+        fleet.send_online(f"notes-{number}", "/notes/1", number % DAEMONS)
+        assert len(versions_of(fleet, f"notes-{number}")) == 1
+
+
+# Incident second1 of issue 28: callers that took a stream up at another
+# daemon got any engine.
+def test_a_stream_is_taken_up_at_its_version(fleet):
+    add_new_engines(fleet)
+    streams = begin_streams(fleet, 12)
+    assert set().union(*(one.versions for one in streams)) == {OLD, NEW}
+    assert len(take_up(streams)) == len(streams)
+
+
+# The report on rejoined: all daemons were killed between the two tries.
+def test_a_stream_is_taken_up_after_all_daemons_were_lost(fleet):
+    add_new_engines(fleet)
+    streams = begin_streams(fleet, 12)
+    fleet.restart_all()
+    assert len(take_up(streams)) == len(streams)
+
+
+# A stream whose version has left cannot go on, whatever else serves.
+def test_a_stream_whose_version_is_gone_is_refused(fleet):
+    streams = begin_streams(fleet, 4)
+    add_new_engines(fleet)
+    for engine in fleet.engines[:2]:
+        fleet.remove_engine(engine)
+    for number, stream in enumerate(streams):
+        reply = stream.send(number)
+        assert reply.status == 503
+        assert float(reply.headers["Retry-After"]) > 0
+        assert stream.versions == {OLD}
+
+
+# A daemon that cannot read how a stream began must not guess.
+def test_no_stream_is_joined_while_the_store_is_out(fleet):
+    add_new_engines(fleet)
+    streams = begin_streams(fleet, 12)
+    fleet.store.unavailable = True
+    take_up(streams)
+
+
+# An item's output so far was kept without the version that wrote it.
+def test_an_item_is_not_joined_from_two_versions(fleet):
+    for engine in fleet.engines:
+        engine.faults.extend([streamengine.Fault.CUT] * 40)
+    fleet.submit("job", 4)
+    entryhelper.wait_until(
+        lambda: all(one.arrivals for one in fleet.engines),
+        "the items run at the old version",
+    )
+    add_new_engines(fleet)
+    for engine in fleet.engines[:2]:
+        fleet.remove_engine(engine)
+    results = entryhelper.wait_until(
+        lambda: fleet.complete_results("job"), "the job is complete"
+    )
+    assert {one["state"] for one in results} == {"done"}
+    arrivals = [
+        one for engine in fleet.engines[2:] for one in engine.arrivals
+    ]
+    first = {}
+    for one in sorted(arrivals, key=lambda one: one.at_s):
+        first.setdefault(one.id, one.resume_after)
+    assert set(first.values()) <= {0}
