--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -184,9 +184,7 @@
         lambda: fleet.complete_results("job"), "the job is complete"
     )
     assert {one["state"] for one in results} == {"done"}
-    arrivals = [
-        one for engine in fleet.engines[2:] for one in engine.arrivals
-    ]
+    arrivals = [one for engine in fleet.engines[2:] for one in engine.arrivals]
     first = {}
     for one in sorted(arrivals, key=lambda one: one.at_s):
         first.setdefault(one.id, one.resume_after)
