Resume a stream within its answer at the version that began it

Cause: the registry names versions, the roster dropped them, and resume() took any engine of the pool. Now the stream keeps its version and asks the hub for an engine of it; if there is none, the answer is broken off. The hub hands no other engine out and lets others pass. Load pattern: TestEnginesOfTwoVersions. Take-ups by callers and items are still joined (KNOWN-RED.txt).

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -120,6 +120,8 @@
         self._is_answered = False
         self._request_key = quarantine.request_key(req.digest)
         self._has_begun = False
+        # The software version at which the stream has to go on, if any.
+        self._version = None
         self._probed_cause = ""
         self._progress_s = time.monotonic()
 
@@ -201,6 +203,7 @@
             engine.id: engine
             for engine in self._state.engines(self._pool)
             if engine.id not in self.history.excluded
+            and self._version in (None, engine.version)
         }
         if not engines:
             return self._final_error()
@@ -246,6 +249,7 @@
             excluded=tuple(excluded),
             never_deny=self._is_under_way(),
             probe=self._probed_cause,
+            version=self._version,
             returns=attempts.is_caller_retry(
                 self._req.caller_timeout_s, self._route.timeout_s
             ),
@@ -308,6 +312,7 @@
         )
         if not may_retry or last_id is None:
             return self._final_error()
+        self._version = response.engine.version
         return self.open_response(last_id)
 
     def record_events(self, response, count):
--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -341,7 +341,7 @@
         if req.id in reporter.run_ids:
             return []
         view = self._views[req.pool]
-        if _has_none_left(view, req.excluded):
+        if _has_none_left(view, req):
             denial = slotmessages.Denial(self._me, req.id, None)
             return [(address, denial)]
         queue = self._queues.setdefault(req.pool, [])
@@ -352,7 +352,7 @@
         if req.never_deny:
             engine = view.least_occupied(
                 lambda engine_id: (
-                    engine_id not in req.excluded
+                    view.is_eligible(engine_id, req)
                     and self.limits.allows(engine_id, now_s)
                 )
             )
@@ -427,7 +427,7 @@
             )
 
         def is_untried(engine_id):
-            return engine_id not in req.excluded and self.limits.allows(
+            return view.is_eligible(engine_id, req) and self.limits.allows(
                 engine_id, now_s
             )
 
@@ -607,11 +607,11 @@
         return sum(len(queue) for queue in self._queues.values())
 
 
-def _has_none_left(view, excluded):
-    """Whether all engines of a pool are excluded."""
-    if len(view.engines) > len(excluded):
+def _has_none_left(view, req):
+    """Whether no engine of a pool will do for a request."""
+    if req.version is None and len(view.engines) > len(req.excluded):
         return False
-    return not view.engines.keys() - set(excluded)
+    return not any(view.is_eligible(one, req) for one in view.engines)
 
 
 def _urgency(waiting):
--- a/packages/samphirepost/src/samphirepost/poolview.py
+++ b/packages/samphirepost/src/samphirepost/poolview.py
@@ -90,6 +90,12 @@
         self._free[engine_id] = free
         self._buckets.setdefault(free, set()).add(engine_id)
 
+    def is_eligible(self, engine_id, req):
+        """Whether an engine will do for a slotmessages.SlotRequest."""
+        if engine_id in req.excluded:
+            return False
+        return req.version in (None, self.engines[engine_id].version)
+
     def free(self, engine_id):
         """Returns the free slots of an engine; none if it is unknown."""
         return max(0, self._free.get(engine_id, 0))
--- a/packages/samphirepost/src/samphirepost/slotmessages.py
+++ b/packages/samphirepost/src/samphirepost/slotmessages.py
@@ -119,7 +119,8 @@
     It waits `wait_max_s` at most; one that `returns` was rejected before and
     goes before others of its priority. With `never_deny`, it gets an engine
     even if none has a free slot. `probe` is the cause of crashes, if any, that
-    it has and would probe.
+    it has and would probe. Unless `version` is None, only engines of that
+    software version will do.
     """
 
     vm: str
@@ -132,6 +133,7 @@
     never_deny: bool = False
     returns: bool = False
     probe: str = ""
+    version: str | None = None
 
 
 class Grant(msgspec.Struct, frozen=True, array_like=True, tag=13):
--- a/tests/test_allocator.py
+++ b/tests/test_allocator.py
@@ -2,6 +2,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 
 from samphirepost import allocator
 from samphirepost import enginehealth
@@ -512,3 +513,44 @@
     hub.now_s += 10.0
     hub.allocate()
     assert hub.allocator.waiting_count == 0
+
+
+class TestEnginesOfTwoVersions:
+    """Load pattern: streams go on during a release, at full engines."""
+
+    def hub(self):
+        """Returns a Hub with one engine of v1 (e0) and three of v2."""
+        hub = Hub()
+        hub.engines = [
+            msgspec.structs.replace(one, version="v2" if number else "v1")
+            for number, one in enumerate(hub.engines)
+        ]
+        hub.allocator.set_engines(POOL, hub.engines, 0.0)
+        return hub
+
+    def test_a_stream_goes_on_at_its_version(self):
+        """Though other engines have more free slots."""
+        hub = self.hub()
+        for run_id in range(SLOTS + 2):
+            hub.request(run_id, never_deny=True, version="v1")
+        assert set(hub.grants.values()) == {"e0"}
+
+    def test_it_holds_up_no_others(self):
+        """Requests without a version take the free slots beside it."""
+        hub = self.hub()
+        for run_id in range(SLOTS):
+            hub.request(run_id, version="v1")
+        hub.request(100, version="v1")
+        assert ("vm0", 100) in hub.queued
+        hub.request(101)
+        hub.allocate()
+        assert hub.grants["vm0", 101] != "e0"
+        assert ("vm0", 100) not in hub.grants
+
+    def test_a_version_without_engines_is_denied_at_once(self):
+        """Nothing tells when engines of it come back."""
+        hub = self.hub()
+        hub.request(1, version="v0", never_deny=True)
+        assert hub.denials["vm0", 1] is None
+        hub.request(2, version="v1", never_deny=True, excluded=("e0",))
+        assert hub.denials["vm0", 2] is None
