Take streams up at the version that began them, at any daemon

Callers took streams up after a break or a kill of daemons and got 200 with a text joined from two software versions. Cause: Resumes was not read, and no daemon knew where a stream of another one had begun. Now a pool has a base version; streams that begin at another one are recorded before their first event, so no record means the base, at any daemon and after all were killed. Unknown versions are refused.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/core.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/core.py
@@ -57,6 +57,7 @@
     daemon.relay.start()
     daemon.membership.start()
     daemon.quarantine_writer.start()
+    daemon.base_keeper.start()
     daemon.readiness.start()
     daemon.callers.start()
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -11,6 +11,7 @@
 from samphirepost import routing
 from samphirepost import slotmessages
 from samphirepost_daemon.entry import engineclient
+from samphirepost_daemon.entry import streamversion
 from samphirepost_daemon.platform import wire
 
 # Interval at which a request in progress checks whether its caller has
@@ -29,6 +30,11 @@
 # An answer has begun with this many events: an engine that crashes on a prompt
 # may put out one.
 BEGUN_EVENTS = 2
+# Failed attempts that tell nothing about their engine.
+NO_ENGINE_FAILURES = (
+    attempts.AttemptFailure.REFUSED,
+    attempts.AttemptFailure.UNRECORDED,
+)
 # Longest Retry-After (s) of a request that crashes engines.
 RETRY_AFTER_MAX_S = 3600.0
 
@@ -120,8 +126,9 @@
         self._is_answered = False
         self._request_key = quarantine.request_key(req.digest)
         self._has_begun = False
-        # The software version at which the stream has to go on, if any.
-        self._version = None
+        self.stream_version = streamversion.StreamVersion(
+            parts, req, route, pool
+        )
         self._probed_cause = ""
         self._progress_s = time.monotonic()
 
@@ -140,6 +147,9 @@
         Returns OpenResponse, or an ErrorResponse when no further attempt is
         allowed. Raises CallerDisconnected.
         """
+        unknown = self._find_version()
+        if unknown is not None:
+            return unknown
         while True:
             if self.left_s() < attempts.REMAINING_MIN_S:
                 return self._final_error()
@@ -160,6 +170,24 @@
             ):
                 return self._final_error()
 
+    def _find_version(self):
+        """Finds the version of a stream that the caller takes up.
+
+        Returns an ErrorResponse if it is not known: another version would not
+        continue what the caller has.
+        """
+        if self.stream_version.version is not None:
+            return None
+        unknown = self.stream_version.find()
+        if unknown is None:
+            return None
+        self._metrics.stream_refusals.inc()
+        return attempts.ErrorResponse(
+            503,
+            f"the stream's version is not known: {unknown.reason}",
+            attempts.retry_after_s(0.0),
+        )
+
     def _check_quarantine(self):
         """Returns an ErrorResponse if a cause of crashes is quarantined.
 
@@ -199,17 +227,22 @@
         The hub grants the slot; while it does not answer, this daemon chooses
         an engine itself.
         """
-        engines = {
-            engine.id: engine
+        usable = [
+            engine
             for engine in self._state.engines(self._pool)
             if engine.id not in self.history.excluded
-            and self._version in (None, engine.version)
+        ]
+        version = self.stream_version.required(usable)
+        engines = {
+            engine.id: engine
+            for engine in usable
+            if version in (None, engine.version)
         }
         if not engines:
             return self._final_error()
         began_s = time.monotonic()
         run_id = self._slots.next_run_id()
-        reply = self._request_slot(run_id, engines, began_s)
+        reply = self._request_slot(run_id, engines, version, began_s)
         self.slot_wait_s += time.monotonic() - began_s
         if isinstance(reply, slotmessages.Grant):
             if reply.engine in engines:
@@ -229,7 +262,7 @@
             raise CallerDisconnected
         return self._choose_engine(list(engines.values()))
 
-    def _request_slot(self, run_id, engines, now_s):
+    def _request_slot(self, run_id, engines, version, now_s):
         avoided = {
             engine_id
             for engine_id in engines
@@ -249,7 +282,7 @@
             excluded=tuple(excluded),
             never_deny=self._is_under_way(),
             probe=self._probed_cause,
-            version=self._version,
+            version=version,
             returns=attempts.is_caller_retry(
                 self._req.caller_timeout_s, self._route.timeout_s
             ),
@@ -312,7 +345,6 @@
         )
         if not may_retry or last_id is None:
             return self._final_error()
-        self._version = response.engine.version
         return self.open_response(last_id)
 
     def record_events(self, response, count):
@@ -339,10 +371,11 @@
     def _record_failure(self, engine, failure):
         engine_id = engine.id
         self._record_crash(engine, failure)
+        self.stream_version.attempt_failed(engine)
         self.history.record_failure(engine_id, failure.seen)
         self.last_failure = failure
         self._metrics.attempts.labels(failure.seen.value).inc()
-        if failure.seen is not attempts.AttemptFailure.REFUSED:
+        if failure.seen not in NO_ENGINE_FAILURES:
             self._load_tracker.record_failure(engine_id, time.monotonic())
         self._log.event(
             "attempt.failed",
@@ -399,6 +432,7 @@
                 seen = attempts.AttemptFailure.BROKEN
             return FailedAttempt(seen, failure.reason, lost=failure.lost)
         self.record_progress()
+        self.stream_version.attempt_sent(engine)
         head = self.receive(call)
         if isinstance(head, (engineclient.CallFailure, type(None))):
             return self._failed_attempt(head, has_head=False)
@@ -458,6 +492,12 @@
             else:
                 return self._failed_attempt(part)
         self._load_tracker.record_success(response.engine.id)
+        if not self.stream_version.may_begin(response.engine):
+            return FailedAttempt(
+                attempts.AttemptFailure.UNRECORDED,
+                "where the stream begins could not be recorded",
+                has_head=True,
+            )
         self.record_progress()
         response.began_s = time.monotonic()
         return response
@@ -538,6 +578,6 @@
 
 def _outcome(result):
     """Returns what a FailedAttempt shows about its engine; it may be None."""
-    if result is None or result.seen is attempts.AttemptFailure.REFUSED:
+    if result is None or result.seen in NO_ENGINE_FAILURES:
         return slotmessages.Outcome.UNKNOWN
     return slotmessages.Outcome.FAILED
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/metrics.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/metrics.py
@@ -33,6 +33,11 @@
             "Requests and items with a quarantined part of a prompt",
             ["kind"],
         )
+        self.stream_refusals = prometheus_client.Counter(
+            "samphirepost_stream_refusals",
+            "Streams not taken up as their version is not known",
+            registry=self.registry,
+        )
         self.preemptions = prometheus_client.Counter(
             "samphirepost_preemptions",
             "Batch items stopped for online requests",
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
@@ -155,6 +155,7 @@
         if self._req.resume_after is not None:
             fields["resumes"] = self._req.resumes
             fields["resume_after"] = self._req.resume_after
+            fields["version_source"] = self._exchange.stream_version.source
         if outcome in ("refused", "cut", "error"):
             log_line = parts.log.failure
             fields |= parts.state.age_fields()
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -107,6 +107,11 @@
         """Returns the ids of the members, or None if they are not known."""
         return set(self._hub.selector.members) or None
 
+    @property
+    def is_hub(self):
+        """Whether this daemon is the hub."""
+        return self._hub.vm == self._me
+
     @property
     def hub_answers(self):
         """Whether the hub has answered since a request to it was lost."""
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/state.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/state.py
@@ -55,6 +55,11 @@
         """Returns the names of the pools in the active tables."""
         return list(self.table.pools) if self.table else []
 
+    def registry_age_s(self, now_s):
+        """Returns the age of the list of engines (s); None before it."""
+        read_s = self.roster.last_read_s
+        return None if read_s is None else now_s - read_s
+
     def age_fields(self):
         """Returns log fields: the tables' revision and age, the roster's age.
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/watch.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/watch.py
@@ -4,7 +4,8 @@
 replace(rows, store_ms) with all rows, apply_changes(rows, store_ms) with the
 rows changed since, and handle_failure() for each request that the store does
 not answer. `store_ms` is the store's time of its answer. Sinks are TablesSink,
-EnginesSink, members.MembersSink and quarantinetable.QuarantineSink.
+EnginesSink, members.MembersSink, quarantinetable.QuarantineSink and
+versiontable.BasesSink.
 """
 
 import threading
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/web.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/web.py
@@ -8,6 +8,7 @@
 import http
 
 from samphirepost import attempts
+from samphirepost import hashing
 from samphirepost import routing
 from samphirepost_daemon.platform import wire
 
@@ -100,7 +101,9 @@
             return send_error_response(start_response, error)
         if route.kind is routing.Kind.BATCH:
             return self._batch.submit(start_response, req, host, route)
-        pool = routing.pick_pool(route)
+        # A stream that is taken up goes to the pool in which it began.
+        began_as = req.resumes or req.id
+        pool = routing.pick_pool(route, lambda: hashing.fraction(began_as))
         return self._online.answer(environ, start_response, req, route, pool)
 
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -7,6 +7,7 @@
 from samphirepost import quarantine
 from samphirepost import ratelimit
 from samphirepost import selection
+from samphirepost import streamversions
 from samphirepost_daemon.entry import batch
 from samphirepost_daemon.entry import boundedhttp
 from samphirepost_daemon.entry import holder
@@ -18,7 +19,9 @@
 from samphirepost_daemon.entry import quarantinetable
 from samphirepost_daemon.entry import slots
 from samphirepost_daemon.entry import state
+from samphirepost_daemon.entry import storeclock
 from samphirepost_daemon.entry import storerelay
+from samphirepost_daemon.entry import versiontable
 from samphirepost_daemon.entry import watch
 from samphirepost_daemon.entry import web
 import samphirepost_daemon.listener as listener
@@ -35,6 +38,8 @@
 # Longest wait of one feed of the members table. Its changes are not urgent: a
 # new member only adds to the known loads.
 MEMBERS_FEED_WAIT_MAX_S = 5.0
+# The same of the base versions, which rarely change.
+BASES_FEED_WAIT_MAX_S = 10.0
 # The same of the quarantine table, whose changes the hub announces.
 QUARANTINE_FEED_WAIT_MAX_S = 10.0
 BODY_BYTES_MAX = 8_000_000
@@ -47,10 +52,12 @@
 class SharedParts:
     """Objects that most parts share.
 
-    `slots` is the SlotExchange, set once it is created.
+    `slots` is the SlotExchange and `streams` the StreamTable, set once they
+    are created.
     """
 
     __slots__ = (
+        "bases",
         "limits",
         "load_tracker",
         "log",
@@ -60,6 +67,7 @@
         "quarantine",
         "slots",
         "state",
+        "streams",
         "zone",
     )
 
@@ -73,7 +81,9 @@
         self.quarantine = quarantine.Quarantine()
         self.observations = crashes.Observations()
         self.limits = ratelimit.SeenLimits()
+        self.bases = streamversions.Bases()
         self.slots = None
+        self.streams = None
 
 
 class Daemon:
@@ -121,12 +131,17 @@
         self.membership = members.MembershipWriter(
             store_client, me, cfg.peer_address, cfg.peer_port, parts.log
         )
-        clock = quarantinetable.StoreClock()
+        clock = storeclock.StoreClock()
         self.quarantine_writer = quarantinetable.QuarantineWriter(
             store_client, parts, clock
         )
         self.slots.hub_server.decided = self.quarantine_writer.put
         self.slots.hub_server.released = self.quarantine_writer.remove
+        parts.streams = versiontable.StreamTable(store_client, parts, clock)
+        bases_sink = versiontable.BasesSink(parts, clock)
+        self.base_keeper = versiontable.BaseKeeper(
+            store_client, parts, bases_sink, clock
+        )
         self.watchers = [
             watch.TableWatcher(
                 store_client,
@@ -154,6 +169,13 @@
                 parts.log,
                 QUARANTINE_FEED_WAIT_MAX_S,
             ),
+            watch.TableWatcher(
+                store_client,
+                versiontable.BASES_TABLE,
+                bases_sink,
+                parts.log,
+                BASES_FEED_WAIT_MAX_S,
+            ),
         ]
         app = web.CallerApp(
             parts,
--- a/packages/samphirepost/src/samphirepost/attempts.py
+++ b/packages/samphirepost/src/samphirepost/attempts.py
@@ -32,13 +32,18 @@
 
 
 class AttemptFailure(enum.Enum):
-    """Why an attempt gave no usable response."""
+    """Why an attempt gave no usable response.
+
+    UNRECORDED: the daemon could not record where the stream begins, which is
+    no failure of the engine.
+    """
 
     UNREACHABLE = "unreachable"
     REFUSED = "refused"
     BROKEN = "broken"
     SILENT = "silent"
     FAILED = "failed"
+    UNRECORDED = "unrecorded"
 
 
 NOT_EXECUTED = frozenset((AttemptFailure.UNREACHABLE, AttemptFailure.REFUSED))
--- a/packages/samphirepost/src/samphirepost/hashing.py
+++ b/packages/samphirepost/src/samphirepost/hashing.py
@@ -10,6 +10,11 @@
     return xxhash.xxh3_64_intdigest("\x00".join(parts).encode())
 
 
+def fraction(text):
+    """Returns a number in [0, 1), the same on every VM."""
+    return score(text) / 2**64
+
+
 def rendezvous(key, members):
     """Returns the member with the highest score for `key`.
 
--- a/packages/samphirepost/src/samphirepost/roster.py
+++ b/packages/samphirepost/src/samphirepost/roster.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from samphirepost import streamversions
+
 # After an outage the registry restores the entries of live engines within 2 s;
 # 0.2 s more for this daemon's read.
 RESTORE_GRACE_S = 2.2
@@ -40,14 +42,18 @@
 
     __slots__ = (
         "_engines",
+        "_listed_s",
         "_pending_removal",
         "_restored_s",
         "_unavailable",
+        "_versions_left_s",
         "last_read_s",
     )
 
     def __init__(self):
         self._engines = {}
+        self._listed_s = {}
+        self._versions_left_s = {}
         self._pending_removal = {}
         self._unavailable = False
         self._restored_s = None
@@ -70,6 +76,13 @@
     def apply_entry(self, engine, now_s):
         """Applies one new or changed entry."""
         self._record_response(now_s)
+        known = self._engines.get(engine.id)
+        if known is not None and (known.version, known.started_ms) != (
+            engine.version,
+            engine.started_ms,
+        ):
+            self._remove(engine.id, now_s)
+        self._listed_s.setdefault(engine.id, now_s)
         self._engines[engine.id] = engine
         self._pending_removal.pop(engine.id, None)
 
@@ -95,6 +108,32 @@
         """Returns an engine by id, or None."""
         return self._engines.get(engine_id)
 
+    def listed_engines(self, pool):
+        """Returns the pool's engines, also those that are draining."""
+        return [
+            engine
+            for engine in list(self._engines.values())
+            if engine.pool == pool
+        ]
+
+    def listed_s(self, engine_id):
+        """Returns since when an engine is listed with its version, or None."""
+        return self._listed_s.get(engine_id)
+
+    def recent_versions(self, pool, now_s):
+        """Returns the software versions of a pool's engines, now and of late.
+
+        A version counts for streamversions.VERSION_KEPT_S after its last
+        engine has left.
+        """
+        found = {engine.version for engine in self.listed_engines(pool)}
+        for (other, version), left_s in list(self._versions_left_s.items()):
+            if now_s - left_s > streamversions.VERSION_KEPT_S:
+                self._versions_left_s.pop((other, version), None)
+            elif other == pool:
+                found.add(version)
+        return found
+
     def __len__(self):
         return len(self._engines)
 
@@ -108,8 +147,7 @@
         if engine_id not in self._engines:
             return
         if self._restored_s is None or now_s - self._restored_s > STABLE_S:
-            self._engines.pop(engine_id)
-            self._pending_removal.pop(engine_id, None)
+            self._remove(engine_id, now_s)
             return
         self._pending_removal.setdefault(
             engine_id, self._restored_s + RESTORE_GRACE_S
@@ -118,5 +156,11 @@
     def _remove_expired(self, now_s):
         for engine_id, until_s in list(self._pending_removal.items()):
             if now_s >= until_s:
-                self._engines.pop(engine_id, None)
-                self._pending_removal.pop(engine_id, None)
+                self._remove(engine_id, now_s)
+
+    def _remove(self, engine_id, now_s):
+        engine = self._engines.pop(engine_id, None)
+        self._pending_removal.pop(engine_id, None)
+        self._listed_s.pop(engine_id, None)
+        if engine is not None:
+            self._versions_left_s[engine.pool, engine.version] = now_s
