Continue an item's output only at the software version that began it

Callers read results whose text two software versions had written. Cause: the output so far had no version, in memory and in checkpoints, and went on at any engine. Now it has one; the hub grants an engine of it and passes over items that wait for theirs; once no engine of the pool has it, the item starts again under a new output id, which tells its checkpoints from those that are left of the old one.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -6,6 +6,7 @@
 """
 
 import concurrent.futures
+import secrets
 import time
 
 import pykka
@@ -42,7 +43,8 @@
 # after its job's deadline. The share is below 1 because only an upper limit of
 # the item's tokens is known.
 FEASIBLE_SHARE = 0.8
-# Interval at which items with a quarantined part are looked for (s).
+# Interval at which items that are quarantined, or whose software version has
+# no engine left, are looked for (s).
 BLOCK_INTERVAL_S = 0.25
 # Interval at which the loads are logged while jobs are held.
 LOADS_LOG_INTERVAL_S = 2.0
@@ -250,7 +252,10 @@
         known_ids = self._wanted
         self._wanted = {}
         wanted = {}
-        self._find_blocked_items(now_s)
+        if now_s >= self._next_block_s:
+            self._next_block_s = now_s + BLOCK_INTERVAL_S
+            self._find_blocked_items(now_s)
+            self._restart_items()
         for key, index in self._ready_items(now_s):
             run_id = known_ids.get((key, index))
             if run_id is None:
@@ -288,9 +293,6 @@
         Of those that could probe a part, all but one wait, so that they do not
         keep other items from being wanted.
         """
-        if now_s < self._next_block_s:
-            return
-        self._next_block_s = now_s + BLOCK_INTERVAL_S
         blocked_items = set()
         probing = set()
         if not self._parts.quarantine.is_empty:
@@ -315,6 +317,27 @@
             )
         self._blocked_items = blocked_items
 
+    def _restart_items(self):
+        """Starts items again whose software version has no engine left."""
+        for held_job in self._held_jobs.values():
+            if not held_job.partial_outputs:
+                continue
+            route = self._find_route(held_job)
+            versions = {
+                engine.version
+                for pool in (route.pools if route else ())
+                for engine in self._parts.state.engines(pool)
+            }
+            if not versions:
+                continue
+            for index in held_job.restart_items(versions, _new_output_id):
+                self._parts.log.event(
+                    "item.restarted",
+                    job=held_job.record.id,
+                    item=held_job.record.items[index].id,
+                    versions=sorted(versions),
+                )
+
     def _check_quarantine(self, item, now_s):
         parts = wire.shared_parts(item)
         return self._parts.quarantine.check(parts, now_s)
@@ -325,12 +348,14 @@
         if route is None:
             return None
         found = self._check_quarantine(held_job.record.items[index], now_s)
+        partial = held_job.partial_outputs.get(index)
         return slotmessages.WantedSlot(
             run_id,
             routing.pick_pool(route),
             self._is_late(held_job, index, now_s),
             round(held_job.deadline_s - now_s, 2),
             "" if found is None else found.cause,
+            partial.version if partial and partial.texts else None,
         )
 
     def _start_without_hub(self, wanted, now_s):
@@ -340,13 +365,19 @@
         startable = [slot for slot in wanted.values() if not slot.probe]
         for slot in startable[:STARTS_PER_TICK_MAX]:
             engines = limits.sendable(
-                self._parts.state.engines(slot.pool), daemon_count, now_s
+                [
+                    engine
+                    for engine in self._parts.state.engines(slot.pool)
+                    if slot.version in (None, engine.version)
+                ],
+                daemon_count,
+                now_s,
             )
             engine = load_tracker.choose_batch_engine(
                 engines, now_s, slot.late
             )
             if engine is None:
-                return
+                continue
             run_id = self._parts.slots.next_run_id()
             if self._start_item(run_id, slot.id, engine):
                 limits.take(engine, daemon_count, now_s)
@@ -383,11 +414,16 @@
         route = self._find_route(held_job)
         if route is None or engine.pool not in route.pools:
             return False
+        partial = held_job.partial_outputs.get(index)
+        if partial is None:
+            partial = batchjob.PartialOutput(_new_output_id())
+            held_job.partial_outputs[index] = partial
+        if not partial.can_go_on(engine.version):
+            return False
+        if not partial.texts:
+            partial.version = engine.version
         del self._wanted[key, index]
         held_job.running.add(index)
-        partial = held_job.partial_outputs.setdefault(
-            index, batchjob.PartialOutput()
-        )
         late = self._is_late(held_job, index, now_s)
         run = holdermessages.ItemRun(run_id, key, index, engine, partial)
         self._item_runs[run_id] = run
@@ -675,6 +711,11 @@
             self._commit_if_due(key, held_job, time.monotonic())
 
 
+def _new_output_id():
+    """Returns an id that tells the outputs of an item apart."""
+    return secrets.token_hex(4)
+
+
 def _may_have_crashed_engine(run, outcome):
     """Whether a run lost its engine before the item's answer had begun."""
     return (
--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -27,6 +27,9 @@
 REFRESH_PER_ENGINE_S = 0.0002
 # Batch items that are compared to find the least urgent one.
 ITEMS_COMPARED_MAX = 256
+# Wanted items that are passed over in one allocation, as no engine of their
+# version has a free slot.
+PASSED_ITEMS_MAX = 64
 # Totals of a larger fleet would fill the hub's link; its daemons choose among
 # so many engines that they rarely meet without them.
 TOTALS_ENGINES_MAX = 64
@@ -534,17 +537,21 @@
         for late, _, vm, wanted_id in self._most_urgent(pool, budget):
             if len(sent) >= (late_budget if late else budget):
                 break
-            engine = self._engine_for_item(view, now_s)
-            if engine is None:
+            wanted, _ = self._reporters[vm].wanted[wanted_id]
+            engine = self._engine_for_item(view, wanted.version, now_s)
+            if engine is None and wanted.version is None:
                 break
+            if engine is None:
+                continue
             del self._reporters[vm].wanted[wanted_id]
             sent.append(self._grant(vm, wanted_id, engine, True, now_s))
         return sent
 
     def _most_urgent(self, pool, budget):
-        """Returns the wanted slots to serve first, as many as the budget.
+        """Returns the wanted slots to serve first, some more than the budget.
 
-        Items that are late anyway come last.
+        Items that are late anyway come last. Some may find no engine of their
+        version.
         """
         wanted_slots = (
             (wanted.late, deadline_s, vm, wanted.id)
@@ -552,18 +559,21 @@
             for wanted, deadline_s in self._reporters[vm].wanted.values()
             if wanted.pool == pool
         )
-        return heapq.nsmallest(math.ceil(budget), wanted_slots)
+        count = math.ceil(budget) + PASSED_ITEMS_MAX
+        return heapq.nsmallest(count, wanted_slots)
 
-    def _engine_for_item(self, view, now_s):
+    def _engine_for_item(self, view, version, now_s):
         """Returns an engine with a free slot, a suspect one first.
 
         An item tells whether a suspect engine works again at the least cost.
         """
 
         def is_usable(engine_id):
-            return self.limits.allows(
-                engine_id, now_s
-            ) and not self.health.is_avoided(engine_id, now_s)
+            return (
+                version in (None, view.engines[engine_id].version)
+                and self.limits.allows(engine_id, now_s)
+                and not self.health.is_avoided(engine_id, now_s)
+            )
 
         for engine_id in self.health.suspects:
             if view.free(engine_id) and is_usable(engine_id):
--- a/packages/samphirepost/src/samphirepost/batchjob.py
+++ b/packages/samphirepost/src/samphirepost/batchjob.py
@@ -127,27 +127,43 @@
 class Checkpoint(msgspec.Struct, frozen=True):
     """A segment of an unfinished item's output, from which to resume it.
 
-    `first_id` is the id of its first event; `number` counts the item's
-    checkpoints from 0.
+    `first_id` is the id of its first event; `number` counts the checkpoints of
+    its output, which is `output_id` and was begun at software version
+    `version`, from 0.
     """
 
     index: int
     number: int
     first_id: int
     texts: tuple[bytes, ...]
+    output_id: str = ""
+    version: str | None = None
 
 
 class PartialOutput:
     """The output of an unfinished item so far, over all its attempts.
 
-    The first `durable_count` events are durable, in `checkpoint_count`
-    checkpoints. The thread that runs the item appends events; the holder's
-    thread does the rest.
+    It goes on at engines of software version `version` only; an item that
+    starts again has another `output_id`. The first `durable_count` events are
+    durable, in `checkpoint_count` checkpoints; `row_count` rows may be stored,
+    of former outputs too. The thread that runs the item appends events; the
+    holder's thread does the rest.
     """
 
-    __slots__ = ("checkpoint_count", "durable_count", "first_id", "texts")
+    __slots__ = (
+        "checkpoint_count",
+        "durable_count",
+        "first_id",
+        "output_id",
+        "row_count",
+        "texts",
+        "version",
+    )
 
-    def __init__(self):
+    def __init__(self, output_id="", row_count=0):
+        self.output_id = output_id
+        self.row_count = row_count
+        self.version = None
         self.first_id = None
         self.texts = []
         self.durable_count = 0
@@ -173,12 +189,18 @@
 
     def restore(self, checkpoint):
         """Appends a checkpoint; returns False if it is not the next one."""
+        self.row_count = max(self.row_count, checkpoint.number + 1)
         if checkpoint.number != self.checkpoint_count:
             return False
-        if self.texts and checkpoint.first_id != self.last_id + 1:
-            return False
         if not self.texts:
             self.first_id = checkpoint.first_id
+            self.output_id = checkpoint.output_id
+            self.version = checkpoint.version
+        elif (
+            checkpoint.output_id != self.output_id
+            or checkpoint.first_id != self.last_id + 1
+        ):
+            return False
         self.texts.extend(checkpoint.texts)
         self.durable_count = len(self.texts)
         self.checkpoint_count += 1
@@ -198,7 +220,18 @@
         if not texts:
             return None
         first_id = self.first_id + self.durable_count
-        return Checkpoint(index, self.checkpoint_count, first_id, tuple(texts))
+        return Checkpoint(
+            index,
+            self.checkpoint_count,
+            first_id,
+            tuple(texts),
+            self.output_id,
+            self.version,
+        )
+
+    def can_go_on(self, version):
+        """Whether an engine of a software version can continue the output."""
+        return not self.texts or version == self.version
 
     @property
     def text(self):
@@ -316,6 +349,28 @@
         delay_s = min(RETRY_DELAY_S * 2**doublings, RETRY_DELAY_MAX_S)
         self.retry_at_s[index] = now_s + delay_s
 
+    def restart_items(self, versions, new_id):
+        """Starts items again whose output no engine can continue.
+
+        `versions` are the software versions of the engines, `new_id()` returns
+        the id of a new output. Returns the indexes.
+        """
+        found = [
+            index
+            for index in self.queued_indexes()
+            if index in self.partial_outputs
+            and not any(
+                self.partial_outputs[index].can_go_on(version)
+                for version in versions
+            )
+        ]
+        for index in found:
+            old = self.partial_outputs[index]
+            self.partial_outputs[index] = PartialOutput(
+                new_id(), old.row_count
+            )
+        return found
+
     def failure_count(self, index):
         """Returns the number of failed attempts of an item."""
         durable = self.progress.failures.get(index, 0)
@@ -325,8 +380,8 @@
         """Records the result of an item; a second result is ignored."""
         self.running.discard(index)
         partial = self.partial_outputs.pop(index, None)
-        if partial is not None and partial.checkpoint_count:
-            self.stale_checkpoints[index] = partial.checkpoint_count
+        if partial is not None and partial.row_count:
+            self.stale_checkpoints[index] = partial.row_count
         if index not in self.progress.listed:
             self.unlisted_results.setdefault(index, result)
 
@@ -449,8 +504,12 @@
         If its item has finished meanwhile, the checkpoint is to be deleted.
         """
         partial = self.partial_outputs.get(checkpoint.index)
+        count = checkpoint.number + 1
+        if partial is not None:
+            partial.row_count = max(partial.row_count, count)
+            if partial.output_id != checkpoint.output_id:
+                return
         if partial is None:
-            count = checkpoint.number + 1
             if checkpoint.index in self.unlisted_results:
                 self.stale_checkpoints[checkpoint.index] = count
             return
--- a/packages/samphirepost/src/samphirepost/slotmessages.py
+++ b/packages/samphirepost/src/samphirepost/slotmessages.py
@@ -49,7 +49,7 @@
     """A slot that a daemon wants for a batch item, as soon as one is free.
 
     The grant has the same `id`; see Run for `late` and `left_s`, SlotRequest
-    for `probe`.
+    for `probe` and `version`.
     """
 
     id: int
@@ -57,6 +57,7 @@
     late: bool
     left_s: float
     probe: str = ""
+    version: str | None = None
 
 
 class Crash(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_allocator.py
+++ b/tests/test_allocator.py
@@ -554,3 +554,16 @@
         assert hub.denials["vm0", 1] is None
         hub.request(2, version="v1", never_deny=True, excluded=("e0",))
         assert hub.denials["vm0", 2] is None
+
+    def test_an_item_that_waits_for_its_version_holds_up_no_others(self):
+        """Its engine is full, and it is the most urgent."""
+        hub = self.hub()
+        for run_id in range(SLOTS):
+            hub.request(run_id, version="v1")
+        wanted = [
+            slotmessages.WantedSlot(50, POOL, False, 1.0, "", "v1"),
+            slotmessages.WantedSlot(51, POOL, False, 9.0),
+        ]
+        hub.report(wanted=wanted, vm="batch")
+        assert ("batch", 50) not in hub.grants
+        assert hub.grants["batch", 51] != "e0"
--- a/tests/test_batchjob.py
+++ b/tests/test_batchjob.py
@@ -544,3 +544,64 @@
         self.runs_in(held_job, 10.0)
         held_job.postpone_item(0, False, 10.0)
         assert held_job.runnable_indexes(10.0 + batchjob.RETRY_DELAY_S) == [0]
+
+
+class TestItemsOfTwoSoftwareVersions:
+    """Load pattern: a release while items run and daemons are lost."""
+
+    def output(self, output_id, version, first, last):
+        """Returns an output with events from `first` to `last`."""
+        partial = batchjob.PartialOutput(output_id)
+        partial.version = version
+        for number in range(first, last + 1):
+            assert partial.append_event(number, b"%d" % number)
+        return partial
+
+    def test_an_output_goes_on_at_its_version(self):
+        partial = self.output("a", "v1", 1, 2)
+        assert partial.can_go_on("v1")
+        assert not partial.can_go_on("v2")
+        assert batchjob.PartialOutput("b").can_go_on("v2")
+
+    # The second checkpoint of the old output would follow the first one of
+    # the new output.
+    def test_checkpoints_of_a_former_output_are_not_joined(self):
+        old, new = self.output("a", "v1", 1, 4), self.output("b", "v2", 1, 2)
+        first = new.next_checkpoint(0, 10)
+        former = batchjob.Checkpoint(0, 1, 3, (b"3", b"4"), "a", "v1")
+        restored = batchjob.PartialOutput()
+        assert restored.restore(first)
+        assert not restored.restore(former)
+        assert (restored.text, restored.version) == (b"1\n2", "v2")
+        assert restored.row_count == 2
+        assert old.output_id != restored.output_id
+
+    def test_an_item_starts_again_when_its_version_is_gone(self, rows):
+        store = jobstore.JobStore(rows, "vm1", ROW_BYTES)
+        record = make_record(count=2)
+        accepted = store.submit(record, make_route(retention_s=60.0))
+        held_job = make_held_job(record, accepted)
+        held_job.partial_outputs[0] = self.output("a", "v1", 1, 3)
+        held_job.partial_outputs[0].row_count = 2
+        assert held_job.restart_items({"v1", "v2"}, lambda: "b") == []
+        assert held_job.restart_items({"v2"}, lambda: "b") == [0]
+        assert held_job.partial_outputs[0].texts == []
+        held_job.finish_item(
+            0, batchjob.Result("i", batchjob.FinalStatus.DONE, b"x")
+        )
+        assert held_job.stale_checkpoints == {0: 2}
+
+    # The write of a checkpoint was under way when the item started again.
+    def test_a_late_checkpoint_does_not_count_for_a_new_output(self, rows):
+        store = jobstore.JobStore(rows, "vm1", ROW_BYTES)
+        record = make_record(count=1)
+        accepted = store.submit(record, make_route(retention_s=60.0))
+        held_job = make_held_job(record, accepted)
+        held_job.partial_outputs[0] = self.output("a", "v1", 1, 3)
+        commit = held_job.next_commit(10, 1000, 0.0)
+        assert commit.checkpoints
+        held_job.restart_items({"v2"}, lambda: "b")
+        held_job.apply_commit(2)
+        partial = held_job.partial_outputs[0]
+        assert (partial.checkpoint_count, partial.durable_count) == (0, 0)
+        assert partial.row_count == 1
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -5,6 +5,8 @@
 process, with emulated store and engines.
 """
 
+import itertools
+
 import pytest
 
 from samphirepost_bench import streamengine
@@ -19,6 +21,7 @@
 def fleet():
     """Three daemons with two engines of the old version."""
     new_fleet = entryhelper.Fleet(engines=2, daemons=DAEMONS, versions=(OLD,))
+    new_fleet.numbers = itertools.count()
     yield new_fleet
     new_fleet.stop()
 
@@ -88,6 +91,16 @@
         )
 
 
+def begin_stream(fleet, number):
+    """Returns a Stream and its first Reply, or None if it was refused.
+
+    Engines that broke off answers at two daemons get no request for a while.
+    """
+    stream = Stream(fleet, f"stream-{number}-{next(fleet.numbers)}")
+    reply = stream.send(number)
+    return (stream, reply) if reply.status == 200 else None
+
+
 def begin_streams(fleet, count):
     """Returns streams that broke off in the middle, of both versions."""
     streams = []
@@ -95,9 +108,11 @@
         for engine in fleet.engines:
             engine.faults.clear()
             engine.faults.append(streamengine.Fault.CUT)
-        stream = Stream(fleet, f"stream-{number}")
-        reply = stream.send(number)
-        assert reply.status == 200 and not reply.complete
+        stream, reply = entryhelper.wait_until(
+            lambda number=number: begin_stream(fleet, number),
+            "a stream has begun",
+        )
+        assert not reply.complete
         streams.append(stream)
     for engine in fleet.engines:
         engine.faults.clear()
