Bound what repeated reports of crashes cost the hub

Each report is repeated for 2 s, and each entry of it made the judge gather all evidence anew: with 195 daemons and 32 crashes each the hub's work grew with the square of the reports. An entry that tells nothing new changes nothing now, and the engines that lost a request are counted by an index.

--- a/packages/samphirepost/src/samphirepost/judge.py
+++ b/packages/samphirepost/src/samphirepost/judge.py
@@ -65,11 +65,15 @@
         self.cause = None
 
     def add(self, request, parts, has_head):
-        """Adds a lost request, unless the crash has another cause."""
+        """Adds a lost request, unless the crash has another cause.
+
+        Returns whether it tells something new: reports are repeated.
+        """
         if self.explained and request != self.cause:
             return False
         known = self.losses.get(request)
-        has_head = has_head or (known is not None and known.has_head)
+        if known is not None and known.has_head >= has_head:
+            return False
         self.losses[request] = Loss(parts, has_head)
         return True
 
@@ -147,6 +151,7 @@
         "_by_engine",
         "_crashed",
         "_evidence",
+        "_lost_at",
         "_probed_s",
         "_quarantine",
         "_suspected_s",
@@ -161,6 +166,8 @@
         self._by_engine = {}
         self._begun_s = {}
         self._evidence = None
+        # The engines that lost a request, by its key.
+        self._lost_at = {}
         self._suspected_s = {}
         self._probed_s = {}
         self.decided = {}
@@ -185,14 +192,14 @@
         if not crashed.add(request, crash.parts, crash.has_head):
             return False
         self._evidence = None
+        self._lost_at.setdefault(request, set()).add(key)
         return self._note_suspects(crash.parts, request, now_s)
 
     def _note_suspects(self, parts, request, now_s):
         """Records since when causes are suspected; returns if one is new."""
         found = list(parts)
-        evidence = self._all_evidence().get(request)
-        if evidence is not None and (
-            evidence.count >= crashes.SUSPECT_CRASHES_MIN
+        if quarantine.is_request(request) and (
+            len(self._lost_at[request]) >= crashes.SUSPECT_CRASHES_MIN
             or self._known(request) is not None
         ):
             found.append(request)
@@ -432,6 +439,7 @@
             if crashed.at_s < old_s or is_excess:
                 self._evidence = None
                 del self._crashed[key]
+                self._forget_losses(key)
                 if self._by_engine.get(key[0]) is crashed:
                     del self._by_engine[key[0]]
         _drop_before(self._begun_s, old_s)
@@ -447,6 +455,12 @@
             if now_s > one.until_s + crashes.MEMORY_S:
                 del self.on_probation[cause]
 
+    def _forget_losses(self, key):
+        for request, keys in list(self._lost_at.items()):
+            keys.discard(key)
+            if not keys:
+                del self._lost_at[request]
+
     def _is_stored(self, cause, decided, now_s):
         """Whether all daemons have read a decision from the store."""
         stored = self._quarantine.get(cause)
