Refuse requests that an exit would cut off

Cause: a stopping daemon accepted requests until its exit, and the exit is due 0.5 s before SIGKILL whether work is in progress or not; the load balancer uses unready daemons where over half of a zone's are unready. Now those that come within 3 s of the exit get 503 with a short Retry-After.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/core.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/core.py
@@ -15,6 +15,9 @@
 TICK_INTERVAL_S = 0.05
 # The process exits this long before SIGKILL, even if work is in progress.
 EXIT_MARGIN_S = 0.5
+# A request takes up to this long (s), so none is accepted later than that
+# before the exit: callers still come if most daemons of a zone are unready.
+LAST_REQUEST_S = 3.0
 
 
 def main(path):
@@ -81,8 +84,9 @@
     """Drains the daemon: reports unready, then waits for accepted work.
 
     Returns when no request is in progress and no job is held, but not before
-    `unready_s` have passed, as callers may still send requests until then.
-    Returns EXIT_MARGIN_S before SIGKILL at the latest.
+    `unready_s` have passed, as callers may still send requests until then;
+    those that come LAST_REQUEST_S before the end are refused. Returns
+    EXIT_MARGIN_S before SIGKILL at the latest.
     """
     cfg = daemon.cfg
     began_s = time.monotonic()
@@ -91,6 +95,7 @@
     daemon.log.event("daemon.stopping")
     threading.Thread(target=daemon.membership.leave, daemon=True).start()
     deadline_s = began_s + cfg.stop_s - EXIT_MARGIN_S
+    daemon.state.last_request_s = deadline_s - LAST_REQUEST_S
     pause = threading.Event()
     while time.monotonic() < deadline_s:
         pause.wait(TICK_INTERVAL_S)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/web.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/web.py
@@ -6,12 +6,16 @@
 """
 
 import http
+import time
 
 from samphirepost import attempts
 from samphirepost import hashing
 from samphirepost import routing
 from samphirepost_daemon.platform import wire
 
+# Retry-After of a daemon that is about to exit (s): others may be free.
+EXIT_RETRY_AFTER_S = 0.1
+
 
 def status_line(status):
     """Returns the WSGI status: code and reason phrase."""
@@ -101,6 +105,12 @@
             return send_error_response(start_response, error)
         if route.kind is routing.Kind.BATCH:
             return self._batch.submit(start_response, req, host, route)
+        if self._parts.state.is_exiting(time.monotonic()):
+            error = attempts.ErrorResponse(
+                503, "the daemon is about to exit", EXIT_RETRY_AFTER_S
+            )
+            self._parts.log.event("request.at_exit", request=req.id)
+            return send_error_response(start_response, error)
         # A stream that is taken up goes to the pool in which it began.
         began_as = req.resumes or req.id
         pool = routing.pick_pool(route, lambda: hashing.fraction(began_as))
