--- a/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
@@ -138,14 +138,15 @@
 class Engine:
     """One engine id; each restart gets a new incarnation and address.
 
-    An incarnation that crashes on one of `crash_parts` is followed by the
-    next one; `crashes_s` has the times (monotonic, s).
+    An incarnation that crashes on one of `crash_parts` or `crash_bodies` is
+    followed by the next one; `crashes_s` has the times (monotonic, s).
     """
 
     def __init__(self, name, proxies, store):
         self.name = name
         self._proxies = proxies
         self._store = store
+        self.crash_bodies = frozenset()
         self.crash_parts = frozenset()
         self.crashes_s = []
         self.limit_per_s = None
@@ -161,6 +162,7 @@
     def restart(self):
         """Starts a new incarnation, without the state of the previous one."""
         incarnation = streamengine.Engine(self.name)
+        incarnation.crash_bodies = self.crash_bodies
         incarnation.crash_parts = self.crash_parts
         incarnation.on_crash = self._restart_crashed
         incarnation.limit_per_s = self.limit_per_s
@@ -173,10 +175,14 @@
         self.crashes_s.append(time.monotonic())
         self.restart()
 
-    def crash_on(self, part):
-        """Makes the engine crash on prompts with a part."""
-        self.crash_parts = frozenset((part,))
+    def crash_on(self, part=None, body=None):
+        """Makes the engine crash on a part of prompts or on a body."""
+        if part is not None:
+            self.crash_parts = frozenset((part,))
+        if body is not None:
+            self.crash_bodies = frozenset((body,))
         self.newest_incarnation.crash_parts = self.crash_parts
+        self.newest_incarnation.crash_bodies = self.crash_bodies
 
     def name_limit(self, per_s):
         """Makes the engine name a limit in its answers."""
--- a/packages/samphirepost-bench/src/samphirepost_bench/soak.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/soak.py
@@ -37,14 +37,17 @@
 ITEMS_PER_JOB = 4
 CALL_TIMEOUT_S = 6.0
 CONCURRENT_FAULTS_MAX = 3
-# Engines crash on prompts with the part BAD in seeds that are a multiple of
-# CRASH_SEEDS and CRASH_SEED more; the first engine also names a limit there
+# Engines crash in seeds that are a multiple of CRASH_SEEDS and CRASH_SEED
+# more: on prompts with the part BAD, or, in odd seeds, on the body BAD_BODY of
+# one request that comes again. The first engine also names a limit there
 # (requests/s). Later than FAULT_EFFECT_S after the crash with the number
-# CRASHES, so many more requests with the part may reach engines.
+# PART_CRASHES or REPEAT_CRASHES, so many more may reach engines.
 BAD = "bad"
+BAD_BODY = b"the request that crashes engines"
 CRASH_SEEDS = 3
 CRASH_SEED = 2
-CRASHES = 5
+PART_CRASHES = 5
+REPEAT_CRASHES = 3
 BAD_MAX = 3
 BAD_PAUSE_S = 0.3
 LIMIT_PER_S = 3.0
@@ -169,7 +172,8 @@
             "Prompt-Prefix": f"a{number % 2}:8,s{number}:8,{name}:8",
         }
         faults_over = self._faults_over.is_set()
-        found = send_request(daemon, "POST", path, headers, b"prompt")
+        body = name.encode()
+        found = send_request(daemon, "POST", path, headers, body)
         with self._lock:
             self.requested += 1
             if path.startswith("/bills/"):
@@ -201,9 +205,14 @@
 
     @property
     def has_crashes(self):
-        """Whether engines crash on BAD and name limits in this run."""
+        """Whether requests crash engines, and one names a limit."""
         return self.seed % CRASH_SEEDS == CRASH_SEED
 
+    @property
+    def has_repeats(self):
+        """Whether it is one request that crashes engines, again and again."""
+        return self.has_crashes and self.seed % 2 == 1
+
     def ask_bad(self, number, rng):
         """Sends a request on which engines crash.
 
@@ -212,13 +221,16 @@
         path = rng.choice(["/notes/1", "/bills/1"])
         name = f"b{self.seed}-{number}-{rng.getrandbits(32):08x}"
         prompt = f"a{rng.getrandbits(1)}:8,{BAD}:8,{name}:8"
+        body = name.encode()
+        if self.has_repeats:
+            path, prompt, body = "/notes/1", "a0:8,s0:8,bad:8", BAD_BODY
         headers = {
             "Request-Id": name,
             "Deadline-Ms": "5000",
             "Prompt-Prefix": prompt,
         }
         daemon = rng.choice(self.fleet.daemons)
-        found = send_request(daemon, "POST", path, headers, b"prompt")
+        found = send_request(daemon, "POST", path, headers, body)
         with self._lock:
             self._bad.append(name)
             if path.startswith("/bills/"):
@@ -336,7 +348,10 @@
         if self.has_crashes:
             callers.append((self.ask_bad, 1, BAD_PAUSE_S))
             for engine in self.fleet.engines:
-                engine.crash_on(BAD)
+                if self.has_repeats:
+                    engine.crash_on(body=BAD_BODY)
+                else:
+                    engine.crash_on(part=BAD)
             self.fleet.engines[0].name_limit(LIMIT_PER_S)
         threads = [
             threading.Thread(target=self._run_caller, args=(n, act, pause_s))
@@ -453,13 +468,14 @@
             self._check_drained(engine, begin_s, end_s)
 
     def _check_bad(self):
-        """Checks how many requests with BAD reached engines too late."""
+        """Checks how many requests that crash engines reached them late."""
+        first = REPEAT_CRASHES if self.has_repeats else PART_CRASHES
         crashes_s = sorted(
             at_s for engine in self.fleet.engines for at_s in engine.crashes_s
         )
-        if len(crashes_s) < CRASHES:
+        if len(crashes_s) < first:
             return
-        from_s = crashes_s[CRASHES - 1] + FAULT_EFFECT_S
+        from_s = crashes_s[first - 1] + FAULT_EFFECT_S
         late = [
             one.id
             for name in self._bad
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,12 +12,12 @@
 REGRESSIONS = (5001, 1796390134)
 
 
-# In the run of this seed engines also crash on a part of prompts, and one of
-# them names a limit.
-CRASHES = 8
+# In the runs of these seeds engines also crash on a part of prompts, and on a
+# request that comes again; one of them names a limit.
+CRASHES = (8, 11)
 
 
-@pytest.mark.parametrize("seed", [7, CRASHES, *REGRESSIONS])
+@pytest.mark.parametrize("seed", [7, *CRASHES, *REGRESSIONS])
 def test_no_promise_breaks_under_random_faults(seed):
     """Guards against violated guarantees under overlapping faults.
 
