Tell losses of older daemons apart; tests of renamed parts

Mended, the third found a fault: losses at one engine that name no request, as daemons of an older version report them, replaced one another.

--- a/packages/samphirepost/src/samphirepost/judge.py
+++ b/packages/samphirepost/src/samphirepost/judge.py
@@ -184,7 +184,8 @@
             crashed = CrashedEngine(now_s - crash.age_s)
             self._crashed[key] = crashed
             self._by_engine[crash.engine] = crashed
-        request = crash.request or f"{key}"
+        # A daemon of an older version names no request.
+        request = crash.request or repr((key, crash.parts))
         if not crashed.explained:
             for cause in (*crash.parts, request):
                 if self._is_blocked(cause, now_s):
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -13,6 +13,7 @@
 
 from samphirepost import batchjob
 from samphirepost import errors
+from samphirepost import roster
 from samphirepost_bench import entryfleet
 from samphirepost_daemon.entry import boundedhttp
 from samphirepost_daemon.entry import engineclient
@@ -237,18 +238,12 @@
     server = serve(CHUNKED_HEAD, b"1\r\n:\r\n", pause_s=TRICKLE_S)
     item = batchjob.Item("r1", "/", {}, b"", 1)
     record = batchjob.Record("job", "h", "r", "/", (item,))
+    engine = roster.Engine("e0", "plants", server.address, "a", 8)
     run = holdermessages.ItemRun(
-        1, ("h", "job"), 0, "e0", batchjob.PartialOutput()
+        1, ("h", "job"), 0, engine, batchjob.PartialOutput()
     )
-
-    class Target:
-        """The engine that trickles."""
-
-        id = "e0"
-        address = server.address
-
     outcome = items.run_item(
-        record, item, Target, run, lambda: False, items.RunObserver()
+        record, item, engine, run, lambda: False, items.RunObserver()
     )
     assert isinstance(outcome, items.InterruptedRun)
     assert outcome.is_engine_failure
--- a/tests/test_slotexchange.py
+++ b/tests/test_slotexchange.py
@@ -108,7 +108,7 @@
     exchange._receive()
     sent_before = len(exchange._sock.sent)
     for tick in range(10):
-        exchange.hub_server.judge(200.0 + tick / 100)
+        exchange.hub_server.decide_causes(200.0 + tick / 100)
     announced = exchange._sock.sent[sent_before:]
     assert len(announced) == 195
     assert {len(one.suspects) for one, _ in announced} == {32}
--- a/tests/test_unframed.py
+++ b/tests/test_unframed.py
@@ -84,7 +84,7 @@
     partial = batchjob.PartialOutput()
     assert partial.append_event(1, b"text")
     engine = roster.Engine("e1", "plants", server.address, "a", 8)
-    run = holdermessages.ItemRun(1, ("h", "j1"), 0, "e1", partial)
+    run = holdermessages.ItemRun(1, ("h", "j1"), 0, engine, partial)
     outcome = items.run_item(
         record, item, engine, run, lambda: False, items.RunObserver()
     )
