Judge: drop parameters and a property that nothing uses

Found by reading the diff once more: Evidence.add took the engine's record and the explanation of a crash took the part, neither of which it read, and Quarantine.stored_causes has no caller since daemons report begun causes by themselves. No change of behaviour; tests/test_judge.py and tests/test_slotexchange.py pass, lint is clean.

--- a/packages/samphirepost/src/samphirepost/judge.py
+++ b/packages/samphirepost/src/samphirepost/judge.py
@@ -119,7 +119,7 @@
         self.position = 0
         self.answered = 0
 
-    def add(self, key, crashed, request, position, has_head):
+    def add(self, key, request, position, has_head):
         """Adds one suspicion at the engine with this key."""
         if key not in self.engines:
             self.engines[key] = False
@@ -275,7 +275,7 @@
             for key, crashed in self._crashed.items():
                 for cause, *suspicion in crashed.suspects():
                     if self._begun_s.get(cause, 0.0) <= crashed.at_s:
-                        self._evidence[cause].add(key, crashed, *suspicion)
+                        self._evidence[cause].add(key, *suspicion)
         return self._evidence
 
     # Decisions.
@@ -385,13 +385,13 @@
             ):
                 return False
             if cause in self._begun_s:
-                count = self._unexplained_count(cause, evidence)
+                count = self._unexplained_count(evidence)
         return count >= self._crashes_needed(cause)
 
     def _crashes_needed(self, cause):
         return CRASHES_MIN if self._known(cause) is None else 1
 
-    def _unexplained_count(self, part, evidence):
+    def _unexplained_count(self, evidence):
         """Counts the crashes of a part that no likelier cause explains.
 
         Those within SEPARATE_S count once.
@@ -399,7 +399,7 @@
         instants = sorted(
             self._crashed[key].at_s
             for key in evidence.engines
-            if not self._is_explained_without(part, self._crashed[key])
+            if not self._is_explained_otherwise(self._crashed[key])
         )
         count, counted_s = 0, -SEPARATE_S
         for at_s in instants:
@@ -407,8 +407,8 @@
                 count, counted_s = count + 1, at_s
         return count
 
-    def _is_explained_without(self, part, crashed):
-        """Whether another cause explains a crash better than a part."""
+    def _is_explained_otherwise(self, crashed):
+        """Whether a cause explains a crash better than a part sound before."""
         if crashed.cause is not None:
             return True
         found = self._all_evidence()
--- a/packages/samphirepost/src/samphirepost/quarantine.py
+++ b/packages/samphirepost/src/samphirepost/quarantine.py
@@ -143,11 +143,6 @@
         """Returns the stored Quarantined of a cause, or None."""
         return self._stored.get(cause)
 
-    @property
-    def stored_causes(self):
-        """The stored causes, also those whose quarantine is over."""
-        return tuple(self._stored)
-
     def forgotten(self, now_s):
         """Returns the stored causes whose rows are no longer needed."""
         return [
