--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
@@ -25,8 +25,10 @@
 # to all daemons (s), and more for each daemon: many report crashes at once.
 CAUSES_ANNOUNCEMENT_INTERVAL_S = 0.1
 CAUSES_ANNOUNCEMENT_PER_DAEMON_S = 0.0002
-# Interval at which the hub logs its loads (s).
+# Interval at which the hub logs its loads (s), and the shortest one between
+# two lines about suspect engines.
 LOG_INTERVAL_S = 2.0
+SUSPECTS_LOG_INTERVAL_S = 0.25
 
 
 class HubServer:
@@ -52,6 +54,8 @@
         self._next_judgement_s = 0.0
         self._next_causes_s = 0.0
         self._has_new_causes = False
+        self._logged_suspects = set()
+        self._next_suspects_log_s = 0.0
         self.decided = None
         self.released = None
 
@@ -196,6 +200,23 @@
         if now_s >= self._next_log_s:
             self._next_log_s = now_s + LOG_INTERVAL_S
             self._log_loads()
+        if now_s >= self._next_suspects_log_s:
+            self._next_suspects_log_s = now_s + SUSPECTS_LOG_INTERVAL_S
+            self._log_suspects()
+
+    def _log_suspects(self):
+        """Logs the suspect engines and who saw them fail, if changed."""
+        health = self._allocator.health
+        if health.suspects == self._logged_suspects:
+            return
+        self._logged_suspects = set(health.suspects)
+        self._log.event(
+            "hub.suspects",
+            engines={
+                engine_id: health.witnesses(engine_id)
+                for engine_id in health.suspects
+            },
+        )
 
     def _is_informed(self, now_s):
         member_count = len(self._hub_selector.members)
--- a/packages/samphirepost/src/samphirepost/enginehealth.py
+++ b/packages/samphirepost/src/samphirepost/enginehealth.py
@@ -109,6 +109,11 @@
         record.avoid_until_s = now_s + record.pause_s
         record.pause_s = min(2 * record.pause_s, AVOID_MAX_S)
 
+    def witnesses(self, engine_id):
+        """Returns the ids of the VMs that saw an engine fail, sorted."""
+        record = self._records.get(engine_id)
+        return sorted(record.witnesses) if record else []
+
     def record_pace(self, engine_id, pace_s, now_s):
         """Records the mean time between two events of a run."""
         record = self._records.setdefault(engine_id, EngineRecord())
