--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineclient.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineclient.py
@@ -62,6 +62,14 @@
     lost: bool = False
 
 
+def dial(address, timeout_s):
+    """Returns a socket connected to `address` (IP:PORT); raises OSError."""
+    host, _, port = address.rpartition(":")
+    sock = socket.create_connection((host, int(port)), timeout=timeout_s)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
 class Call:
     """One request: connect(), send(), then read() until the response ends.
 
@@ -87,14 +95,13 @@
         self._conn = h11.Connection(h11.CLIENT)
         self._failures = []
 
-    def connect(self, address, timeout_s):
-        """Connects to `address` (IP:PORT); returns None, or CallFailure."""
-        host, _, port = address.rpartition(":")
+    def connect(self, dialer, address, timeout_s):
+        """Connects to `address` (IP:PORT); returns None, or CallFailure.
+
+        `dialer(address, timeout_s)` opens the connection, as dial() does.
+        """
         try:
-            self._sock = socket.create_connection(
-                (host, int(port)), timeout=timeout_s
-            )
-            self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._sock = dialer(address, timeout_s)
         except OSError as exc:
             return CallFailure(f"connect: {exc}", sent=False)
         return None
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -106,6 +106,7 @@
 
     def __init__(self, parts, req, route, pool, deadline_s, is_disconnected):
         self._load_tracker = parts.load_tracker
+        self._parts = parts
         self._slots = parts.slots
         self._state = parts.state
         self._quarantine = parts.quarantine
@@ -418,7 +419,9 @@
 
     def _send(self, call, slot, resume_after):
         engine = slot.engine
-        failure = call.connect(engine.address, CONNECT_TIMEOUT_S)
+        failure = call.connect(
+            self._parts.dialer, engine.address, CONNECT_TIMEOUT_S
+        )
         if failure is not None:
             return FailedAttempt(
                 attempts.AttemptFailure.UNREACHABLE, failure.reason
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -473,7 +473,13 @@
         outcome = items.InterruptedRun("internal error of the daemon", False)
         try:
             outcome = items.run_item(
-                held_job.record, item, engine, run, should_stop, observer
+                self._parts.dialer,
+                held_job.record,
+                item,
+                engine,
+                run,
+                should_stop,
+                observer,
             )
             self._report_crash(run, engine, item, outcome)
         finally:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
@@ -75,9 +75,10 @@
         """Called once the engine has begun to answer; maybe repeatedly."""
 
 
-def run_item(record, item, engine, run, should_stop, observer):
+def run_item(dialer, record, item, engine, run, should_stop, observer):
     """Runs an item on an engine and appends its events to `run.partial`.
 
+    `dialer` opens the connection to the engine, see engineclient.dial().
     Blocks until the run is over. `should_stop()` is polled every
     `exchange.READ_POLL_S` seconds; once it is true, the run is interrupted.
     `observer` is a RunObserver.
@@ -87,7 +88,14 @@
     """
     try:
         outcome = _send_and_collect(
-            run.call, record, item, engine, run.partial, should_stop, observer
+            dialer,
+            run.call,
+            record,
+            item,
+            engine,
+            run.partial,
+            should_stop,
+            observer,
         )
     finally:
         run.call.close()
@@ -98,9 +106,9 @@
 
 
 def _send_and_collect(
-    call, record, item, engine, partial, should_stop, observer
+    dialer, call, record, item, engine, partial, should_stop, observer
 ):
-    failure = call.connect(engine.address, exchange.CONNECT_TIMEOUT_S)
+    failure = call.connect(dialer, engine.address, exchange.CONNECT_TIMEOUT_S)
     if failure is not None:
         return InterruptedRun(failure.reason, True)
     req = wire.item_request(record, item)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -107,6 +107,11 @@
         """Returns the ids of the members, or None if they are not known."""
         return set(self._hub.selector.members) or None
 
+    @property
+    def hub_vm(self):
+        """The VM id of the hub that this daemon reports to, or None."""
+        return self._hub.vm
+
     @property
     def is_hub(self):
         """Whether this daemon is the hub."""
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -10,6 +10,7 @@
 from samphirepost import streamversions
 from samphirepost_daemon.entry import batch
 from samphirepost_daemon.entry import boundedhttp
+from samphirepost_daemon.entry import engineclient
 from samphirepost_daemon.entry import holder
 from samphirepost_daemon.entry import jobstore
 from samphirepost_daemon.entry import log as log_module
@@ -52,12 +53,13 @@
 class SharedParts:
     """Objects that most parts share.
 
-    `slots` is the SlotExchange and `streams` the StreamTable, set once they
-    are created.
+    `dialer` opens connections to engines, see engineclient.dial(). `slots` is
+    the SlotExchange and `streams` the StreamTable, set once they are created.
     """
 
     __slots__ = (
         "bases",
+        "dialer",
         "limits",
         "load_tracker",
         "log",
@@ -82,6 +84,7 @@
         self.observations = crashes.Observations()
         self.limits = ratelimit.SeenLimits()
         self.bases = streamversions.Bases()
+        self.dialer = engineclient.dial
         self.slots = None
         self.streams = None
 
@@ -96,7 +99,7 @@
     def __init__(self, cfg):
         self.cfg = cfg
         me = f"{cfg.id}-{secrets.token_hex(4)}"
-        parts = SharedParts(me, cfg.zone)
+        parts = self.parts = SharedParts(me, cfg.zone)
         self.log = parts.log
         self.state = parts.state
         self.slots = parts.slots = slots.SlotExchange(
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -105,7 +105,7 @@
 def read_to_the_end(server):
     """Reads an engine's response until its CallFailure; returns this."""
     call = engineclient.Call()
-    assert call.connect(server.address, 1.0) is None
+    assert call.connect(engineclient.dial, server.address, 1.0) is None
     assert call.send("POST", "/", [("Host", "h")], b"") is None
     size = 0
     while True:
@@ -243,7 +243,13 @@
         1, ("h", "job"), 0, engine, batchjob.PartialOutput()
     )
     outcome = items.run_item(
-        record, item, engine, run, lambda: False, items.RunObserver()
+        engineclient.dial,
+        record,
+        item,
+        engine,
+        run,
+        lambda: False,
+        items.RunObserver(),
     )
     assert isinstance(outcome, items.InterruptedRun)
     assert outcome.is_engine_failure
