--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/core.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/core.py
@@ -56,6 +56,7 @@
     daemon.log.event("daemon.started", zone=daemon.cfg.zone)
     for watcher in daemon.watchers:
         watcher.start()
+    daemon.paths.start()
     daemon.slots.start()
     daemon.relay.start()
     daemon.membership.start()
@@ -101,7 +102,8 @@
         pause.wait(TICK_INTERVAL_S)
         tick(daemon)
         can_stop = time.monotonic() - began_s > cfg.unready_s
-        if can_stop and daemon.callers.idle and not daemon.state.held_jobs:
+        is_idle = daemon.callers.idle and daemon.engine_relay.is_idle
+        if can_stop and is_idle and not daemon.state.held_jobs:
             break
     daemon.log.event(
         "daemon.stopped",
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineclient.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineclient.py
@@ -11,6 +11,8 @@
 import h11
 import msgspec
 
+from samphirepost_daemon.entry import tunnel
+
 RECEIVE_BYTES_MAX = 65536
 SEND_TIMEOUT_S = 2.0
 # Largest response, and the number of informational ones before it.
@@ -54,12 +56,16 @@
     """The request failed: no response, a truncated or an invalid one.
 
     `sent` is False if the engine cannot have run the request. `lost` if the
-    connection ended, as it does when an engine crashes.
+    connection ended, as it does when an engine crashes. `unreached` if no
+    connection to the engine could be opened. `at_peer` if the peer that was to
+    relay the request failed, which tells nothing of the engine.
     """
 
     reason: str
     sent: bool = True
     lost: bool = False
+    unreached: bool = False
+    at_peer: bool = False
 
 
 def dial(address, timeout_s):
@@ -71,9 +77,11 @@
 
 
 class Call:
-    """One request: connect(), send(), then read() until the response ends.
+    """One request, sent to an engine or through a peer that relays it.
 
-    Used by one thread, except that any thread may call abort().
+    connect() and send(), or connect_peer() and send_relayed(), then read()
+    until the response ends. Used by one thread, except that any thread may
+    call abort().
     """
 
     __slots__ = (
@@ -84,6 +92,7 @@
         "_is_unframed",
         "_received_bytes",
         "_sock",
+        "_tunnel",
     )
 
     def __init__(self):
@@ -92,22 +101,74 @@
         self._is_unframed = False
         self._received_bytes = 0
         self._sock = None
+        self._tunnel = None
         self._conn = h11.Connection(h11.CLIENT)
         self._failures = []
 
-    def connect(self, dialer, address, timeout_s):
-        """Connects to `address` (IP:PORT); returns None, or CallFailure.
+    @property
+    def is_relayed(self):
+        """Whether the request goes through a peer."""
+        return self._tunnel is not None
+
+    def connect(self, dialer, engine):
+        """Connects to an engine; returns None, or CallFailure.
 
-        `dialer(address, timeout_s)` opens the connection, as dial() does.
+        `dialer(engine)` returns a connected socket or raises OSError.
         """
         try:
-            self._sock = dialer(address, timeout_s)
+            self._sock = dialer(engine)
         except OSError as exc:
-            return CallFailure(f"connect: {exc}", sent=False)
+            return CallFailure(f"connect: {exc}", sent=False, unreached=True)
+        return None
+
+    def connect_peer(self, address, timeout_s):
+        """Connects to the peer that is to relay the request.
+
+        Returns None, or CallFailure.
+        """
+        self._tunnel = tunnel.Tunnel(address)
+        try:
+            self._sock = dial(address, timeout_s)
+        except OSError as exc:
+            return CallFailure(f"peer: {exc}", sent=False, at_peer=True)
         return None
 
     def send(self, method, path, headers, body):
         """Sends the whole request; returns None, or CallFailure."""
+        data = self._encode(method, path, headers, body)
+        if isinstance(data, CallFailure):
+            return data
+        return self._send_bytes(data)
+
+    def send_relayed(self, order, timeout_s, request=None):
+        """Has the peer send the request of an order to the order's engine.
+
+        `request` is the method, path, headers and body; without it, the order
+        only tests the peer's path. Returns None once the peer has sent it,
+        or CallFailure.
+        """
+        if request is not None:
+            data = self._encode(*request)
+            if isinstance(data, CallFailure):
+                return data
+            order = msgspec.structs.replace(order, data=data)
+        failure = self._send_bytes(self._tunnel.encode(order))
+        deadline_s = time.monotonic() + timeout_s
+        while failure is None and not self._tunnel.is_open:
+            left_s = deadline_s - time.monotonic()
+            if left_s <= 0 or not self._receive(left_s):
+                failure = CallFailure("the peer is silent", at_peer=True)
+            elif self._failures:
+                failure = self._failures.pop()
+        if failure is not None:
+            # Nothing of the engine was heard so far.
+            return msgspec.structs.replace(
+                failure, lost=False, at_peer=not failure.unreached
+            )
+        return None
+
+    def _encode(self, method, path, headers, body):
+        """Returns the request's bytes, or CallFailure."""
         try:
             data = self._conn.send(
                 h11.Request(method=method, target=path, headers=headers)
@@ -117,6 +178,9 @@
             data += self._conn.send(h11.EndOfMessage())
         except h11.LocalProtocolError as exc:
             return CallFailure(f"request: {exc}", sent=False)
+        return data
+
+    def _send_bytes(self, data):
         try:
             self._sock.settimeout(SEND_TIMEOUT_S)
             self._sock.sendall(data)
@@ -179,20 +243,49 @@
         except BlockingIOError:
             return True
         except OSError as exc:
-            self._failures.append(CallFailure(f"receive: {exc}", lost=True))
+            self._failures.append(
+                CallFailure(
+                    f"receive: {exc}",
+                    lost=not self.is_relayed,
+                    at_peer=self.is_relayed,
+                )
+            )
             return True
-        self._is_ended = not data
         self._received_bytes += len(data)
         if self._received_bytes > RESPONSE_BYTES_MAX:
             self._failures.append(CallFailure("the response is too long"))
-            return True
+        elif self._tunnel is None:
+            self._feed(data)
+        else:
+            self._feed_relayed(data)
+        return True
+
+    def _feed(self, data):
+        """Feeds bytes of the engine; none once it closed the connection."""
+        self._is_ended = not data
         try:
             self._conn.receive_data(data)
         except h11.RemoteProtocolError as exc:
             self._failures.append(
                 CallFailure(f"answer: {exc}", lost=self._is_ended)
             )
-        return True
+
+    def _feed_relayed(self, data):
+        for part in self._tunnel.feed(data):
+            if isinstance(part, tunnel.EngineData):
+                self._feed(part.data)
+            elif isinstance(part, tunnel.Refused):
+                self._failures.append(
+                    CallFailure(
+                        f"peer: {part.reason}",
+                        sent=False,
+                        unreached=part.is_unreached,
+                        at_peer=not part.is_unreached,
+                    )
+                )
+            elif isinstance(part, tunnel.Broken):
+                reason = f"peer: {part.reason}"
+                self._failures.append(CallFailure(reason, at_peer=True))
 
     def abort(self):
         """Ends the connection, upon which the engine drops the request.
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -11,15 +11,14 @@
 from samphirepost import routing
 from samphirepost import slotmessages
 from samphirepost_daemon.entry import engineclient
+from samphirepost_daemon.entry import pathmonitor
 from samphirepost_daemon.entry import streamversion
+from samphirepost_daemon.entry import tunnel
 from samphirepost_daemon.platform import wire
 
 # Interval at which a request in progress checks whether its caller has
 # disconnected (s); the engine must be released within 0.5 s after that.
 READ_POLL_S = 0.1
-# Half of a short latency objective: an attempt at another engine can still
-# be in time. A sound engine accepts within a few milliseconds.
-CONNECT_TIMEOUT_S = 0.15
 # An attempt is abandoned if it has no event for this long and the request may
 # be attempted again. Callers abandon a stream after 2 s without an event.
 STALL_TIMEOUT_S = 1.0
@@ -34,6 +33,12 @@
 NO_ENGINE_FAILURES = (
     attempts.AttemptFailure.REFUSED,
     attempts.AttemptFailure.UNRECORDED,
+    attempts.AttemptFailure.PEER,
+)
+# Failed attempts after which the engine or the path to it may be at fault.
+PATH_FAILURES = (
+    attempts.AttemptFailure.UNREACHABLE,
+    attempts.AttemptFailure.SILENT,
 )
 # Longest Retry-After (s) of a request that crashes engines.
 RETRY_AFTER_MAX_S = 3600.0
@@ -46,6 +51,19 @@
     """The caller has disconnected."""
 
 
+class Slot(msgspec.Struct, frozen=True):
+    """An engine for one attempt, which runs under `run_id`.
+
+    `granted` unless this daemon chose the engine itself. The request goes
+    through the peer at the address `through`, if any.
+    """
+
+    engine: roster.Engine
+    run_id: int
+    granted: bool
+    through: str = ""
+
+
 class OpenResponse(msgspec.Struct):
     """A response whose head has arrived.
 
@@ -53,12 +71,11 @@
     are not yet passed on. `done` is true once the engine has sent the complete
     response; `closed`, once the connection to the engine is closed. `began_s`
     is the monotonic time of a stream's first events, `event_count` the number
-    of events so far. The attempt occupies a slot as run `run_id`.
+    of events so far.
     """
 
     call: engineclient.Call
-    engine: roster.Engine
-    run_id: int
+    slot: Slot
     head: engineclient.ResponseHead
     events: list[events.Event]
     parser: events.Parser
@@ -68,6 +85,11 @@
     began_s: float = 0.0
     event_count: int = 0
 
+    @property
+    def engine(self):
+        """The engine that responds."""
+        return self.slot.engine
+
     @property
     def pace_s(self):
         """The mean time between two events; 0 after too few of them."""
@@ -76,22 +98,11 @@
         return (time.monotonic() - self.began_s) / (self.event_count - 1)
 
 
-class Slot(msgspec.Struct, frozen=True):
-    """An engine for one attempt, which runs under `run_id`.
-
-    `granted` unless this daemon chose the engine itself.
-    """
-
-    engine: roster.Engine
-    run_id: int
-    granted: bool
-
-
 class FailedAttempt(msgspec.Struct, frozen=True):
     """An attempt that gave no usable response after `events` events.
 
     `lost` if the connection ended, `has_head` if the response's head had
-    arrived.
+    arrived. `at_peer` if the peer that relayed the request failed.
     """
 
     seen: attempts.AttemptFailure
@@ -99,6 +110,19 @@
     events: int = 0
     lost: bool = False
     has_head: bool = False
+    at_peer: bool = False
+
+    @property
+    def may_be_path(self):
+        """Whether the path to the engine may be at fault."""
+        return self.lost or self.seen in PATH_FAILURES
+
+    @property
+    def outcome(self):
+        """What the attempt showed about its engine when it ended."""
+        if self.seen in NO_ENGINE_FAILURES or self.at_peer or self.may_be_path:
+            return slotmessages.Outcome.UNKNOWN
+        return slotmessages.Outcome.FAILED
 
 
 class Exchange:
@@ -106,7 +130,7 @@
 
     def __init__(self, parts, req, route, pool, deadline_s, is_disconnected):
         self._load_tracker = parts.load_tracker
-        self._parts = parts
+        self._paths = parts.paths
         self._slots = parts.slots
         self._state = parts.state
         self._quarantine = parts.quarantine
@@ -123,6 +147,8 @@
         self.last_failure = None
         self.engines_tried = []
         self.versions_tried = []
+        self.peers_used = []
+        self._peers_failed = set()
         self.slot_wait_s = 0.0
         self._is_answered = False
         self._request_key = quarantine.request_key(req.digest)
@@ -164,7 +190,7 @@
             if isinstance(result, OpenResponse):
                 self._is_answered = True
                 return result
-            self._record_failure(slot.engine, result)
+            self._record_failure(slot, result)
             if (
                 self.history.next_action(self.left_s())
                 is not attempts.NextAction.RETRY
@@ -247,7 +273,7 @@
         self.slot_wait_s += time.monotonic() - began_s
         if isinstance(reply, slotmessages.Grant):
             if reply.engine in engines:
-                return Slot(engines[reply.engine], run_id, True)
+                return self._use_grant(reply, engines)
             self._slots.end_run(run_id, slotmessages.Outcome.UNKNOWN)
         elif self._probed_cause:
             # Only the hub knows whether another request probes the cause.
@@ -263,6 +289,32 @@
             raise CallerDisconnected
         return self._choose_engine(list(engines.values()))
 
+    def _use_grant(self, grant, engines):
+        """Returns the Slot of a Grant.
+
+        Returns an ErrorResponse if neither this daemon nor a peer reaches the
+        engines.
+        """
+        engine = engines[grant.engine]
+        if not self._paths.is_unreached(engine.id) and (
+            not self._paths.is_doubtful
+        ):
+            return Slot(engine, grant.id, True)
+        if not grant.through and self._paths.is_stranded:
+            self._slots.end_run(grant.id, slotmessages.Outcome.UNKNOWN)
+            return self._no_path_error()
+        return Slot(engine, grant.id, True, grant.through)
+
+    def _no_path_error(self):
+        self._metrics.no_path.inc()
+        if self.history.executions:
+            return self._final_error()
+        return attempts.ErrorResponse(
+            503,
+            "neither this VM nor a peer reaches the engines",
+            attempts.retry_after_s(0.0),
+        )
+
     def _request_slot(self, run_id, engines, version, now_s):
         avoided = {
             engine_id
@@ -287,6 +339,8 @@
             returns=attempts.is_caller_retry(
                 self._req.caller_timeout_s, self._route.timeout_s
             ),
+            relay=self._paths.is_doubtful,
+            not_through=tuple(self._peers_failed),
         )
         return self._slots.request(req, self._is_disconnected)
 
@@ -316,8 +370,13 @@
         if wait_s > wait_max_s and not self._is_under_way():
             return self._busy_error(wait_s)
         engine = self._load_tracker.choose_engine(engines, (), now_s)
+        through = ""
+        if self._paths.is_doubtful or self._paths.is_unreached(engine.id):
+            through = self._paths.choose_peer(self._peers_failed)
+            if not through and self._paths.is_stranded:
+                return self._no_path_error()
         self._limits.take(engine, daemon_count, now_s)
-        return Slot(engine, self._slots.next_run_id(), False)
+        return Slot(engine, self._slots.next_run_id(), False, through)
 
     def _busy_error(self, wait_s):
         return attempts.ErrorResponse(
@@ -337,9 +396,9 @@
         failure = msgspec.structs.replace(
             self._failed_attempt(part), events=response.event_count
         )
-        self.close(response, slotmessages.Outcome.FAILED)
+        self.close(response, failure.outcome)
         self._is_answered = False
-        self._record_failure(response.engine, failure)
+        self._record_failure(response.slot, failure)
         may_retry = (
             self.history.next_action(self.left_s())
             is attempts.NextAction.RETRY
@@ -359,30 +418,40 @@
             self._has_begun = True
             self._slots.record_begun(self._req.shared_parts, self._request_key)
 
-    def _record_crash(self, engine, failure):
-        """Records a lost attempt that may have crashed its engine."""
+    def _report_lost(self, engine, failure):
+        """Has it found out whether the engine or its path is at fault.
+
+        A lost attempt may have crashed its engine.
+        """
+        crash = None
         if failure.lost and not self._has_begun:
-            self._slots.record_crash(
-                engine,
-                self._request_key,
-                self._req.shared_parts,
-                failure.has_head,
+            crash = pathmonitor.Crash(
+                self._request_key, self._req.shared_parts, failure.has_head
             )
+        is_unreached = failure.seen is attempts.AttemptFailure.UNREACHABLE
+        self._paths.report_lost(
+            pathmonitor.LostRun(engine, is_unreached, crash)
+        )
 
-    def _record_failure(self, engine, failure):
+    def _record_failure(self, slot, failure):
+        engine = slot.engine
         engine_id = engine.id
-        self._record_crash(engine, failure)
+        if slot.through and not failure.lost:
+            self._peers_failed.add(slot.through)
+        if failure.may_be_path:
+            self._report_lost(engine, failure)
         self.stream_version.attempt_failed(engine)
         self.history.record_failure(engine_id, failure.seen)
         self.last_failure = failure
         self._metrics.attempts.labels(failure.seen.value).inc()
-        if failure.seen not in NO_ENGINE_FAILURES:
+        if failure.seen not in NO_ENGINE_FAILURES and not failure.at_peer:
             self._load_tracker.record_failure(engine_id, time.monotonic())
         self._log.event(
             "attempt.failed",
             request=self._req.id,
             digest=self._req.digest,
             engine=engine_id,
+            through=slot.through,
             version=engine.version,
             seen=failure.seen.value,
             reason=failure.reason,
@@ -419,21 +488,15 @@
 
     def _send(self, call, slot, resume_after):
         engine = slot.engine
-        failure = call.connect(
-            self._parts.dialer, engine.address, CONNECT_TIMEOUT_S
-        )
-        if failure is not None:
-            return FailedAttempt(
-                attempts.AttemptFailure.UNREACHABLE, failure.reason
-            )
         req = self._req
         headers = wire.engine_headers(req, engine, self.left_s(), resume_after)
-        failure = call.send(req.method, req.path, headers, req.body)
+        request = (req.method, req.path, headers, req.body)
+        if slot.through:
+            self.peers_used.append(slot.through)
+        order = tunnel.RelayOrder(engine.id, self.left_s())
+        failure = self._paths.open(call, engine, slot.through, order, request)
         if failure is not None:
-            seen = attempts.AttemptFailure.UNREACHABLE
-            if failure.sent:
-                seen = attempts.AttemptFailure.BROKEN
-            return FailedAttempt(seen, failure.reason, lost=failure.lost)
+            return _unopened_attempt(failure)
         self.record_progress()
         self.stream_version.attempt_sent(engine)
         head = self.receive(call)
@@ -459,6 +522,7 @@
             part.reason,
             lost=part.lost,
             has_head=has_head,
+            at_peer=part.at_peer,
         )
 
     def _read_response(self, call, slot, head):
@@ -474,9 +538,7 @@
             return FailedAttempt(
                 attempts.AttemptFailure.BROKEN, "another request's answer"
             )
-        response = OpenResponse(
-            call, slot.engine, slot.run_id, head, [], events.Parser()
-        )
+        response = OpenResponse(call, slot, head, [], events.Parser())
         if self._route.kind is routing.Kind.STREAM and head.status == 200:
             return self._read_first_events(response)
         return self._read_body(response)
@@ -576,11 +638,23 @@
             outcome = slotmessages.Outcome.UNKNOWN
             if response.done:
                 outcome = slotmessages.Outcome.OK
-        self._slots.end_run(response.run_id, outcome, response.pace_s)
+        self._slots.end_run(response.slot.run_id, outcome, response.pace_s)
+
+
+def _unopened_attempt(failure):
+    """Returns the FailedAttempt of a request that could not be sent."""
+    seen = attempts.AttemptFailure.UNREACHABLE
+    if failure.sent:
+        seen = attempts.AttemptFailure.BROKEN
+    elif failure.at_peer:
+        seen = attempts.AttemptFailure.PEER
+    return FailedAttempt(
+        seen, failure.reason, lost=failure.lost, at_peer=failure.at_peer
+    )
 
 
 def _outcome(result):
     """Returns what a FailedAttempt shows about its engine; it may be None."""
-    if result is None or result.seen in NO_ENGINE_FAILURES:
+    if result is None:
         return slotmessages.Outcome.UNKNOWN
-    return slotmessages.Outcome.FAILED
+    return result.outcome
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -20,6 +20,7 @@
 from samphirepost_daemon.entry import holdermessages
 from samphirepost_daemon.entry import items
 from samphirepost_daemon.entry import jobstore
+from samphirepost_daemon.entry import pathmonitor
 from samphirepost_daemon.entry import takeovers
 from samphirepost_daemon.platform import wire
 
@@ -113,8 +114,8 @@
 
     def on_start(self):
         """Receives the hub's decisions about items as messages."""
-        self._parts.slots.on_grant = lambda run_id, engine_id: (
-            self.actor_ref.tell(holdermessages.SlotGranted(run_id, engine_id))
+        self._parts.slots.on_grant = lambda grant: self.actor_ref.tell(
+            holdermessages.SlotGranted(grant.id, grant.engine, grant.through)
         )
         self._parts.slots.on_preemption = lambda ids: self.actor_ref.tell(
             holdermessages.RunsPreempted(ids)
@@ -378,8 +379,12 @@
             )
             if engine is None:
                 continue
+            paths = self._parts.paths
+            through = ""
+            if paths.is_doubtful or paths.is_unreached(engine.id):
+                through = paths.choose_peer(())
             run_id = self._parts.slots.next_run_id()
-            if self._start_item(run_id, slot.id, engine):
+            if self._start_item(run_id, slot.id, engine, through):
                 limits.take(engine, daemon_count, now_s)
 
     def _use_grant(self, message):
@@ -388,14 +393,17 @@
         if engine is None or engine.draining or self._stopping:
             engine = None
         if engine is None or not self._start_item(
-            message.run_id, message.run_id, engine
+            message.run_id, message.run_id, engine, message.through
         ):
             self._parts.slots.end_run(
                 message.run_id, slotmessages.Outcome.UNKNOWN
             )
 
-    def _start_item(self, run_id, wanted_id, engine):
-        """Starts a wanted item; returns False if it need not run now."""
+    def _start_item(self, run_id, wanted_id, engine, through):
+        """Starts a wanted item; returns False if it need not run now.
+
+        `through` is the address of a peer that relays it, or empty.
+        """
         now_s = time.monotonic()
         found = [
             wanted
@@ -425,7 +433,9 @@
         del self._wanted[key, index]
         held_job.running.add(index)
         late = self._is_late(held_job, index, now_s)
-        run = holdermessages.ItemRun(run_id, key, index, engine, partial)
+        run = holdermessages.ItemRun(
+            run_id, key, index, engine, partial, through
+        )
         self._item_runs[run_id] = run
         self._parts.slots.start_run(
             run_id,
@@ -473,7 +483,7 @@
         outcome = items.InterruptedRun("internal error of the daemon", False)
         try:
             outcome = items.run_item(
-                self._parts.dialer,
+                self._parts.paths,
                 held_job.record,
                 item,
                 engine,
@@ -481,18 +491,24 @@
                 should_stop,
                 observer,
             )
-            self._report_crash(run, engine, item, outcome)
+            self._report_lost(run, engine, item, outcome)
         finally:
             self.actor_ref.tell(holdermessages.ItemRunFinished(run, outcome))
 
-    def _report_crash(self, run, engine, item, outcome):
-        """Reports a lost run that may have crashed its engine."""
+    def _report_lost(self, run, engine, item, outcome):
+        """Has it found out why the connection of a run failed or ended."""
+        if run.stop_requested or not (
+            isinstance(outcome, items.InterruptedRun) and outcome.may_be_path
+        ):
+            return
         parts = wire.shared_parts(item)
+        crash = None
         if parts and _may_have_crashed_engine(run, outcome):
             key = quarantine.item_key(item.id)
-            self._parts.slots.record_crash(
-                engine, key, parts, outcome.has_head
-            )
+            crash = pathmonitor.Crash(key, parts, outcome.has_head)
+        self._parts.paths.report_lost(
+            pathmonitor.LostRun(engine, outcome.unreached, crash)
+        )
 
     def _finish_item_run(self, message):
         run = message.run
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holdermessages.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holdermessages.py
@@ -30,10 +30,14 @@
 
 
 class SlotGranted(msgspec.Struct, frozen=True):
-    """Tells the actor that the hub granted a slot for a wanted item."""
+    """Tells the actor that the hub granted a slot for a wanted item.
+
+    `through` is the address of a peer that relays, see slotmessages.Grant.
+    """
 
     run_id: int
     engine_id: str
+    through: str = ""
 
 
 class RunsPreempted(msgspec.Struct, frozen=True):
@@ -45,7 +49,8 @@
 class ItemRun:
     """One run of an item on an engine; stop() interrupts it.
 
-    `call` is its connection to the engine. The run occupies a slot under `id`.
+    `call` is its connection to the engine, through a peer at the address
+    `through` unless empty. The run occupies a slot under `id`.
     """
 
     __slots__ = (
@@ -58,10 +63,11 @@
         "key",
         "partial",
         "stop_requested",
+        "through",
         "version",
     )
 
-    def __init__(self, run_id, key, index, engine, partial):
+    def __init__(self, run_id, key, index, engine, partial, through=""):
         self.id = run_id
         self.began_s = time.monotonic()
         self.events_before = len(partial.texts)
@@ -70,6 +76,7 @@
         self.engine = engine.id
         self.version = engine.version
         self.partial = partial
+        self.through = through
         self.call = engineclient.Call()
         self.stop_requested = False
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
@@ -8,6 +8,7 @@
 from samphirepost import slotmessages
 from samphirepost_daemon.entry import engineclient
 from samphirepost_daemon.entry import exchange
+from samphirepost_daemon.entry import tunnel
 from samphirepost_daemon.platform import wire
 
 # A run is interrupted if it has no event for this long; callers of online
@@ -43,8 +44,10 @@
 class InterruptedRun(msgspec.Struct, frozen=True):
     """The run stopped early and does not count as an attempt.
 
-    `is_engine_failure` is true if it is attributed to the engine, `lost` if
-    the connection ended, and `has_head` if the response's head had arrived.
+    `is_engine_failure` is true if it is attributed to the engine, unless
+    `may_be_path`: the path to it may be at fault. `unreached` if no connection
+    could be opened, `lost` if it ended, and `has_head` if the response's head
+    had arrived.
     """
 
     label = "interrupted"
@@ -52,13 +55,24 @@
     is_engine_failure: bool
     lost: bool = False
     has_head: bool = False
+    unreached: bool = False
+    silent: bool = False
+
+    @property
+    def may_be_path(self):
+        """Whether the path to the engine may be at fault."""
+        return self.lost or self.unreached or self.silent
 
 
 def engine_outcome(outcome):
     """Returns what the outcome of a run shows about its engine."""
     if isinstance(outcome, (CompletedRun, UnprocessableItem)):
         return slotmessages.Outcome.OK
-    if isinstance(outcome, InterruptedRun) and outcome.is_engine_failure:
+    if (
+        isinstance(outcome, InterruptedRun)
+        and outcome.is_engine_failure
+        and not outcome.may_be_path
+    ):
         return slotmessages.Outcome.FAILED
     return slotmessages.Outcome.UNKNOWN
 
@@ -75,10 +89,10 @@
         """Called once the engine has begun to answer; maybe repeatedly."""
 
 
-def run_item(dialer, record, item, engine, run, should_stop, observer):
+def run_item(paths, record, item, engine, run, should_stop, observer):
     """Runs an item on an engine and appends its events to `run.partial`.
 
-    `dialer` opens the connection to the engine, see engineclient.dial().
+    `paths` is the PathMonitor, which opens the connection to the engine.
     Blocks until the run is over. `should_stop()` is polled every
     `exchange.READ_POLL_S` seconds; once it is true, the run is interrupted.
     `observer` is a RunObserver.
@@ -88,14 +102,7 @@
     """
     try:
         outcome = _send_and_collect(
-            dialer,
-            run.call,
-            record,
-            item,
-            engine,
-            run.partial,
-            should_stop,
-            observer,
+            paths, run, record, item, engine, should_stop, observer
         )
     finally:
         run.call.close()
@@ -105,17 +112,15 @@
     return outcome
 
 
-def _send_and_collect(
-    dialer, call, record, item, engine, partial, should_stop, observer
-):
-    failure = call.connect(dialer, engine.address, exchange.CONNECT_TIMEOUT_S)
-    if failure is not None:
-        return InterruptedRun(failure.reason, True)
+def _send_and_collect(paths, run, record, item, engine, should_stop, observer):
+    call, partial = run.call, run.partial
     req = wire.item_request(record, item)
     headers = wire.engine_headers(req, engine, RUN_TIMEOUT_S, partial.last_id)
-    failure = call.send(req.method, req.path, headers, req.body)
+    order = tunnel.RelayOrder(engine.id, RUN_TIMEOUT_S, item=True)
+    request = (req.method, req.path, headers, req.body)
+    failure = paths.open(call, engine, run.through, order, request)
     if failure is not None:
-        return InterruptedRun(failure.reason, True, failure.lost)
+        return _interruption(failure, has_head=False)
     deadline_s = time.monotonic() + READ_TIMEOUT_S
     head = _read_next(call, should_stop, deadline_s)
     if not isinstance(head, engineclient.ResponseHead):
@@ -171,10 +176,16 @@
 
 def _interruption(part, has_head=True):
     if isinstance(part, engineclient.CallFailure):
-        return InterruptedRun(part.reason, True, part.lost, has_head)
+        return InterruptedRun(
+            part.reason,
+            not part.at_peer,
+            part.lost,
+            has_head,
+            part.unreached,
+        )
     if isinstance(part, InterruptedRun):
         return part
-    return InterruptedRun("the engine is silent", True)
+    return InterruptedRun("the engine is silent", True, silent=True)
 
 
 def _read_next(call, should_stop, deadline_s):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/metrics.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/metrics.py
@@ -38,6 +38,19 @@
             "Streams not taken up as their version is not known",
             registry=self.registry,
         )
+        self.relayed = self._counter(
+            "relayed_runs",
+            "Runs sent through a peer, or relayed for one",
+            ["for", "result"],
+        )
+        self.no_path = prometheus_client.Counter(
+            "samphirepost_no_path_refusals",
+            "Requests refused as neither this VM nor a peer reaches engines",
+            registry=self.registry,
+        )
+        self.path_doubts = self._gauge(
+            "path_doubts", "1 while this VM may reach no engine itself"
+        )
         self.preemptions = prometheus_client.Counter(
             "samphirepost_preemptions",
             "Batch items stopped for online requests",
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
@@ -174,6 +174,7 @@
             outcome=outcome,
             engines=self._exchange.engines_tried,
             versions=self._exchange.versions_tried,
+            through=self._exchange.peers_used,
             runs=self._exchange.run_count,
             resumed=self._resume_count,
             slot_ms=round(self._exchange.slot_wait_s * 1000),
--- /dev/null
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/pathmonitor.py
@@ -0,0 +1,262 @@
+"""Watches this daemon's paths to the engines, and finds who is at fault.
+
+A request whose connection failed, fell silent or was closed reports it here
+and goes on; the thread finds out, by connections of its own and with peers,
+whether the engine or the path to it is at fault.
+"""
+
+import collections
+import queue
+import random
+import threading
+import time
+
+import msgspec
+
+from samphirepost import enginepaths
+from samphirepost_daemon.entry import engineclient
+from samphirepost_daemon.entry import tunnel
+
+# Half of a short latency objective: an attempt at another engine can still
+# be in time. A sound engine accepts within a few milliseconds.
+CONNECT_TIMEOUT_S = 0.15
+# Time for a peer to connect to an engine, and to answer (s).
+PEER_TIMEOUT_S = CONNECT_TIMEOUT_S + 0.2
+# Peers that are asked about an engine, one after the other.
+PEERS_ASKED_MAX = 2
+
+
+class Crash(msgspec.Struct, frozen=True):
+    """A request that was lost with its engine before its answer had begun."""
+
+    request: str
+    parts: tuple[str, ...]
+    has_head: bool
+
+
+class LostRun(msgspec.Struct, frozen=True):
+    """A run whose connection to its engine failed, fell silent or closed.
+
+    `unreached` if no connection could be opened. With `crash`, the request
+    may have crashed the engine.
+    """
+
+    engine: object
+    unreached: bool
+    crash: Crash | None = None
+
+
+class PathMonitor(threading.Thread):
+    """Knows which engines this daemon reaches; tests the others again.
+
+    `peer_addresses()` returns the addresses of the other daemons by VM id.
+    """
+
+    def __init__(self, parts, peer_addresses):
+        super().__init__(daemon=True, name="paths")
+        self._parts = parts
+        self._peer_addresses = peer_addresses
+        self._paths = enginepaths.EnginePaths()
+        self._lost = queue.SimpleQueue()
+        self._is_doubtful = False
+
+    # Called by the threads of requests.
+
+    @property
+    def is_doubtful(self):
+        """Whether this daemon may reach no engine itself."""
+        return self._paths.is_doubtful
+
+    @property
+    def is_stranded(self):
+        """Whether this daemon reaches no engine itself."""
+        return self._paths.is_stranded(len(self._parts.state.roster))
+
+    def is_unreached(self, engine_id):
+        """Whether the last connection to an engine failed."""
+        return self._paths.is_unreached(engine_id)
+
+    def unreached(self):
+        """Returns the ids of the engines that are not reached."""
+        return self._paths.unreached()
+
+    def dial(self, engine):
+        """Returns a socket connected to an engine; raises OSError.
+
+        What this tells of the path is recorded.
+        """
+        try:
+            sock = self._parts.dialer(engine.address, CONNECT_TIMEOUT_S)
+        except OSError:
+            self._paths.record_unreached(engine.id, time.monotonic())
+            self._publish()
+            raise
+        if self._paths.record_reached(engine.id, time.monotonic()):
+            self._parts.log.event("path.restored", engine=engine.id)
+        self._publish()
+        return sock
+
+    def open(self, call, engine, through, order, request):
+        """Sends a request on a Call, through a peer's address unless empty.
+
+        `order` is the RelayOrder for the peer; see Call.send_relayed() for
+        `request`. Returns None, or CallFailure.
+        """
+        if not through:
+            return call.connect(self.dial, engine) or call.send(*request)
+        failure = call.connect_peer(through, CONNECT_TIMEOUT_S)
+        if failure is None:
+            failure = call.send_relayed(order, PEER_TIMEOUT_S, request)
+        label = "opened" if failure is None else "failed"
+        self._parts.metrics.relayed.labels("own", label).inc()
+        return failure
+
+    def choose_peer(self, excluded, draw=random.choice):
+        """Returns the address of a peer to go through, or ""."""
+        addresses = [
+            f"{host}:{port}"
+            for host, port in self._peer_addresses().values()
+            if f"{host}:{port}" not in excluded
+        ]
+        return draw(addresses) if addresses else ""
+
+    def report_lost(self, lost_run):
+        """Has the thread find out why a LostRun ended."""
+        self._lost.put(lost_run)
+
+    def _publish(self):
+        """Tells the hub at once when this daemon begins or ends to doubt."""
+        is_doubtful = self._paths.is_doubtful
+        if is_doubtful != self._is_doubtful:
+            self._is_doubtful = is_doubtful
+            self._parts.metrics.path_doubts.set(is_doubtful)
+            self._parts.log.event(
+                "paths.doubtful" if is_doubtful else "paths.trusted",
+                unreached=self._paths.unreached(),
+                stranded=self.is_stranded,
+            )
+            self._parts.slots.report()
+
+    # The thread.
+
+    def run(self):
+        """Diagnoses lost runs and tests paths until the process exits."""
+        while True:
+            try:
+                self.work()
+            except Exception as exc:
+                self._parts.log.failure(
+                    "fault", where="paths", error=repr(exc)
+                )
+
+    def work(self):
+        """Waits for lost runs, or until a test is due, and does the work."""
+        wait_s = None
+        if self._paths.unreached():
+            wait_s = enginepaths.TEST_INTERVAL_S / 2
+        lost = collections.defaultdict(list)
+        try:
+            first = self._lost.get(timeout=wait_s)
+            lost[first.engine.id].append(first)
+            while True:
+                one = self._lost.get_nowait()
+                lost[one.engine.id].append(one)
+        except queue.Empty:
+            pass
+        for runs in lost.values():
+            self._diagnose(runs)
+        self._test_unreached()
+
+    def _diagnose(self, runs):
+        """Finds out why runs at one engine were lost."""
+        engine = runs[-1].engine
+        is_reached = (
+            not self.is_stranded
+            and not runs[-1].unreached
+            and self._test(engine)
+        )
+        fault = enginepaths.Fault.ENGINE
+        if not is_reached:
+            self._test_others()
+            sight = self._ask_peers(engine)
+            fault = self._paths.judge(engine.id, sight)
+        self._parts.log.event(
+            "path.judged",
+            engine=engine.id,
+            fault=fault.value,
+            runs=len(runs),
+            reached=is_reached,
+            unreached=self._paths.unreached(),
+        )
+        if fault is enginepaths.Fault.PATH:
+            self._parts.load_tracker.record_success(engine.id)
+        for lost_run in runs:
+            self._apply(lost_run, fault)
+
+    def _apply(self, lost_run, fault):
+        engine, crash = lost_run.engine, lost_run.crash
+        if fault is enginepaths.Fault.ENGINE:
+            self._parts.slots.record_engine_failure(engine.id)
+            if crash is not None:
+                self._parts.slots.record_crash(
+                    engine, crash.request, crash.parts, crash.has_head
+                )
+
+    def _test(self, engine):
+        """Returns whether a connection to an engine can be opened."""
+        try:
+            self.dial(engine).close()
+        except OSError:
+            return False
+        return True
+
+    def _test_others(self):
+        """Tests an engine that is not known to be unreached, if in doubt.
+
+        So it is known at once whether all paths are cut.
+        """
+        others = [
+            engine
+            for engine in self._parts.state.roster.usable()
+            if not self._paths.is_unreached(engine.id)
+        ]
+        if others and self._paths.is_doubtful and not self.is_stranded:
+            self._test(random.choice(others))
+
+    def _test_unreached(self):
+        """Tests engines again that were not reached, until one fails."""
+        roster = self._parts.state.roster
+        self._paths.retain([engine.id for engine in roster.usable()])
+        self._publish()
+        while True:
+            engine_id = self._paths.next_to_test(time.monotonic())
+            engine = roster.get(engine_id) if engine_id else None
+            if engine is None or not self._test(engine):
+                break
+        self._test_others()
+
+    def _ask_peers(self, engine):
+        """Returns the Sight of an engine that peers have."""
+        asked = set()
+        for _ in range(PEERS_ASKED_MAX):
+            address = self.choose_peer(asked)
+            if not address:
+                break
+            asked.add(address)
+            found = self._ask_peer(address, engine)
+            if found is not enginepaths.Sight.UNKNOWN:
+                return found
+        return enginepaths.Sight.UNKNOWN
+
+    def _ask_peer(self, address, engine):
+        order = tunnel.RelayOrder(engine.id, PEER_TIMEOUT_S)
+        call = engineclient.Call()
+        try:
+            failure = self.open(call, engine, address, order, None)
+        finally:
+            call.close()
+        if failure is None:
+            return enginepaths.Sight.REACHED
+        if failure.unreached:
+            return enginepaths.Sight.UNREACHED
+        return enginepaths.Sight.UNKNOWN
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -29,6 +29,9 @@
 # Interval at which a waiting request checks whether its caller left (s).
 CALLER_POLL_S = 0.1
 DATAGRAM_BYTES_MAX = 65_000
+# Engines named in one report: those not reached, and those that failed.
+UNREACHED_MAX = 64
+FAILED_MAX = 64
 # The reports of a thousand daemons wait here while the hub works.
 RECEIVE_BUFFER_BYTES = 4_194_304
 # Datagrams received before free slots are allocated.
@@ -68,7 +71,7 @@
 
     The thread also runs the HubServer, in case this daemon is the hub. Other
     threads call request(), start_run(), end_run() and want(). For batch items
-    `on_grant(id, engine)` and `on_preemption(ids)` are called.
+    `on_grant(grant)` and `on_preemption(ids)` are called.
     """
 
     def __init__(self, parts, address, port):
@@ -80,6 +83,8 @@
         self._quarantine = parts.quarantine
         self._observations = parts.observations
         self._limits = parts.limits
+        self._parts = parts
+        self._failed_engines = []
         self._suspects = ()
         self._begun_known = {}
         self._metrics = parts.metrics
@@ -201,6 +206,28 @@
         )
         self._send_report()
 
+    def record_engine_failure(self, engine_id):
+        """Reports that an engine was at fault for a run that ended before."""
+        with self._report_lock:
+            self._failed_engines.append(engine_id)
+        self._send_report()
+
+    def report(self):
+        """Sends a report now, before the next one is due."""
+        self._send_report()
+
+    def _own_paths(self):
+        """Returns the slotmessages.Paths of this daemon."""
+        paths = self._parts.paths
+        is_doubtful = paths.is_doubtful
+        is_stopping = self._parts.state.stop_began_s is not None
+        return slotmessages.Paths(
+            self._zone,
+            not is_doubtful and not is_stopping,
+            paths.unreached()[:UNREACHED_MAX],
+            is_doubtful,
+        )
+
     def record_begun(self, parts, request):
         """Records a begun answer; reports at once what ends a quarantine.
 
@@ -283,8 +310,10 @@
             address = self._hub.address
             if address is None:
                 self._ended.clear()
+                self._failed_engines.clear()
                 return
             ended, self._ended = self._ended, []
+            failed, self._failed_engines = self._failed_engines, []
             report = slotmessages.Report(
                 self._me,
                 next(self._sequence),
@@ -294,6 +323,8 @@
                 self._observations.crashes(now_s),
                 self._observations.begun(self._asked_causes(now_s), now_s),
                 self._limits.to_report(now_s),
+                self._own_paths(),
+                tuple(failed[:FAILED_MAX]),
             )
             self._send(address, report)
 
@@ -376,7 +407,7 @@
         elif isinstance(reply, slotmessages.Denial):
             return
         elif reply.id in self._wanted:
-            self.on_grant(reply.id, reply.engine)
+            self.on_grant(reply)
         elif not self._load_tracker.is_running(reply.id):
             # Its request went elsewhere, or its caller left.
             self.end_run(reply.id, slotmessages.Outcome.UNKNOWN)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/web.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/web.py
@@ -52,6 +52,25 @@
     return send_error_response(start_response, error)
 
 
+class PathDispatcher:
+    """WSGI application that passes requests on by their path.
+
+    `apps` has a WSGI application for each path.
+    """
+
+    def __init__(self, apps):
+        self._apps = apps
+
+    def __call__(self, environ, start_response):
+        """Answers one request; with 404 if no application has its path."""
+        app = self._apps.get(environ["PATH_INFO"])
+        if app is None:
+            return send_response(
+                start_response, 404, b"no such path\n", "text/plain"
+            )
+        return app(environ, start_response)
+
+
 class CallerApp:
     """Routes the requests of callers to the online or the batch handler."""
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -6,22 +6,26 @@
 from samphirepost import crashes
 from samphirepost import quarantine
 from samphirepost import ratelimit
+from samphirepost import relays
 from samphirepost import selection
 from samphirepost import streamversions
 from samphirepost_daemon.entry import batch
 from samphirepost_daemon.entry import boundedhttp
 from samphirepost_daemon.entry import engineclient
+from samphirepost_daemon.entry import enginerelay
 from samphirepost_daemon.entry import holder
 from samphirepost_daemon.entry import jobstore
 from samphirepost_daemon.entry import log as log_module
 from samphirepost_daemon.entry import members
 from samphirepost_daemon.entry import metrics
 from samphirepost_daemon.entry import online
+from samphirepost_daemon.entry import pathmonitor
 from samphirepost_daemon.entry import quarantinetable
 from samphirepost_daemon.entry import slots
 from samphirepost_daemon.entry import state
 from samphirepost_daemon.entry import storeclock
 from samphirepost_daemon.entry import storerelay
+from samphirepost_daemon.entry import tunnel
 from samphirepost_daemon.entry import versiontable
 from samphirepost_daemon.entry import watch
 from samphirepost_daemon.entry import web
@@ -30,7 +34,7 @@
 from samphirepost_daemon.platform import registry
 
 READINESS_THREADS = 2
-RELAY_THREADS = 8
+STORE_RELAY_THREADS = 8
 # Connections per listener. A VM has at least 4,100 file descriptors, and each
 # request needs a second one for its connection to an engine.
 CONNECTIONS_MAX = 2000
@@ -54,7 +58,8 @@
     """Objects that most parts share.
 
     `dialer` opens connections to engines, see engineclient.dial(). `slots` is
-    the SlotExchange and `streams` the StreamTable, set once they are created.
+    the SlotExchange, `paths` the PathMonitor and `streams` the StreamTable,
+    set once they are created.
     """
 
     __slots__ = (
@@ -66,6 +71,7 @@
         "me",
         "metrics",
         "observations",
+        "paths",
         "quarantine",
         "slots",
         "state",
@@ -86,6 +92,7 @@
         self.bases = streamversions.Bases()
         self.dialer = engineclient.dial
         self.slots = None
+        self.paths = None
         self.streams = None
 
 
@@ -105,6 +112,9 @@
         self.slots = parts.slots = slots.SlotExchange(
             parts, cfg.peer_address, cfg.peer_port
         )
+        self.paths = parts.paths = pathmonitor.PathMonitor(
+            parts, self._peer_addresses
+        )
         self.metrics = parts.metrics
         self.quarantine = parts.quarantine
         self.observations = parts.observations
@@ -126,10 +136,18 @@
         self.actor = holder.Holder.start(
             parts, job_store, self.slots.member_ids
         )
+        self.engine_relay = enginerelay.EngineRelayApp(
+            parts, lambda: self.slots.hub_selector.members
+        )
         self.relay = _make_listener(
-            storerelay.RelayApp(store_client),
+            web.PathDispatcher(
+                {
+                    storerelay.PATH: storerelay.RelayApp(store_client),
+                    tunnel.PATH: self.engine_relay,
+                }
+            ),
             f"{cfg.peer_address}:{cfg.peer_port}",
-            RELAY_THREADS,
+            STORE_RELAY_THREADS + relays.RUNS_MAX,
         )
         self.membership = members.MembershipWriter(
             store_client, me, cfg.peer_address, cfg.peer_port, parts.log
@@ -192,6 +210,15 @@
             web.ReadinessApp(parts), cfg.listen.readiness, READINESS_THREADS
         )
 
+    def _peer_addresses(self):
+        """Returns the addresses of the other daemons by VM id."""
+        members = self.slots.hub_selector.members
+        return {
+            vm: address
+            for vm, address in members.items()
+            if vm != self.parts.me
+        }
+
     def log_thread_failure(self, args):
         """Logs an exception that ended a thread; for threading.excepthook."""
         where = args.thread.name if args.thread else ""
--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -13,6 +13,7 @@
 from samphirepost import enginehealth
 from samphirepost import poolview
 from samphirepost import ratelimit
+from samphirepost import relays
 from samphirepost import slotmessages
 
 # A daemon that has not reported for this long (s) is not counted.
@@ -55,6 +56,7 @@
 
     `confirmed` once its daemon has reported it; `preempted_s` is the instant
     of its preemption, or None. A batch item's job is due at `deadline_s`.
+    `relay` is the VM id of the daemon that relays the run, or None.
     """
 
     __slots__ = (
@@ -65,9 +67,11 @@
         "granted_s",
         "late",
         "preempted_s",
+        "relay",
     )
 
     def __init__(self, engine, batch, granted_s, confirmed):
+        self.relay = None
         self.engine = engine
         self.batch = batch
         self.granted_s = granted_s
@@ -80,11 +84,13 @@
 class Reporter:
     """A daemon that reports to this hub.
 
-    `run_ids` are those of its runs, `pools` those for which it wants slots.
+    `run_ids` are those of its runs, `pools` those for which it wants slots,
+    `paths` its slotmessages.Paths.
     """
 
     __slots__ = (
         "address",
+        "paths",
         "pools",
         "received_s",
         "run_ids",
@@ -94,6 +100,7 @@
 
     def __init__(self, address):
         self.pools = frozenset()
+        self.paths = slotmessages.NO_PATHS
         self.address = address
         self.received_s = 0.0
         self.seq = -1
@@ -133,6 +140,7 @@
         "health",
         "limits",
         "preempted",
+        "relays",
         "service_time_s",
     )
 
@@ -148,6 +156,7 @@
         self._first_report_s = None
         self.health = enginehealth.FleetHealth()
         self.limits = ratelimit.HubLimits()
+        self.relays = relays.Relays()
         self.service_time_s = SERVICE_TIME_INITIAL_S
         self.granted = 0
         self.preempted = 0
@@ -169,6 +178,11 @@
         reporter.address = address
         reporter.seq = report.seq
         reporter.received_s = now_s
+        reporter.paths = report.paths
+        self.relays.apply(report.vm, address, report.paths)
+        for engine_id in report.failed:
+            if engine_id in self._pool_names:
+                self.health.record_failure(engine_id, report.vm, now_s)
         for end in report.ended:
             self._end_run(report.vm, reporter, end, now_s)
         listed = {run.id: run for run in report.runs}
@@ -236,6 +250,7 @@
     def _remove_run(self, vm, reporter, run_id):
         run = self._runs.pop((vm, run_id))
         reporter.run_ids.discard(run_id)
+        self.relays.record_end(run.relay)
         load = self._engines[run.engine]
         if not run.batch:
             load.online -= 1
@@ -281,6 +296,7 @@
                     self._remove_run(vm, reporter, run_id)
                 del self._reporters[vm]
                 self._wanting.discard(vm)
+                self.relays.remove(vm)
         if not self._reporters:
             self._first_report_s = None
 
@@ -360,7 +376,7 @@
                 )
             )
             if engine is not None:
-                return [self._grant(req.vm, req.id, engine, False, now_s)]
+                return [self._grant_request(req, engine, now_s)]
         return self._queue(queue, req, address, view, now_s)
 
     def _queue(self, queue, req, address, view, now_s):
@@ -403,7 +419,7 @@
         for is_allowed in self._preferences(req, view, now_s):
             engine = view.most_free(is_allowed, req.zone)
             if engine is not None:
-                return [self._grant(req.vm, req.id, engine, False, now_s)]
+                return [self._grant_request(req, engine, now_s)]
             sent = self._preempt(req, view, is_allowed, now_s)
             if sent:
                 return sent
@@ -412,16 +428,20 @@
     def _preferences(self, req, view, now_s):
         """Returns tests for engine ids, the strictest first.
 
-        Engines that are reliable and not slow come first. If all engines of
-        the pool are avoided, any one is better than none. None gets more than
-        the limit that it named.
+        Engines that are reliable, not slow, and reached by the daemon itself
+        come first. If all engines of the pool are avoided, any one is better
+        than none. None gets more than the limit that it named.
         """
+        unreached = ()
+        if not req.relay:
+            unreached = self._reporters[req.vm].paths.unreached
 
         def is_reliable(engine_id):
             return (
                 is_untried(engine_id)
                 and engine_id not in self.health.suspects
                 and engine_id not in view.slow
+                and engine_id not in unreached
             )
 
         def is_healthy(engine_id):
@@ -464,21 +484,39 @@
         engine = view.engines[run.engine]
         return [
             (self._reporters[vm].address, message),
-            self._grant(req.vm, req.id, engine, False, now_s),
+            self._grant_request(req, engine, now_s),
         ]
 
     def _expendability(self, key):
         run = self._runs[key]
         return (run.late, run.deadline_s)
 
-    def _grant(self, vm, run_id, engine, batch, now_s):
+    def _grant_request(self, req, engine, now_s):
+        relay = None
+        if req.relay or self._needs_relay(req.vm, engine):
+            relay = self.relays.choose(
+                req.vm, req.zone, engine.id, req.not_through
+            )
+        return self._grant(req.vm, req.id, engine, False, now_s, relay)
+
+    def _needs_relay(self, vm, engine):
+        """Whether a daemon may not reach an engine itself."""
+        paths = self._reporters[vm].paths
+        return paths.doubtful or engine.id in paths.unreached
+
+    def _grant(self, vm, run_id, engine, batch, now_s, relay=None):
         reporter = self._reporters[vm]
         run = AllocatedRun(engine.id, batch, now_s, False)
+        through = ""
+        if relay is not None:
+            run.relay = relay.vm
+            self.relays.record_start(relay.vm)
+            through = relays.format_address(relay.address)
         self._add_run(vm, reporter, run_id, run)
         self.health.record_probe(engine.id, now_s)
         self.limits.take(engine.id, now_s)
         self.granted += 1
-        message = slotmessages.Grant(self._me, run_id, engine.id)
+        message = slotmessages.Grant(self._me, run_id, engine.id, through)
         return (reporter.address, message)
 
     # Slots that became free.
@@ -543,8 +581,14 @@
                 break
             if engine is None:
                 continue
+            relay = None
+            if self._needs_relay(vm, engine):
+                zone = self._reporters[vm].paths.zone
+                relay = self.relays.choose(vm, zone, engine.id)
+                if relay is None:
+                    continue
             del self._reporters[vm].wanted[wanted_id]
-            sent.append(self._grant(vm, wanted_id, engine, True, now_s))
+            sent.append(self._grant(vm, wanted_id, engine, True, now_s, relay))
         return sent
 
     def _most_urgent(self, pool, budget):
--- a/packages/samphirepost/src/samphirepost/attempts.py
+++ b/packages/samphirepost/src/samphirepost/attempts.py
@@ -34,8 +34,9 @@
 class AttemptFailure(enum.Enum):
     """Why an attempt gave no usable response.
 
-    UNRECORDED: the daemon could not record where the stream begins, which is
-    no failure of the engine.
+    UNRECORDED: the daemon could not record where the stream begins. PEER: a
+    peer that was to relay the request did not send it. Neither is a failure of
+    the engine.
     """
 
     UNREACHABLE = "unreachable"
@@ -44,9 +45,16 @@
     SILENT = "silent"
     FAILED = "failed"
     UNRECORDED = "unrecorded"
+    PEER = "peer"
 
 
-NOT_EXECUTED = frozenset((AttemptFailure.UNREACHABLE, AttemptFailure.REFUSED))
+NOT_EXECUTED = frozenset(
+    (
+        AttemptFailure.UNREACHABLE,
+        AttemptFailure.REFUSED,
+        AttemptFailure.PEER,
+    )
+)
 
 
 class NextAction(enum.Enum):
@@ -81,7 +89,8 @@
 
     def record_failure(self, engine, failure):
         """Records an attempt that gave no usable response."""
-        self.excluded.add(engine)
+        if failure is not AttemptFailure.PEER:
+            self.excluded.add(engine)
         self.attempts += 1
         if failure not in NOT_EXECUTED:
             self.executions += 1
--- a/packages/samphirepost/src/samphirepost/roster.py
+++ b/packages/samphirepost/src/samphirepost/roster.py
@@ -104,6 +104,14 @@
             if engine.pool == pool and not engine.draining
         ]
 
+    def usable(self):
+        """Returns the engines of all pools that accept new work."""
+        return [
+            engine
+            for engine in list(self._engines.values())
+            if not engine.draining
+        ]
+
     def get(self, engine_id):
         """Returns an engine by id, or None."""
         return self._engines.get(engine_id)
--- a/packages/samphirepost/src/samphirepost/slotmessages.py
+++ b/packages/samphirepost/src/samphirepost/slotmessages.py
@@ -97,11 +97,30 @@
     age_s: float
 
 
+class Paths(msgspec.Struct, frozen=True, array_like=True):
+    """How a daemon of a zone reaches the engines.
+
+    It does not reach those `unreached` itself, and if `doubtful`, perhaps
+    none. `relays` tells whether it relays runs for daemons that do not reach
+    an engine.
+    """
+
+    zone: str = ""
+    relays: bool = False
+    unreached: tuple[str, ...] = ()
+    doubtful: bool = False
+
+
+NO_PATHS = Paths()
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True, tag=11):
     """All that one daemon runs and wants; a higher `seq` replaces a lower.
 
     `crashes` and `limits` may come in several reports; `begun` answers the
-    last Totals.suspects and has quarantined causes.
+    last Totals.suspects and has quarantined causes. `failed` has the ids of
+    engines that turned out to be at fault for runs that ended before, one for
+    each run.
     """
 
     vm: str
@@ -112,6 +131,8 @@
     crashes: tuple[Crash, ...] = ()
     begun: tuple[Begun, ...] = ()
     limits: tuple[NamedLimit, ...] = ()
+    paths: Paths = NO_PATHS
+    failed: tuple[str, ...] = ()
 
 
 class SlotRequest(msgspec.Struct, frozen=True, array_like=True, tag=12):
@@ -121,7 +142,8 @@
     goes before others of its priority. With `never_deny`, it gets an engine
     even if none has a free slot. `probe` is the cause of crashes, if any, that
     it has and would probe. Unless `version` is None, only engines of that
-    software version will do.
+    software version will do. With `relay`, the daemon doubts its own paths to
+    the engines; peers at the addresses `not_through` have failed it.
     """
 
     vm: str
@@ -135,14 +157,21 @@
     returns: bool = False
     probe: str = ""
     version: str | None = None
+    relay: bool = False
+    not_through: tuple[str, ...] = ()
 
 
 class Grant(msgspec.Struct, frozen=True, array_like=True, tag=13):
-    """The hub `vm` grants a slot of an engine for the run `id`."""
+    """The hub `vm` grants a slot of an engine for the run `id`.
+
+    A daemon that does not reach the engine itself goes through the peer at the
+    address `through` (IP:PORT); it is empty if no peer is known.
+    """
 
     vm: str
     id: int
     engine: str
+    through: str = ""
 
 
 class Queued(msgspec.Struct, frozen=True, array_like=True, tag=14):
--- a/tests/entryhelper.py
+++ b/tests/entryhelper.py
@@ -11,6 +11,7 @@
 from samphirepost_bench import storeserver
 from samphirepost_bench import streamengine
 from samphirepost_daemon.entry import core
+from samphirepost_daemon.entry import engineclient
 from samphirepost_daemon.entry import settings
 from samphirepost_daemon.entry import wiring
 
@@ -53,6 +54,18 @@
         )
 
 
+class DirectPaths:
+    """Opens calls to engines, without a PathMonitor that learns from them."""
+
+    @staticmethod
+    def open(call, engine, _through, _order, request):
+        """Sends a request; see PathMonitor.open()."""
+        failure = call.connect(
+            lambda one: engineclient.dial(one.address, 1.0), engine
+        )
+        return failure or call.send(*request)
+
+
 class RawServer:
     """A TCP server on loopback; a subclass serves each connection.
 
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -105,7 +105,11 @@
 def read_to_the_end(server):
     """Reads an engine's response until its CallFailure; returns this."""
     call = engineclient.Call()
-    assert call.connect(engineclient.dial, server.address, 1.0) is None
+    engine = roster.Engine("e0", "plants", server.address, "a", 8)
+    assert (
+        call.connect(lambda one: engineclient.dial(one.address, 1.0), engine)
+        is None
+    )
     assert call.send("POST", "/", [("Host", "h")], b"") is None
     size = 0
     while True:
@@ -243,7 +247,7 @@
         1, ("h", "job"), 0, engine, batchjob.PartialOutput()
     )
     outcome = items.run_item(
-        engineclient.dial,
+        entryhelper.DirectPaths(),
         record,
         item,
         engine,
--- a/tests/test_slotexchange.py
+++ b/tests/test_slotexchange.py
@@ -5,6 +5,7 @@
 from samphirepost import codec
 from samphirepost import roster
 from samphirepost import slotmessages
+from samphirepost_daemon.entry import pathmonitor
 from samphirepost_daemon.entry import slots
 from samphirepost_daemon.entry import wiring
 
@@ -38,6 +39,7 @@
 def make_exchange(datagrams=()):
     """Returns the SlotExchange of daemon "hub", which is its own hub."""
     parts = wiring.SharedParts("hub", "a")
+    parts.paths = pathmonitor.PathMonitor(parts, dict)
     exchange = slots.SlotExchange(parts, *ADDRESS)
     exchange._sock = WaitingSocket(datagrams)
     exchange.hub_selector.members = {"hub": ADDRESS}
--- a/tests/test_unframed.py
+++ b/tests/test_unframed.py
@@ -5,7 +5,6 @@
 from samphirepost import batchjob
 from samphirepost import roster
 from samphirepost_bench import streamengine
-from samphirepost_daemon.entry import engineclient
 from samphirepost_daemon.entry import holdermessages
 from samphirepost_daemon.entry import items
 from tests import entryhelper
@@ -87,7 +86,7 @@
     engine = roster.Engine("e1", "plants", server.address, "a", 8)
     run = holdermessages.ItemRun(1, ("h", "j1"), 0, engine, partial)
     outcome = items.run_item(
-        engineclient.dial,
+        entryhelper.DirectPaths(),
         record,
         item,
         engine,
