An engine that all daemons lose at once is blamed, and its crash reported

All daemons lost the crashed engine in one moment; each asked peers that were in doubt for the same reason, so nobody could tell and the crashes went unreported.

A daemon now tests another engine before it judges, and before it answers a peer; one that reaches others holds the engine to be at fault unless a peer reaches it. Engines at fault no longer count towards its own doubt. What is left open is decided when the engine is gone, or reached again.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/enginerelay.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/enginerelay.py
@@ -97,7 +97,7 @@
             run.open(self._parts.paths, engine)
         except OSError:
             run.close()
-            return self._refuse_unreached(start_response)
+            return self._refuse_unreached(start_response, engine.id)
         self._parts.metrics.relayed.labels("peer", "opened").inc()
         headers = [("Content-Type", "application/octet-stream")]
         start_response(web.status_line(http.HTTPStatus.OK), headers)
@@ -109,8 +109,9 @@
             for address in list(self._member_addresses().values())
         )
 
-    def _refuse_unreached(self, start_response):
-        if self._parts.paths.is_doubtful:
+    def _refuse_unreached(self, start_response, engine_id):
+        """Refuses; the status tells if only this engine is unreached."""
+        if not self._parts.paths.reaches_others(engine_id):
             return self._refuse(start_response, "no-path")
         return self._refuse(
             start_response, "engine-unreached", tunnel.ENGINE_UNREACHED
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/pathmonitor.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/pathmonitor.py
@@ -20,8 +20,8 @@
 # Half of a short latency objective: an attempt at another engine can still
 # be in time. A sound engine accepts within a few milliseconds.
 CONNECT_TIMEOUT_S = 0.15
-# Time for a peer to connect to an engine, and to answer (s).
-PEER_TIMEOUT_S = CONNECT_TIMEOUT_S + 0.2
+# Time for a peer to connect to an engine and to test its path (s).
+PEER_TIMEOUT_S = 2 * CONNECT_TIMEOUT_S + 0.1
 # Peers that are asked about an engine, one after the other.
 PEERS_ASKED_MAX = 2
 
@@ -59,6 +59,7 @@
         self._paths = enginepaths.EnginePaths()
         self._lost = queue.SimpleQueue()
         self._is_doubtful = False
+        self._undecided = collections.defaultdict(list)
 
     # Called by the threads of requests.
 
@@ -177,9 +178,10 @@
         )
         fault = enginepaths.Fault.ENGINE
         if not is_reached:
-            self._test_others()
+            reaches_others = self.reaches_others(engine.id)
             sight = self._ask_peers(engine)
-            fault = self._paths.judge(engine.id, sight)
+            fault = self._paths.judge(engine.id, reaches_others, sight)
+            self._publish()
         self._parts.log.event(
             "path.judged",
             engine=engine.id,
@@ -190,18 +192,33 @@
         )
         if fault is enginepaths.Fault.PATH:
             self._parts.load_tracker.record_success(engine.id)
-        for lost_run in runs:
-            self._apply(lost_run, fault)
-
-    def _apply(self, lost_run, fault):
-        engine, crash = lost_run.engine, lost_run.crash
         if fault is enginepaths.Fault.ENGINE:
+            self._blame(runs)
+        elif fault is enginepaths.Fault.UNKNOWN:
+            self._undecided[engine.id] += runs
+
+    def _blame(self, runs):
+        """Reports that an engine was at fault for lost runs."""
+        for lost_run in runs:
+            engine, crash = lost_run.engine, lost_run.crash
             self._parts.slots.record_engine_failure(engine.id)
             if crash is not None:
                 self._parts.slots.record_crash(
                     engine, crash.request, crash.parts, crash.has_head
                 )
 
+    def _decide_later(self):
+        """Blames engines that are gone for runs whose loss was not explained.
+
+        One that is reached again was not at fault.
+        """
+        for engine_id in list(self._undecided):
+            engine = self._parts.state.roster.get(engine_id)
+            if engine is None:
+                self._blame(self._undecided.pop(engine_id))
+            elif not self._paths.is_unreached(engine_id):
+                del self._undecided[engine_id]
+
     def _test(self, engine):
         """Returns whether a connection to an engine can be opened."""
         try:
@@ -210,18 +227,20 @@
             return False
         return True
 
-    def _test_others(self):
-        """Tests an engine that is not known to be unreached, if in doubt.
+    def reaches_others(self, engine_id):
+        """Returns whether this daemon reaches engines but for one.
 
-        So it is known at once whether all paths are cut.
+        Tests one that is not known to be unreached, unless it is known.
         """
+        if self.is_stranded:
+            return False
         others = [
             engine
             for engine in self._parts.state.roster.usable()
-            if not self._paths.is_unreached(engine.id)
+            if engine.id != engine_id
+            and not self._paths.is_unreached(engine.id)
         ]
-        if others and self._paths.is_doubtful and not self.is_stranded:
-            self._test(random.choice(others))
+        return bool(others) and self._test(random.choice(others))
 
     def _test_unreached(self):
         """Tests engines again that were not reached, until one fails."""
@@ -231,9 +250,13 @@
         while True:
             engine_id = self._paths.next_to_test(time.monotonic())
             engine = roster.get(engine_id) if engine_id else None
-            if engine is None or not self._test(engine):
+            if engine is None:
+                break
+            if not self._test(engine):
+                if self.is_doubtful:
+                    self.reaches_others(engine.id)
                 break
-        self._test_others()
+        self._decide_later()
 
     def _ask_peers(self, engine):
         """Returns the Sight of an engine that peers have."""
--- a/packages/samphirepost/src/samphirepost/enginepaths.py
+++ b/packages/samphirepost/src/samphirepost/enginepaths.py
@@ -32,7 +32,10 @@
 
 
 class UnreachedEngine:
-    """An engine to which the last connection failed, at `failed_s`."""
+    """An engine to which the last connection failed, at `failed_s`.
+
+    `fault` tells whose fault that is, as far as it is known.
+    """
 
     __slots__ = ("failed_s", "fault")
 
@@ -69,24 +72,22 @@
             else:
                 found.failed_s = now_s
 
-    def judge(self, engine_id, sight):
-        """Returns whose fault a failed connection is, by what peers see.
+    def judge(self, engine_id, reaches_others, sight):
+        """Returns whose fault the failed connections to an engine are.
 
-        If no peer can tell, the engine is at fault if this daemon reached
-        another one since.
+        `reaches_others` tells whether this daemon reaches other engines now,
+        `sight` what peers see. A daemon that reaches others and hears of no
+        peer that reaches this one holds the engine to be at fault.
         """
-        fault = {
-            Sight.REACHED: Fault.PATH,
-            Sight.UNREACHED: Fault.ENGINE,
-            Sight.UNKNOWN: Fault.UNKNOWN,
-        }[sight]
+        fault = Fault.UNKNOWN
+        if sight is Sight.REACHED:
+            fault = Fault.PATH
+        elif sight is Sight.UNREACHED or reaches_others:
+            fault = Fault.ENGINE
         with self._lock:
             found = self._unreached.get(engine_id)
-            if found is None:
-                return fault
-            if fault is Fault.UNKNOWN and found.failed_s <= self._reached_s:
-                fault = Fault.ENGINE
-            found.fault = fault
+            if found is not None:
+                found.fault = fault
         return fault
 
     def retain(self, engine_ids):
@@ -122,7 +123,10 @@
 
     @property
     def is_doubtful(self):
-        """Whether the last connection to any engine failed."""
+        """Whether engines failed since one was reached.
+
+        Those that are known to be at fault themselves do not count.
+        """
         return self._failing_count() > 0
 
     def is_stranded(self, engine_count):
@@ -131,11 +135,15 @@
         return 0 < min(STRANDED_ENGINES_MIN, engine_count) <= failing
 
     def _failing_count(self):
-        """Returns how many engines failed since one was reached."""
+        """Returns how many engines failed since one was reached.
+
+        Those at fault themselves are left out.
+        """
         if not self._unreached:
             return 0
         with self._lock:
             return sum(
                 one.failed_s > self._reached_s
+                and one.fault is not Fault.ENGINE
                 for one in self._unreached.values()
             )
