--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -528,16 +528,16 @@
     def _read_response(self, call, slot, head):
         if isinstance(head, engineclient.ResponseHead):
             self._slots.record_head(slot.engine, head)
-        if wire.is_rejected(head):
-            return FailedAttempt(
-                attempts.AttemptFailure.REFUSED, f"status {head.status}"
-            )
         if not isinstance(
             head, engineclient.ResponseHead
         ) or not wire.is_response_to(head, self._req):
             return FailedAttempt(
                 attempts.AttemptFailure.BROKEN, "another request's answer"
             )
+        if wire.is_rejected(head):
+            return FailedAttempt(
+                attempts.AttemptFailure.REFUSED, f"status {head.status}"
+            )
         response = OpenResponse(call, slot, head, [], events.Parser())
         if self._route.kind is routing.Kind.STREAM and head.status == 200:
             return self._read_first_events(response)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
@@ -126,10 +126,10 @@
     if not isinstance(head, engineclient.ResponseHead):
         return _interruption(head, has_head=False)
     observer.head_received(head)
-    if wire.is_rejected(head):
-        return InterruptedRun(f"refused with {head.status}", False)
     if not wire.is_response_to(head, req):
         return InterruptedRun("another request's answer", True)
+    if wire.is_rejected(head):
+        return InterruptedRun(f"refused with {head.status}", False)
     if head.status == 422:
         return UnprocessableItem()
     if head.status == 500:
