Only the rest of a stream may follow what broke off

What goes on must be a series of events that follow the last one without a gap, within an answer and when the caller takes a stream up.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -45,6 +45,7 @@
 
 
 OVERLONG_EVENT = engineclient.CallFailure("an event is too long")
+NOT_THE_REST = engineclient.CallFailure("not the rest of the stream")
 
 
 class CallerDisconnected(Exception):
@@ -71,7 +72,8 @@
     are not yet passed on. `done` is true once the engine has sent the complete
     response; `closed`, once the connection to the engine is closed. `began_s`
     is the monotonic time of a stream's first events, `event_count` the number
-    of events so far.
+    of events so far. The events of a stream that was resumed have to follow
+    the one with the id `last_id`.
     """
 
     call: engineclient.Call
@@ -84,12 +86,28 @@
     closed: bool = False
     began_s: float = 0.0
     event_count: int = 0
+    last_id: int | None = None
 
     @property
     def engine(self):
         """The engine that responds."""
         return self.slot.engine
 
+    def feed(self, data):
+        """Parses bytes of a stream into `events`; returns None, or a failure.
+
+        The CallFailure tells that they are not sound.
+        """
+        found = self.parser.feed(data)
+        if self.parser.is_overlong:
+            return OVERLONG_EVENT
+        if self.last_id is not None and found:
+            if not events.follow(found, self.last_id):
+                return NOT_THE_REST
+            self.last_id = found[-1].id
+        self.events = found
+        return None
+
     @property
     def pace_s(self):
         """The mean time between two events; 0 after too few of them."""
@@ -502,7 +520,7 @@
         head = self.receive(call)
         if isinstance(head, (engineclient.CallFailure, type(None))):
             return self._failed_attempt(head, has_head=False)
-        return self._read_response(call, slot, head)
+        return self._read_response(call, slot, head, resume_after)
 
     def _failed_attempt(self, part, has_head=True):
         """Returns the failure shown by `part`, a result of receive()."""
@@ -525,7 +543,7 @@
             at_peer=part.at_peer,
         )
 
-    def _read_response(self, call, slot, head):
+    def _read_response(self, call, slot, head, resume_after):
         if isinstance(head, engineclient.ResponseHead):
             self._slots.record_head(slot.engine, head)
         if not isinstance(
@@ -538,8 +556,12 @@
             return FailedAttempt(
                 attempts.AttemptFailure.REFUSED, f"status {head.status}"
             )
-        response = OpenResponse(call, slot, head, [], events.Parser())
+        response = OpenResponse(
+            call, slot, head, [], events.Parser(), last_id=resume_after
+        )
         if self._route.kind is routing.Kind.STREAM and head.status == 200:
+            if resume_after is not None and not wire.is_event_stream(head):
+                return self._failed_attempt(NOT_THE_REST)
             return self._read_first_events(response)
         return self._read_body(response)
 
@@ -547,9 +569,9 @@
         while not response.events and not response.done:
             part = self.receive(response.call)
             if isinstance(part, engineclient.BodyData):
-                response.events = response.parser.feed(part.data)
-                if response.parser.is_overlong:
-                    return self._failed_attempt(OVERLONG_EVENT)
+                failure = response.feed(part.data)
+                if failure is not None:
+                    return self._failed_attempt(failure)
             elif isinstance(part, engineclient.EndOfResponse):
                 if response.parser.incomplete or part.unframed:
                     return self._failed_attempt(part)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
@@ -120,9 +120,9 @@
         """
         part = self._exchange.receive(response.call)
         if isinstance(part, engineclient.BodyData):
-            response.events = response.parser.feed(part.data)
-            if response.parser.is_overlong:
-                return self._resume(response, exchange.OVERLONG_EVENT)
+            failure = response.feed(part.data)
+            if failure is not None:
+                return self._resume(response, failure)
             if response.events:
                 self._exchange.record_progress()
             return response
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
@@ -190,6 +190,12 @@
     return head.get(REQUEST_ID_HEADER.lower()) == req.id
 
 
+def is_event_stream(head):
+    """Whether a response is a series of events."""
+    content_type = head.get("content-type") or ""
+    return content_type.partition(";")[0].strip() == "text/event-stream"
+
+
 def named_limit(head):
     """Returns the requests a second that an engine takes, or None.
 
--- a/packages/samphirepost/src/samphirepost/events.py
+++ b/packages/samphirepost/src/samphirepost/events.py
@@ -15,6 +15,14 @@
     data: bytes
 
 
+def follow(found, last_id):
+    """Whether events follow the one with `last_id`, without a gap."""
+    return all(
+        event.id == event_id
+        for event_id, event in enumerate(found, start=last_id + 1)
+    )
+
+
 class Parser:
     """Returns complete events from a stream read in arbitrary chunks."""
 
--- a/tests/test_brokenanswers.py
+++ b/tests/test_brokenanswers.py
@@ -3,6 +3,8 @@
 The engines are servers that send scripted bytes for each request.
 """
 
+import re
+
 import pytest
 
 from samphirepost_bench import entryfleet
@@ -12,7 +14,6 @@
     "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\n"
     "Content-Type: text/event-stream\r\n"
 )
-UNSEALED_HEAD = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n"
 STALE_REFUSAL = (
     "HTTP/1.1 503 Busy\r\nRequest-Id: earlier\r\nNot-Executed: 1\r\n"
     "Content-Length: 0\r\n\r\n"
@@ -26,10 +27,14 @@
 
 
 class ScriptedEngine(entryhelper.RawServer):
-    """Sends `script` for each request, with the request's id, then closes."""
+    """Sends `script` for each request, with the request's id, then closes.
+
+    Later requests get `later_script`, unless it is None.
+    """
 
     def __init__(self, script):
         self._script = script
+        self.later_script = None
         self.requests = []
         super().__init__()
 
@@ -45,6 +50,7 @@
         ]
         self.requests.append(request)
         conn.sendall(self._script.format(id=request).encode())
+        self._script = self.later_script or self._script
 
 
 @pytest.fixture
@@ -60,24 +66,29 @@
     new_fleet.stop()
 
 
+def list_engine(fleet, name, engine):
+    """Lists a scripted engine and waits until the daemon knows it."""
+    entry = {
+        "service": entryfleet.POOL,
+        "address": engine.address,
+        "zone": "a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "seq": 1,
+    }
+    fleet.store.put_row("servers", name, entry)
+    state = fleet.daemons[0].state
+    entryhelper.wait_until(
+        lambda: state.roster.get(name) is not None, "the engine is listed"
+    )
+
+
 def script(fleet, *scripts):
     """Lists an engine for each script; returns the ScriptedEngines."""
     engines = [ScriptedEngine(one) for one in scripts]
     for number, engine in enumerate(engines):
-        entry = {
-            "service": entryfleet.POOL,
-            "address": engine.address,
-            "zone": "a",
-            "version": "v1",
-            "slots": 8,
-            "state": "ready",
-            "seq": 1,
-        }
-        fleet.store.put_row("servers", f"scripted-{number}", entry)
-    state = fleet.daemons[0].state
-    entryhelper.wait_until(
-        lambda: len(state.roster) == len(engines), "the engines are listed"
-    )
+        list_engine(fleet, f"scripted-{number}", engine)
     return engines
 
 
@@ -89,3 +100,40 @@
     found = fleet.send_online("r1", path)
     assert found.status == 502
     assert sum(one.requests.count("r1") for one in engines) == 1
+
+
+# What the engine that is to go on with a stream answers in its place.
+NOT_THE_REST = {
+    "failure": (
+        "HTTP/1.1 500 Broken\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\n"
+        "Content-Length: 6\r\n\r\nbroken"
+    ),
+    "page": (
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\n"
+        "Content-Type: text/html\r\nContent-Length: 8\r\n\r\nbroken\n\n"
+    ),
+    "empty page": (
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\n"
+        "Content-Type: text/html\r\nContent-Length: 0\r\n\r\n"
+    ),
+    "text": HEAD + "Content-Length: 8\r\n\r\nbroken\n\n",
+    "head": (HEAD + "\r\nHTTP/1.1 500 Broken\nRequest-Id: {id}\n\nbroken\n\n"),
+    "all again": HEAD + "\r\nid: 1\ndata: {id}:1\n\nid: 2\ndata: x\n\n",
+    "a gap": HEAD + "\r\nid: 3\ndata: {id}:3\n\n",
+    "text later": HEAD + "\r\nid: 2\ndata: {id}:2\n\nbroken\n\n",
+}
+
+
+# More reports of issue 31, 2: the text of an error, or its head, stood in the
+# middle of a stream, or the stream ended as if it were complete.
+@pytest.mark.parametrize("rest", NOT_THE_REST)
+def test_only_the_rest_of_a_stream_follows_what_broke_off(fleet, rest):
+    (engine,) = script(fleet, BEGUN_STREAM)
+    engine.later_script = NOT_THE_REST[rest]
+    list_engine(fleet, "again", engine)
+    found = fleet.send_online("r1")
+    assert len(engine.requests) == 2
+    assert (found.status, found.complete) == (200, False)
+    assert b"broken" not in found.body
+    ids = re.findall(rb"^id: (\d+)$", found.body, re.MULTILINE)
+    assert ids in ([b"1"], [b"1", b"2"])
