--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -45,6 +45,7 @@
 
 
 OVERLONG_EVENT = engineclient.CallFailure("an event is too long")
+CUT_HEAD = engineclient.CallFailure("the head has no seal")
 NOT_THE_REST = engineclient.CallFailure("not the rest of the stream")
 
 
@@ -531,7 +532,7 @@
         if isinstance(part, engineclient.EndOfResponse):
             return FailedAttempt(
                 attempts.AttemptFailure.BROKEN,
-                "the stream ended early",
+                "the answer ended early",
                 lost=True,
                 has_head=True,
             )
@@ -556,6 +557,8 @@
             return FailedAttempt(
                 attempts.AttemptFailure.REFUSED, f"status {head.status}"
             )
+        if not wire.is_complete_head(head):
+            return self._failed_attempt(CUT_HEAD)
         response = OpenResponse(
             call, slot, head, [], events.Parser(), last_id=resume_after
         )
@@ -597,6 +600,10 @@
                 chunks.append(part.data)
                 self.record_progress()
             elif isinstance(part, engineclient.EndOfResponse):
+                is_success = response.head.status == 200
+                if is_success and part.unframed and not chunks:
+                    # The engine may have ended after its head.
+                    return self._failed_attempt(part)
                 break
             else:
                 return self._failed_attempt(part)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
@@ -20,6 +20,7 @@
 RESUME_AFTER_HEADER = "Last-Event-Id"
 RESUMES_HEADER = "Resumes"
 NOT_EXECUTED_HEADER = "not-executed"
+SEAL_HEADER = "response-seal"
 PROMPT_HEADER = "Prompt-Prefix"
 LIMIT_HEADER = "server-limit"
 CREDENTIAL_HEADER = "Credential"
@@ -190,6 +191,15 @@
     return head.get(REQUEST_ID_HEADER.lower()) == req.id
 
 
+def is_complete_head(head):
+    """Whether the head of a response has what each successful one has.
+
+    One that was cut off may end in an empty line all the same.
+    """
+    is_success = 200 <= head.status < 300
+    return not is_success or bool(head.get(SEAL_HEADER))
+
+
 def is_event_stream(head):
     """Whether a response is a series of events."""
     content_type = head.get("content-type") or ""
--- a/tests/test_brokenanswers.py
+++ b/tests/test_brokenanswers.py
@@ -14,6 +14,7 @@
     "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\n"
     "Content-Type: text/event-stream\r\n"
 )
+UNSEALED_HEAD = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n"
 STALE_REFUSAL = (
     "HTTP/1.1 503 Busy\r\nRequest-Id: earlier\r\nNot-Executed: 1\r\n"
     "Content-Length: 0\r\n\r\n"
@@ -137,3 +138,28 @@
     assert b"broken" not in found.body
     ids = re.findall(rb"^id: (\d+)$", found.body, re.MULTILINE)
     assert ids in ([b"1"], [b"1", b"2"])
+
+
+# More reports of issue 31, 3: an engine stopped in the middle of its head, and
+# callers got a 200 with an empty body, framed as whole.
+CUT_HEADS = {
+    "in a name": HEAD + "Content-Le",
+    "in a number": HEAD + "Content-Length: 1",
+    "after a line": HEAD,
+    "after the seal": HEAD + "\r\n",
+    "before the seal": UNSEALED_HEAD + "\r\n",
+    "before the seal, with a body": UNSEALED_HEAD + "\r\nid: 1\ndata: x\n\n",
+    "in the status line": "HTTP/1.1 20",
+    "in a body": HEAD + "Content-Length: 9\r\n\r\nid: 1",
+}
+
+
+@pytest.mark.parametrize(
+    "path", ["/notes/1", "/bills/1", "/slips/1", "/prints/1"]
+)
+@pytest.mark.parametrize("head", CUT_HEADS)
+def test_a_head_that_was_cut_is_no_answer(fleet, head, path):
+    script(fleet, CUT_HEADS[head])
+    found = fleet.send_online("r1", path)
+    assert found.status == 502
+    assert "Response-Seal" not in found.headers
