Streams under way at a cut go on through peers sooner; tests of relays

While a daemon reaches no engine itself, an attempt that does not go through a peer counts as stalled after 0.5 s in place of 1.0 s: callers leave a stream after 2 s.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -22,6 +22,9 @@
 # An attempt is abandoned if it has no event for this long and the request may
 # be attempted again. Callers abandon a stream after 2 s without an event.
 STALL_TIMEOUT_S = 1.0
+# The same while this daemon reaches no engine itself, for attempts that do not
+# go through a peer.
+STRANDED_STALL_TIMEOUT_S = 0.5
 # Events of a stream from which an engine's pace is judged.
 PACE_EVENTS_MIN = 6
 # Expected wait (s) while no hub answers and all engines named a limit.
@@ -629,11 +632,10 @@
     def receive(self, call):
         """Returns the next part of an engine's response.
 
-        Returns None at the request's deadline, or after STALL_TIMEOUT_S
-        without progress unless this is the last attempt allowed. Raises
+        Returns None at the request's deadline, or after a time without
+        progress unless this is the last attempt allowed. Raises
         CallerDisconnected.
         """
-        stalled_at_s = self._progress_s + STALL_TIMEOUT_S
         while True:
             if self._is_disconnected():
                 raise CallerDisconnected
@@ -642,13 +644,19 @@
                 return None
             if (
                 not self.history.is_last_execution
-                and time.monotonic() > stalled_at_s
+                and time.monotonic() > self._stalled_at_s(call)
             ):
                 return None
             part = call.read(min(READ_POLL_S, left_s))
             if part is not None:
                 return part
 
+    def _stalled_at_s(self, call):
+        """Returns when an attempt counts as stalled without progress."""
+        if self._paths.is_stranded and not call.is_relayed:
+            return self._progress_s + STRANDED_STALL_TIMEOUT_S
+        return self._progress_s + STALL_TIMEOUT_S
+
     def close(self, response, outcome=None):
         """Closes the connection of an attempt; may be called repeatedly.
 
--- a/tests/cutnetwork.py
+++ b/tests/cutnetwork.py
@@ -100,6 +100,8 @@
 def _reset(sock):
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        # Wakes the thread that reads from it.
+        sock.shutdown(socket.SHUT_RD)
         sock.close()
     except OSError:
         # It was closed before.
--- a/tests/test_stranded.py
+++ b/tests/test_stranded.py
@@ -5,10 +5,14 @@
 or go on.
 """
 
+import concurrent.futures
+import http.client
 import time
 
 import pytest
 
+from samphirepost_bench import entryfleet
+from samphirepost_bench import streamengine
 from tests import cutnetwork
 from tests import entryhelper
 
@@ -103,3 +107,157 @@
     at_others = try_each(fleet, others, "other")
     assert at_others == 1.0
     assert at_stranded >= SERVED_SHARE_MIN * at_others
+
+
+def send_all(fleet, daemons, names, path):
+    """Sends a request to each daemon at a time; returns the started Futures.
+
+    Returns once all of them have reached engines.
+    """
+    executor = concurrent.futures.ThreadPoolExecutor(len(names))
+    futures = {
+        name: executor.submit(
+            fleet.send_online, name, path, daemons[i % len(daemons)]
+        )
+        for i, name in enumerate(names)
+    }
+    entryhelper.wait_until(
+        lambda: all(fleet.ran(name) for name in names), "all have begun"
+    )
+    return futures
+
+
+# Streams under way at the cut were given up late, as the daemon took the
+# silence of all its engines for that of each.
+@pytest.mark.parametrize("opened", ["silent", "reset"])
+def test_streams_under_way_at_the_cut_go_on_through_peers(fleet, opened):
+    for engine in fleet.engines:
+        engine.events, engine.event_interval_s = 20, 0.05
+    stranded, _ = choose(fleet, 2, False)
+    names = [f"r{number}" for number in range(6)]
+    futures = send_all(fleet, stranded, names, "/notes/1")
+    fleet.strand(stranded, "hang", opened)
+    for name, fut in futures.items():
+        reply = fut.result()
+        assert (reply.status, reply.complete) == (200, True)
+        assert reply.text == fleet.engines[0].text(name)
+
+
+# Connections that live on while new ones are refused are left to end.
+def test_streams_that_live_on_are_left_to_end(fleet):
+    for engine in fleet.engines:
+        engine.events, engine.event_interval_s = 20, 0.05
+    stranded, _ = choose(fleet, 2, False)
+    names = [f"r{number}" for number in range(6)]
+    futures = send_all(fleet, stranded, names, "/bills/1")
+    fleet.strand(stranded, "refuse", "live")
+    for name, fut in futures.items():
+        assert fut.result().complete
+        assert fleet.ran(name) == 1
+
+
+# A request that runs at most once must not run again, nor be called not run.
+def test_a_request_that_was_cut_while_it_ran_is_not_run_again(fleet):
+    for engine in fleet.engines:
+        engine.faults.append(streamengine.Fault.SILENT)
+    stranded, _ = choose(fleet, 2, False)
+    futures = send_all(fleet, stranded, ["r0", "r1"], "/bills/1")
+    fleet.strand(stranded, "hang", "reset")
+    for name, fut in futures.items():
+        assert fut.result().status in (502, 504)
+        assert fleet.ran(name) == 1
+
+
+def test_stranded_daemons_make_no_engine_suspect(fleet):
+    stranded, _ = choose(fleet, 3, False)
+    hub = fleet.daemons[fleet.hub()]
+    health = hub.slots.hub_server._allocator.health
+    blamed = []
+    record = health.record_failure
+    health_class = type(health)
+
+    def record_and_tell(self, engine_id, vm, now_s):
+        blamed.append(engine_id)
+        record(engine_id, vm, now_s)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(health_class, "record_failure", record_and_tell)
+        fleet.strand(stranded)
+        try_each(fleet, stranded, "early")
+        wait_until_contact()
+    assert blamed == []
+
+
+def test_items_of_a_stranded_holder_are_done(fleet):
+    stranded, _ = choose(fleet, 3, True)
+    fleet.strand(stranded)
+    assert fleet.submit("job", 20, stranded[0]).status == 202
+    entryhelper.wait_until(
+        lambda: fleet.complete_results("job", stranded[1]), "the job is done"
+    )
+
+
+# What cannot be served is refused at once, and truthfully.
+def test_with_all_daemons_stranded_nothing_is_sent_until_a_path_is_back(
+    fleet,
+):
+    everyone = list(range(DAEMONS))
+    fleet.strand(everyone)
+    try_each(fleet, everyone, "early")
+    wait_until_contact()
+    for number in everyone:
+        reply = fleet.send_online(f"late-{number}", daemon=number)
+        assert reply.status == 503
+        assert float(reply.headers["Retry-After"]) > 0
+        assert fleet.ran(f"late-{number}") == 0
+    fleet.networks[0].heal()
+    entryhelper.wait_until(
+        lambda: not fleet.daemons[0].paths.is_doubtful, "a path is back"
+    )
+    for number in everyone:
+        entryhelper.wait_until(
+            lambda one=number: (
+                fleet.send_online(
+                    f"back-{one}-{time.monotonic()}", daemon=one
+                ).status
+                == 200
+            ),
+            "served through the one that is back",
+        )
+
+
+# The peer that helps is stranded next.
+def test_another_peer_helps_when_the_first_is_stranded_too(fleet):
+    stranded, others = choose(fleet, 2, False)
+    fleet.strand(stranded)
+    wait_until_contact()
+    try_each(fleet, stranded, "first")
+    fleet.strand(others[:1])
+    wait_until_contact()
+    assert try_each(fleet, stranded, "second") >= SERVED_SHARE_MIN
+
+
+def test_the_engine_is_left_when_a_relayed_caller_leaves(fleet):
+    stranded, _ = choose(fleet, 3, False)
+    fleet.strand(stranded)
+    try_each(fleet, stranded, "early")
+    for engine in fleet.engines:
+        engine.faults.append(streamengine.Fault.SILENT)
+    address = fleet.daemons[stranded[0]].cfg.listen.callers
+    conn = http.client.HTTPConnection(address)
+    headers = {
+        "Host": entryfleet.HOSTNAME,
+        "Request-Id": "r1",
+        "Deadline-Ms": "60000",
+    }
+    conn.request("POST", "/bills/1", b"prompt", headers)
+    entryhelper.wait_until(lambda: fleet.ran("r1"), "the request runs")
+    conn.close()
+    entryhelper.wait_until(
+        lambda: any(engine.disconnected.is_set() for engine in fleet.engines),
+        "the engine sees the connection closed",
+    )
+    helpers = [daemon.engine_relay for daemon in fleet.daemons]
+    entryhelper.wait_until(
+        lambda: all(one.is_idle for one in helpers), "no relayed run is left"
+    )
