--- a/tests/entryhelper.py
+++ b/tests/entryhelper.py
@@ -6,12 +6,15 @@
 import threading
 import time
 
+from samphirepost import batchjob
 from samphirepost_bench import entryfleet
 from samphirepost_bench import fleet as fleet_module
 from samphirepost_bench import storeserver
 from samphirepost_bench import streamengine
 from samphirepost_daemon.entry import core
 from samphirepost_daemon.entry import engineclient
+from samphirepost_daemon.entry import holdermessages
+from samphirepost_daemon.entry import items
 from samphirepost_daemon.entry import settings
 from samphirepost_daemon.entry import wiring
 
@@ -66,6 +69,21 @@
         return failure or call.send(*request)
 
 
+def run_item(item, engine, partial):
+    """Runs an item at an engine without a holder; returns the outcome."""
+    record = batchjob.Record("job", "h", "r", item.path, (item,))
+    run = holdermessages.ItemRun(1, ("h", "job"), 0, engine, partial)
+    return items.run_item(
+        DirectPaths(),
+        record,
+        item,
+        engine,
+        run,
+        lambda: False,
+        items.RunObserver(),
+    )
+
+
 class RawServer:
     """A TCP server on loopback; a subclass serves each connection.
 
@@ -278,6 +296,19 @@
         }
         return self.call("POST", path, request_headers, body, daemon)
 
+    def send_and_leave(self, request, daemon=0):
+        """Sends a request, and leaves once it runs at an engine."""
+        address = self.daemons[daemon].cfg.listen.callers
+        conn = http.client.HTTPConnection(address)
+        headers = {
+            "Host": entryfleet.HOSTNAME,
+            "Request-Id": request,
+            "Deadline-Ms": "60000",
+        }
+        conn.request("POST", "/bills/1", b"prompt", headers)
+        wait_until(lambda: self.ran(request), "the request runs")
+        conn.close()
+
     def submit(self, job, count, daemon=0, prompt="own:9"):
         """Submits a batch job with `count` items; returns the Reply."""
         items = [
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -17,7 +17,6 @@
 from samphirepost_bench import entryfleet
 from samphirepost_daemon.entry import boundedhttp
 from samphirepost_daemon.entry import engineclient
-from samphirepost_daemon.entry import holdermessages
 from samphirepost_daemon.entry import items
 from samphirepost_daemon.entry import log
 from samphirepost_daemon.entry import metrics
@@ -241,20 +240,8 @@
     """Bytes that complete no event do not extend its time."""
     server = serve(CHUNKED_HEAD, b"1\r\n:\r\n", pause_s=TRICKLE_S)
     item = batchjob.Item("r1", "/", {}, b"", 1)
-    record = batchjob.Record("job", "h", "r", "/", (item,))
     engine = roster.Engine("e0", "plants", server.address, "a", 8)
-    run = holdermessages.ItemRun(
-        1, ("h", "job"), 0, engine, batchjob.PartialOutput()
-    )
-    outcome = items.run_item(
-        entryhelper.DirectPaths(),
-        record,
-        item,
-        engine,
-        run,
-        lambda: False,
-        items.RunObserver(),
-    )
+    outcome = entryhelper.run_item(item, engine, batchjob.PartialOutput())
     assert isinstance(outcome, items.InterruptedRun)
     assert outcome.is_engine_failure
     assert server.closed.wait(entryhelper.WAIT_S)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -151,16 +151,7 @@
     """
     for engine in fleet.engines:
         engine.faults.append(Fault.SILENT)
-    address = fleet.daemons[0].cfg.listen.callers
-    conn = http.client.HTTPConnection(address)
-    headers = {
-        "Host": entryfleet.HOSTNAME,
-        "Request-Id": "r1",
-        "Deadline-Ms": "60000",
-    }
-    conn.request("POST", "/bills/1", b"prompt", headers)
-    entryhelper.wait_until(lambda: fleet.ran("r1"), "the request runs")
-    conn.close()
+    fleet.send_and_leave("r1")
     entryhelper.wait_until(
         lambda: any(engine.disconnected.is_set() for engine in fleet.engines),
         "the engine sees the connection closed",
--- a/tests/test_stranded.py
+++ b/tests/test_stranded.py
@@ -6,12 +6,10 @@
 """
 
 import concurrent.futures
-import http.client
 import time
 
 import pytest
 
-from samphirepost_bench import entryfleet
 from samphirepost_bench import streamengine
 from tests import cutnetwork
 from tests import entryhelper
@@ -243,16 +241,7 @@
     try_each(fleet, stranded, "early")
     for engine in fleet.engines:
         engine.faults.append(streamengine.Fault.SILENT)
-    address = fleet.daemons[stranded[0]].cfg.listen.callers
-    conn = http.client.HTTPConnection(address)
-    headers = {
-        "Host": entryfleet.HOSTNAME,
-        "Request-Id": "r1",
-        "Deadline-Ms": "60000",
-    }
-    conn.request("POST", "/bills/1", b"prompt", headers)
-    entryhelper.wait_until(lambda: fleet.ran("r1"), "the request runs")
-    conn.close()
+    fleet.send_and_leave("r1", stranded[0])
     entryhelper.wait_until(
         lambda: any(engine.disconnected.is_set() for engine in fleet.engines),
         "the engine sees the connection closed",
--- a/tests/test_unframed.py
+++ b/tests/test_unframed.py
@@ -5,7 +5,6 @@
 from samphirepost import batchjob
 from samphirepost import roster
 from samphirepost_bench import streamengine
-from samphirepost_daemon.entry import holdermessages
 from samphirepost_daemon.entry import items
 from tests import entryhelper
 
@@ -80,20 +79,10 @@
 def test_an_item_whose_engine_ends_after_the_head_is_interrupted():
     server = HeadServer()
     item = batchjob.Item("i1", "/evening/1", {}, b"body", 10)
-    record = batchjob.Record("j1", "shop.example", "r", "/evening/", (item,))
     partial = batchjob.PartialOutput()
     assert partial.append_event(1, b"text")
     engine = roster.Engine("e1", "plants", server.address, "a", 8)
-    run = holdermessages.ItemRun(1, ("h", "j1"), 0, engine, partial)
-    outcome = items.run_item(
-        entryhelper.DirectPaths(),
-        record,
-        item,
-        engine,
-        run,
-        lambda: False,
-        items.RunObserver(),
-    )
+    outcome = entryhelper.run_item(item, engine, partial)
     server.stop()
     assert isinstance(outcome, items.InterruptedRun)
     assert (outcome.lost, outcome.has_head) == (True, True)
