A daemon that missed an engine only for a peer tests it again

Found by reading: the path monitor waits without a limit while every engine is reached; an engine that could not be reached for a peer's order did not wake it. A daemon that learned of a cut in this way doubted its paths, and used peers, until a request of its own failed, after the cut as well. A failed connection now wakes the thread. The test failed before.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/pathmonitor.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/pathmonitor.py
@@ -22,6 +22,8 @@
 CONNECT_TIMEOUT_S = 0.15
 # Time for a peer to connect to an engine and to test its path (s).
 PEER_TIMEOUT_S = 2 * CONNECT_TIMEOUT_S + 0.1
+# In place of a LostRun: an engine was not reached, so a test will be due.
+WAKE_UP = None
 # Peers that are asked about an engine, one after the other.
 PEERS_ASKED_MAX = 2
 
@@ -91,6 +93,8 @@
         except OSError:
             self._paths.record_unreached(engine.id, time.monotonic())
             self._publish()
+            # The thread may wait without a time limit.
+            self._lost.put(WAKE_UP)
             raise
         if self._paths.record_reached(engine.id, time.monotonic()):
             self._parts.log.event("path.restored", engine=engine.id)
@@ -152,21 +156,24 @@
 
     def work(self):
         """Waits for lost runs, or until a test is due, and does the work."""
+        for runs in self._take_lost().values():
+            self._diagnose(runs)
+        self._test_unreached()
+
+    def _take_lost(self):
+        """Waits for the first LostRun; returns all that wait, by engine."""
         wait_s = None
         if self._paths.unreached():
             wait_s = enginepaths.TEST_INTERVAL_S / 2
-        lost = collections.defaultdict(list)
+        found = collections.defaultdict(list)
         try:
-            first = self._lost.get(timeout=wait_s)
-            lost[first.engine.id].append(first)
+            lost_run = self._lost.get(timeout=wait_s)
             while True:
-                one = self._lost.get_nowait()
-                lost[one.engine.id].append(one)
+                if lost_run is not WAKE_UP:
+                    found[lost_run.engine.id].append(lost_run)
+                lost_run = self._lost.get_nowait()
         except queue.Empty:
-            pass
-        for runs in lost.values():
-            self._diagnose(runs)
-        self._test_unreached()
+            return found
 
     def _diagnose(self, runs):
         """Finds out why runs at one engine were lost."""
--- a/tests/test_enginerelay.py
+++ b/tests/test_enginerelay.py
@@ -1,6 +1,7 @@
 """Tests what a daemon relays to engines for peers, and what it refuses."""
 
 import io
+import socket
 import types
 
 import pytest
@@ -8,10 +9,12 @@
 from samphirepost import codec
 from samphirepost import relays
 from samphirepost import roster
+from samphirepost_daemon.entry import engineclient
 from samphirepost_daemon.entry import enginerelay
 from samphirepost_daemon.entry import pathmonitor
 from samphirepost_daemon.entry import tunnel
 from samphirepost_daemon.entry import wiring
+from tests import entryhelper
 
 PEER = "10.0.0.2"
 
@@ -138,3 +141,21 @@
 def test_an_answer_without_an_opening_is_no_answer():
     parts = feed(HEAD + b"0\r\n\r\n")
     assert isinstance(parts[-1], tunnel.Broken)
+
+
+# A daemon that learned only from a peer's order that it does not reach an
+# engine tested it no more: it doubted its paths until it was restarted.
+def test_an_engine_that_was_not_reached_for_a_peer_is_tested_again():
+    relay = Relay()
+    paths = relay.parts.paths
+    paths.start()
+    assert relay.status(tunnel.RelayOrder("e0", 1.0)) == 503
+    assert paths.is_doubtful
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        address = f"127.0.0.1:{server.getsockname()[1]}"
+        relay.parts.dialer = lambda _, timeout_s: engineclient.dial(
+            address, timeout_s
+        )
+        entryhelper.wait_until(
+            lambda: not paths.is_doubtful, "the engine is reached again"
+        )
