Tests: the path monitors of a fleet end with it

They went on testing the engines of fleets that were stopped, some forty of them at the end of a run, and took a core: the last tests of a whole run were several times slower than alone.

--- a/tests/entryhelper.py
+++ b/tests/entryhelper.py
@@ -15,6 +15,7 @@
 from samphirepost_daemon.entry import engineclient
 from samphirepost_daemon.entry import holdermessages
 from samphirepost_daemon.entry import items
+from samphirepost_daemon.entry import pathmonitor
 from samphirepost_daemon.entry import settings
 from samphirepost_daemon.entry import wiring
 
@@ -127,6 +128,14 @@
     raise SystemExit
 
 
+def _stop_threads(daemon):
+    """Makes a daemon's threads exit that would run until the process ends."""
+    daemon.actor.stop()
+    daemon.slots._receive = _exit_thread
+    daemon.paths.work = _exit_thread
+    daemon.paths.report_lost(pathmonitor.WAKE_UP)
+
+
 class Fleet:
     """Entry daemons with emulators of the store and engines, on loopback."""
 
@@ -243,8 +252,7 @@
         self._stopped.set()
         self._ticker.join()
         for daemon in self.daemons:
-            daemon.actor.stop()
-            daemon.slots._receive = _exit_thread
+            _stop_threads(daemon)
             for watcher in daemon.watchers:
                 watcher.poll_once = _exit_thread
             for listener in (daemon.callers, daemon.readiness, daemon.relay):
@@ -281,8 +289,7 @@
         """Replaces all daemons, as if every VM was lost at once."""
         count = len(self.daemons)
         for daemon in self.daemons:
-            daemon.actor.stop()
-            daemon.slots._receive = _exit_thread
+            _stop_threads(daemon)
         self.daemons[:] = [self.start(f"again-{i}") for i in range(count)]
 
     def send_online(
