A relayed request that was sent in part is not called unsent

Found by reading the change: the peer connected and sent in one step, and answered any failure of it as if nothing had been sent. The daemon with the caller then sent the request again, or answered 503, though an engine might have had it; on routes that run at most once this breaks both promises. The peer now says that it is connected before it sends, and a send that fails ends the answer early: the attempt may have run. The test failed before.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/enginerelay.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/enginerelay.py
@@ -145,17 +145,15 @@
         self._sock = None
 
     def open(self, paths, engine):
-        """Connects to the engine and sends the data; raises OSError."""
+        """Connects to the engine; raises OSError."""
         self._sock = paths.dial(engine)
-        if self._order.data:
-            self._sock.settimeout(engineclient.SEND_TIMEOUT_S)
-            self._sock.sendall(self._order.data)
-        self._sock.setblocking(False)
 
     def __iter__(self):
+        # From here on the engine may have the request.
         yield tunnel.OPENED
         if not self._order.data:
             return
+        self._send()
         poller = select.poll()
         poller.register(self._sock, select.POLLIN)
         received = 0
@@ -173,6 +171,14 @@
             yield data
         raise RelayCut("the response is too long")
 
+    def _send(self):
+        try:
+            self._sock.settimeout(engineclient.SEND_TIMEOUT_S)
+            self._sock.sendall(self._order.data)
+            self._sock.setblocking(False)
+        except OSError as exc:
+            raise RelayCut(f"send: {exc}") from exc
+
     def _receive(self):
         try:
             return self._sock.recv(engineclient.RECEIVE_BYTES_MAX)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/tunnel.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/tunnel.py
@@ -1,7 +1,7 @@
 """The client's side of a request that a peer relays to an engine.
 
 The peer gets a RelayOrder in an HTTP request and connects to the engine. Its
-response has status 200 once it has sent the order's data there; the body is
+response has status 200 once it is about to send the order's data; the body is
 then OPENED, followed by the engine's bytes as they arrive, and ends when the
 engine closes the connection. Any other status means that nothing was sent.
 """
@@ -59,7 +59,7 @@
 class Tunnel:
     """Frames one relayed request; has no connection of its own.
 
-    `is_open` once the peer has sent the request to the engine.
+    `is_open` once the peer may have sent the request to the engine.
     """
 
     __slots__ = ("_conn", "_head", "_host", "is_open")
--- a/tests/test_enginerelay.py
+++ b/tests/test_enginerelay.py
@@ -159,3 +159,41 @@
         entryhelper.wait_until(
             lambda: not paths.is_doubtful, "the engine is reached again"
         )
+
+
+class HalfSocket:
+    """A connection to an engine that fails while the request is sent."""
+
+    def settimeout(self, timeout_s):
+        """Does nothing."""
+
+    def setblocking(self, flag):
+        """Does nothing."""
+
+    def sendall(self, data):
+        """Fails; the engine may have the request by now."""
+        raise ConnectionResetError
+
+    def close(self):
+        """Does nothing."""
+
+
+# A refusal means that nothing was sent: a request that runs at most once was
+# sent again, or called not run, though the engine might have had it.
+def test_a_request_that_was_sent_in_part_is_not_refused():
+    relay = Relay()
+    relay.parts.dialer = lambda *_: HalfSocket()
+    order = tunnel.RelayOrder("e0", 1.0, data=b"request")
+    environ = {
+        "wsgi.input": io.BytesIO(codec.pack(order)),
+        "REMOTE_ADDR": PEER,
+    }
+    statuses = []
+    body = relay.app(environ, lambda status, _: statuses.append(status))
+    assert statuses == ["200 OK"]
+    chunks = iter(body)
+    assert next(chunks) == tunnel.OPENED
+    with pytest.raises(enginerelay.RelayCut):
+        next(chunks)
+    body.close()
+    assert relay.app.is_idle
