--- a/review/3/case.py
+++ b/review/3/case.py
@@ -25,6 +25,8 @@
 DRAINING_AT_S = 10.0
 TRAFFIC_S = 20.0
 DRAIN_S = 2.0
+# Afterwards one more daemon is started; how long it may take is only recorded.
+READY_WAIT_S = 10.0
 # An entry of another writer: bytes that cannot be read.
 DEPTH = 3000
 UNREADABLE = b'{"load": ' + b"[" * DEPTH
@@ -69,6 +71,18 @@
     return time.monotonic()
 
 
+async def add_daemon(fleet):
+    """Starts one more daemon and records whether it becomes ready."""
+    added = standins.Daemon("vm-added", fleet.store, fleet.folder)
+    fleet.daemons.append(added)
+    await added.start()
+    try:
+        await fleet.wait_ready(added, READY_WAIT_S)
+        fleet.record.line("an added daemon is ready")
+    except TimeoutError:
+        fleet.record.line("an added daemon is not ready in", READY_WAIT_S, "s")
+
+
 async def script(record, trouble):
     """Runs the case; returns the exit status."""
     fleet = standins.Fleet(record)
@@ -94,6 +108,7 @@
             record.line(daemon.name, "logged faults:", len(faults))
             for line in faults[:3]:
                 record.line(daemon.name, line["where"], line["error"])
+        await add_daemon(fleet)
         return 1 if late else 0
     finally:
         await fleet.stop()
