--- a/review/2/case.py
+++ b/review/2/case.py
@@ -27,8 +27,8 @@
 # The largest dose of `garble` in the site file; each spell and its pause (s).
 GARBLE_ENGINES_SHARE = 0.6
 GARBLE_ANSWERS_SHARE = 0.03
-GARBLE_S = 5.5
-GARBLE_PAUSE_S = 0.5
+GARBLE_S = 5.0
+GARBLE_PAUSE_S = 1.0
 
 
 class Garble:
