A failed takeover of a job is tried again at the stored revision

Cause: before an attempt the job was recorded as observed at revision -1, to restart the wait for its holder; only a change of the row brought the true revision back, and a failed attempt changes nothing. Ruled out: damaged rows (a new daemon takes the jobs over), a store held to be out (other calls work).

Now an attempt in progress is a state of its own, ended by its outcome in all cases, and the revision stays. Before: the new tests time out or lack the state.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -133,6 +133,9 @@
         self._hold_job(message.open_job, message.record, "submitted")
 
     def _hold_taken_over_job(self, message):
+        open_job = message.open_job
+        key = (open_job.host, open_job.job_id)
+        self._observer.end_takeover(key, time.monotonic())
         self._hold_job(
             message.open_job,
             message.record,
@@ -711,20 +714,24 @@
             now_s, self._held_jobs, self._member_ids(), self._parts.me
         )
         for key in abandoned[:TAKEOVERS_PER_SCAN_MAX]:
-            observed = self._observer.get(key)
+            observed = self._observer.begin_takeover(key)
             host, job_id = key
             open_job = jobstore.OpenJob(
                 host, job_id, observed.revision, observed.progress, 0
             )
-            # -1 differs from every stored revision, so that the observer
-            # records a change and the wait for the job's holder restarts.
-            self._observer.observe(key, -1, observed.progress, now_s)
             self._call_store(self._take_over_job, open_job)
 
     def _take_over_job(self, open_job):
-        takeover = self._takeovers.take_over(open_job)
-        if takeover is not None:
-            self.actor_ref.tell(takeover)
+        """Tells the actor the outcome in any case, as it waits for it."""
+        outcome = holdermessages.TakeoverFailed(open_job.host, open_job.job_id)
+        try:
+            outcome = self._takeovers.take_over(open_job) or outcome
+        finally:
+            self.actor_ref.tell(outcome)
+
+    def _end_failed_takeover(self, message):
+        key = (message.host, message.job_id)
+        self._observer.end_takeover(key, time.monotonic())
 
     def _stop_holding(self, _):
         """Stops starting items and releases the held jobs for takeover."""
@@ -750,6 +757,7 @@
 _HANDLERS = {
     holdermessages.HoldJob: "_hold_submitted_job",
     holdermessages.JobTakeover: "_hold_taken_over_job",
+    holdermessages.TakeoverFailed: "_end_failed_takeover",
     holdermessages.DropJob: "_drop_job",
     holdermessages.Tick: "_tick",
     holdermessages.SlotGranted: "_use_grant",
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holdermessages.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holdermessages.py
@@ -144,5 +144,12 @@
     partial_outputs: dict[int, batchjob.PartialOutput]
 
 
+class TakeoverFailed(msgspec.Struct, frozen=True):
+    """Reports that an attempt to take a job over has failed."""
+
+    host: str
+    job_id: str
+
+
 class Stop(msgspec.Struct, frozen=True):
     """Tells the actor to start nothing new and to release the held jobs."""
--- a/packages/samphirepost/src/samphirepost/batchjob.py
+++ b/packages/samphirepost/src/samphirepost/batchjob.py
@@ -43,6 +43,9 @@
 # written.
 NON_MEMBER_TAKEOVER_S = 1.0
 
+# Pause between two attempts of one daemon to take the same job over (s).
+TAKEOVER_RETRY_S = 1.5
+
 
 class FinalStatus(enum.Enum):
     """The final status of an item."""
@@ -571,11 +574,17 @@
 
 
 class ObservedJob(msgspec.Struct):
-    """The last observed state of an open job, and when it changed."""
+    """The last observed state of an open job, and when it changed.
+
+    While `is_taken_over`, an attempt of this daemon is in progress; after a
+    failed one, none is made before `next_takeover_s`.
+    """
 
     revision: int
     progress: Progress
     changed_s: float
+    is_taken_over: bool = False
+    next_takeover_s: float = 0.0
 
 
 class JobObserver:
@@ -589,8 +598,33 @@
     def observe(self, key, revision, progress, now_s):
         """Records an open job's current revision and progress."""
         known = self._jobs.get(key)
-        if known is None or known.revision != revision:
+        if known is None:
             self._jobs[key] = ObservedJob(revision, progress, now_s)
+        elif known.revision != revision:
+            known.revision = revision
+            known.progress = progress
+            known.changed_s = now_s
+            known.next_takeover_s = now_s
+
+    def begin_takeover(self, key):
+        """Records that an attempt to take a job over begins.
+
+        Returns the job's observed state, on which the attempt is based.
+        """
+        job = self._jobs[key]
+        job.is_taken_over = True
+        return job
+
+    def end_takeover(self, key, now_s):
+        """Records that an attempt has ended.
+
+        If it failed, the next one follows after TAKEOVER_RETRY_S, so that it
+        does not keep this daemon from other jobs.
+        """
+        job = self._jobs.get(key)
+        if job is not None:
+            job.is_taken_over = False
+            job.next_takeover_s = now_s + TAKEOVER_RETRY_S
 
     def remove(self, key):
         """Removes a job that is no longer open."""
@@ -624,12 +658,10 @@
         ]
         return hashing.ranked(me, found)
 
-    def get(self, key):
-        """Returns the last observed state of an open job, or None."""
-        return self._jobs.get(key)
-
 
 def _is_abandoned(job, now_s, members):
+    if job.is_taken_over or now_s < job.next_takeover_s:
+        return False
     holder = job.progress.holder
     unchanged_s = now_s - job.changed_s
     if not holder or unchanged_s >= TAKEOVER_S:
--- a/tests/test_batchjob.py
+++ b/tests/test_batchjob.py
@@ -348,6 +348,36 @@
     assert found == [(HOST, "job")]
 
 
+def test_a_failed_takeover_is_tried_again_at_the_stored_revision():
+    """Else a job whose first takeover fell into an outage is never run."""
+    observer = batchjob.JobObserver()
+    progress = batchjob.Progress("evening", "vm1", 1, 100, 0, 0)
+    key = (HOST, "job")
+    observer.observe(key, 5, progress, 0.0)
+    lost_s = batchjob.TAKEOVER_S
+    assert observer.jobs_to_take_over(lost_s, {}, None, "vm2") == [key]
+    assert observer.begin_takeover(key).revision == 5
+    late_s = lost_s + 100.0
+    assert observer.jobs_to_take_over(late_s, {}, None, "vm2") == []
+    observer.end_takeover(key, late_s)
+    assert observer.jobs_to_take_over(late_s, {}, None, "vm2") == []
+    retry_s = late_s + batchjob.TAKEOVER_RETRY_S
+    assert observer.jobs_to_take_over(retry_s, {}, None, "vm2") == [key]
+    assert observer.begin_takeover(key).revision == 5
+
+
+def test_a_job_that_cannot_be_taken_over_does_not_hold_up_others():
+    """A daemon takes few jobs over at a time, in an order that is fixed."""
+    observer = batchjob.JobObserver()
+    progress = batchjob.Progress("evening", "", 1, 100, 0, 0)
+    observer.observe((HOST, "one"), 5, progress, 0.0)
+    observer.observe((HOST, "two"), 6, progress, 0.0)
+    first, second = observer.jobs_to_take_over(0.0, {}, None, "vm2")
+    observer.begin_takeover(first)
+    observer.end_takeover(first, 0.0)
+    assert observer.jobs_to_take_over(0.1, {}, None, "vm2") == [second]
+
+
 def test_a_holder_with_an_unresolved_commit_starts_nothing(rows):
     """Another daemon may hold the job by then and run the same items."""
     job_store = jobstore.JobStore(rows, "vm1", ROW_BYTES)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -10,6 +10,7 @@
 from samphirepost import errors
 from samphirepost import loadshare
 from samphirepost_bench import entryfleet
+from samphirepost_bench import streamengine
 from samphirepost_daemon.entry import jobstore
 from samphirepost_daemon.entry import log
 from samphirepost_daemon.entry import members
@@ -29,6 +30,14 @@
     new_fleet.stop()
 
 
+@pytest.fixture
+def pair():
+    """Two daemons with two engines."""
+    new_fleet = entryhelper.Fleet(daemons=2)
+    yield new_fleet
+    new_fleet.stop()
+
+
 def raise_once(function):
     """Returns `function`, which raises an exception at its first call."""
     calls = []
@@ -65,6 +74,55 @@
     assert scanned.wait(entryhelper.WAIT_S)
 
 
+def fail_once(monkeypatch, owner, name):
+    """Makes the first call of a method fail as in an outage of the store."""
+    method = getattr(owner, name)
+    failed = threading.Event()
+
+    def wrapper(*args):
+        if failed.is_set():
+            return method(*args)
+        failed.set()
+        return errors.Failure(errors.Kind.PLATFORM_OUT, "503")
+
+    monkeypatch.setattr(owner, name, wrapper)
+
+
+@pytest.mark.parametrize("call", ["read_record", "take_over"])
+def test_a_takeover_that_failed_in_an_outage_is_tried_again(
+    pair, monkeypatch, call
+):
+    """Else the jobs of a lost daemon are never run, though the store is back.
+
+    The failed attempt left a revision behind that no row has.
+    """
+    for engine in pair.engines:
+        engine.faults.extend([streamengine.Fault.SILENT] * 3)
+    assert pair.submit("j1", 3).status == 202
+    entryhelper.wait_until(lambda: pair.ran("j1-0"), "an item runs")
+    fail_once(monkeypatch, jobstore.JobStore, call)
+    pair.daemons[0].actor.stop()
+    entryhelper.wait_until(
+        lambda: pair.complete_results("j1", daemon=1),
+        "the other daemon completes the job",
+    )
+
+
+def test_a_fault_in_a_takeover_does_not_leave_it_pending(pair, monkeypatch):
+    """Else this daemon would never try again to take the job over."""
+    for engine in pair.engines:
+        engine.faults.extend([streamengine.Fault.SILENT] * 3)
+    assert pair.submit("j1", 3).status == 202
+    entryhelper.wait_until(lambda: pair.ran("j1-0"), "an item runs")
+    take_over = raise_once(jobstore.JobStore.take_over)
+    monkeypatch.setattr(jobstore.JobStore, "take_over", take_over)
+    pair.daemons[0].actor.stop()
+    entryhelper.wait_until(
+        lambda: pair.complete_results("j1", daemon=1),
+        "the other daemon completes the job",
+    )
+
+
 def test_a_member_row_that_cannot_be_read_is_skipped():
     """The other members are still known."""
     selector = loadshare.HubSelector()
