A job that was lost to another daemon stays observed

Callers: a job whose new holder fails before its next write is not run again by the daemon that held it before, which may be the only one left.

Cause: dropping a held job also ended its observation, until the next change of its row. Only the removal of the row ends it now. The new test timed out before; it passes after.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -170,7 +170,6 @@
     def _drop_job(self, message):
         key = (message.host, message.job_id)
         held_job = self._held_jobs.pop(key, None)
-        self._observer.remove(key)
         if held_job is None:
             return
         self._count_jobs()
@@ -683,6 +682,7 @@
             )
             self._drop_if_taken_over(key, open_job)
         for host, job_id in closed_keys:
+            self._observer.remove((host, job_id))
             self._drop_job(holdermessages.DropJob(host, job_id, "closed"))
         self._take_over_abandoned_jobs(now_s)
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -5,8 +5,11 @@
 import sys
 import threading
 
+import msgspec
 import pytest
 
+from samphirepost import batchjob
+from samphirepost import codec
 from samphirepost import errors
 from samphirepost import loadshare
 from samphirepost_bench import entryfleet
@@ -108,6 +111,25 @@
     )
 
 
+def test_a_job_lost_to_a_daemon_that_fails_at_once_is_taken_back(fleet):
+    """Else nobody runs it, if this daemon is the only one left.
+
+    The new holder, whose write came late, never writes again.
+    """
+    for engine in fleet.engines:
+        engine.faults.extend([streamengine.Fault.SILENT] * 3)
+    assert fleet.submit("j1", 3).status == 202
+    entryhelper.wait_until(lambda: fleet.ran("j1-0"), "an item runs")
+    rows = fleet.store.store
+    key = store.Key("open", entryfleet.HOSTNAME, "j1")
+    progress = codec.unpack(rows.rows[key][0], batchjob.Progress)
+    lost = msgspec.structs.replace(progress, holder="vm-gone")
+    rows.commit(store.Transaction({}, {key: codec.pack(lost)}))
+    entryhelper.wait_until(
+        lambda: fleet.complete_results("j1"), "the job is done"
+    )
+
+
 def test_a_fault_in_a_takeover_does_not_leave_it_pending(pair, monkeypatch):
     """Else this daemon would never try again to take the job over."""
     for engine in pair.engines:
