An aborted call reports no end of the response

Cause: an item that loses its slot is stopped by shutting its socket down; for an answer without a length the reader takes that for the engine's end. Ruled out: engines that end early, wrong resumption (answers in chunks are right).

A call that was aborted now ends with a failure for whoever reads.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineclient.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineclient.py
@@ -88,6 +88,7 @@
         "_conn",
         "_failures",
         "_informational",
+        "_is_aborted",
         "_is_ended",
         "_is_unframed",
         "_received_bytes",
@@ -97,6 +98,7 @@
 
     def __init__(self):
         self._informational = 0
+        self._is_aborted = False
         self._is_ended = False
         self._is_unframed = False
         self._received_bytes = 0
@@ -251,6 +253,10 @@
                 )
             )
             return True
+        if not data and self._is_aborted:
+            # This side ended the connection, not the engine.
+            self._failures.append(CallFailure("aborted"))
+            return True
         self._received_bytes += len(data)
         if self._received_bytes > RESPONSE_BYTES_MAX:
             self._failures.append(CallFailure("the response is too long"))
@@ -290,8 +296,10 @@
     def abort(self):
         """Ends the connection, upon which the engine drops the request.
 
-        A thread that waits in read() then gets a CallFailure.
+        A thread that waits in read() then gets a CallFailure, also for a
+        response without a length, which the end of the connection completes.
         """
+        self._is_aborted = True
         sock = self._sock
         if sock is None:
             return
