--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/boundedhttp.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/boundedhttp.py
@@ -42,13 +42,19 @@
 
     @contextlib.contextmanager
     def guard(self, sock, deadline_s):
-        """Guards a socket while a response is read from it."""
+        """Guards a socket while a response is read from it.
+
+        Raises TimeoutError at the end if the connection was ended meanwhile:
+        a response without a length would seem complete.
+        """
         key = next(self._ids)
         self._guarded[key] = (sock, deadline_s)
         try:
             yield
         finally:
-            self._guarded.pop(key, None)
+            is_open = self._guarded.pop(key, None) is not None
+        if not is_open:
+            raise TimeoutError("the response took too long")
 
     def check(self, now_s):
         """Ends the overdue connections; called at regular intervals."""
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -180,6 +180,16 @@
     assert server.closed.wait(entryhelper.WAIT_S)
 
 
+def test_an_object_whose_transfer_was_ended_is_not_whole(serve, watchdog):
+    """Without a length, the end of the connection would complete it."""
+    server = serve(b"HTTP/1.1 200 OK\r\n\r\n", b"x", pause_s=TRICKLE_S)
+    found = client.StoreClient(
+        server.address, metrics.Metrics(), watchdog
+    ).get_object("o")
+    assert isinstance(found, errors.Failure)
+    assert found.outcome is errors.Outcome.UNKNOWN
+
+
 def test_a_connection_that_has_ended_is_not_touched():
     """Its descriptor may belong to another connection by then."""
     guard = boundedhttp.Watchdog(log.Log("vm"))
--- a/tests/test_unframed.py
+++ b/tests/test_unframed.py
@@ -164,9 +164,7 @@
     headers = [("Host", "h"), ("Content-Length", "0")]
     assert call.send("POST", "/evening/1", headers, b"") is None
     assert event_server.sent.wait(entryhelper.WAIT_S)
-    assert isinstance(
-        call.read(entryhelper.WAIT_S), engineclient.ResponseHead
-    )
+    assert isinstance(call.read(entryhelper.WAIT_S), engineclient.ResponseHead)
     call.abort()
     parts = []
     while not (parts and isinstance(parts[-1], engineclient.CallFailure)):
