A stopping daemon exits only after it has closed its listeners

Cause: the last look for requests in progress and the end of accepting were two steps. Ruled out: requests in progress that the look does not see.

The thread that reads now ends the accepting, closes unused connections and leaves those in use their answer; the exit follows.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/core.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/core.py
@@ -15,6 +15,9 @@
 TICK_INTERVAL_S = 0.05
 # The process exits this long before SIGKILL, even if work is in progress.
 EXIT_MARGIN_S = 0.5
+# Shortest time for closing the listeners (s), which is otherwise what is left
+# until the exit.
+CLOSE_MIN_S = 0.1
 # A request takes up to this long (s), so none is accepted later than that
 # before the exit: callers still come if most daemons of a zone are unready.
 LAST_REQUEST_S = 3.0
@@ -105,9 +108,20 @@
         is_idle = daemon.callers.idle and daemon.engine_relay.is_idle
         if can_stop and is_idle and not daemon.state.held_jobs:
             break
+    is_clean = close_listeners(daemon, deadline_s)
     daemon.log.event(
         "daemon.stopped",
-        clean=daemon.callers.idle,
+        clean=is_clean,
         held_jobs=daemon.state.held_jobs,
     )
     daemon.log.close()
+
+
+def close_listeners(daemon, deadline_s):
+    """Stops accepting, and waits until what was read is answered.
+
+    Returns whether that was so for all requests by `deadline_s`.
+    """
+    deadline_s = max(deadline_s, time.monotonic() + CLOSE_MIN_S)
+    listeners = (daemon.callers, daemon.relay)
+    return all([one.close(deadline_s) for one in listeners])
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/listener.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/listener.py
@@ -1,12 +1,15 @@
 """HTTP listener: a waitress server that starts its threads on demand."""
 
 import threading
+import time
 
 import waitress
 from waitress import task
+from waitress import wasyncore
 
 FLUSH_POLL_S = 0.02
 FLUSH_MAX_S = 5.0
+CLOSE_POLL_S = 0.01
 # Connections that may wait for accept: those of a burst of one second.
 BACKLOG = 1024
 
@@ -93,6 +96,38 @@
             for channel in list(self._server.active_channels.values())
         )
 
+    def close(self, deadline_s):
+        """Stops accepting; closes each connection once it is not in use.
+
+        Requests that were read are answered. What is read and what is closed
+        is decided in one thread, so that no request is read and then cut.
+        Returns whether all connections were closed before `deadline_s`.
+        """
+        pause = threading.Event()
+        while True:
+            closed = threading.Event()
+            self._server.trigger.pull_trigger(
+                lambda closed=closed: self._close_unused(closed)
+            )
+            if closed.wait(max(0.0, deadline_s - time.monotonic())):
+                if not self._server.active_channels:
+                    return True
+            if time.monotonic() >= deadline_s:
+                return False
+            pause.wait(CLOSE_POLL_S)
+
+    def _close_unused(self, closed):
+        """Called by the listener's thread, which accepts and reads."""
+        if self._server.accepting:
+            self._server.accepting = False
+            wasyncore.dispatcher.close(self._server)
+        for channel in list(self._server.active_channels.values()):
+            is_reading = channel.request is not None
+            if is_reading or channel.requests or channel.total_outbufs_len:
+                continue
+            channel.handle_close()
+        closed.set()
+
     def flush(self):
         """Waits until all responses are sent, at most FLUSH_MAX_S."""
         pause = threading.Event()
--- a/tests/entryhelper.py
+++ b/tests/entryhelper.py
@@ -137,9 +137,13 @@
 
 
 class Fleet:
-    """Entry daemons with emulators of the store and engines, on loopback."""
+    """Entry daemons with emulators of the store and engines, on loopback.
 
-    def __init__(self, engines=2, daemons=1, versions=("v1",)):
+    `stops` are the daemons' settings `stop_s` and `unready_s`.
+    """
+
+    def __init__(self, engines=2, daemons=1, versions=("v1",), **stops):
+        self._stops = stops
         self.store = storeserver.StoreServer()
         self.store.start()
         self.engines = []
@@ -230,6 +234,7 @@
             store=settings.StoreSettings(self.store.address),
             peer_address="127.0.0.1",
             peer_port=fleet_module.free_port(),
+            **self._stops,
         )
         daemon = wiring.Daemon(cfg)
         core.start(daemon)
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -1,7 +1,9 @@
 """Tests that a listener starts threads only as requests need them."""
 
 import http.client
+import socket
 import threading
+import time
 
 import pytest
 
@@ -56,6 +58,16 @@
     return status == 200
 
 
+def is_refused(address):
+    """Whether a new connection is refused."""
+    host, _, port = address.rpartition(":")
+    try:
+        socket.create_connection((host, int(port))).close()
+    except ConnectionRefusedError:
+        return True
+    return False
+
+
 def test_requests_one_after_the_other_share_a_thread(running_listener):
     """An idle thread must be reused for the next request."""
     server, app, address = running_listener
@@ -77,3 +89,32 @@
     app.may_answer.set()
     assert all(is_answered(conn) for conn in conns)
     assert server.thread_count == THREADS_MAX
+
+
+def test_a_closed_listener_has_answered_what_it_read(running_listener):
+    """Else the exit that follows cuts a request that was read before it."""
+    server, app, address = running_listener
+    conns = [send_request(address) for _ in range(2)]
+    for _ in conns:
+        assert app.arrivals.acquire(timeout=entryhelper.WAIT_S)
+    assert not server.close(time.monotonic())
+    entryhelper.wait_until(
+        lambda: is_refused(address), "no connection is accepted"
+    )
+    app.may_answer.set()
+    assert all(is_answered(conn) for conn in conns)
+    assert server.close(time.monotonic() + entryhelper.WAIT_S)
+
+
+def test_a_connection_without_a_request_does_not_keep_a_listener_open(
+    running_listener,
+):
+    """Its caller learns at once that it has to go elsewhere."""
+    server, _, address = running_listener
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port))) as sock:
+        entryhelper.wait_until(
+            lambda: server._server.active_channels, "the connection is open"
+        )
+        assert server.close(time.monotonic() + entryhelper.WAIT_S)
+        assert sock.recv(1) == b""
