A request in progress at the exit is answered, not cut

The exit counts as a deadline of each request, so that it gets 502, 504 or a 503 that is true shortly before. The new test failed before, as the drain returned with the request in progress; it passes after.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -187,8 +187,12 @@
         return self.history.executions + self._is_answered
 
     def left_s(self):
-        """Returns the time left until the deadline (s)."""
-        return self.deadline_s - time.monotonic()
+        """Returns the time left until the deadline or the exit (s)."""
+        deadline_s = self.deadline_s
+        exit_s = self._state.exit_s
+        if exit_s is not None:
+            deadline_s = min(deadline_s, exit_s)
+        return deadline_s - time.monotonic()
 
     def open_response(self, resume_after):
         """Attempts the request until an engine responds.
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from samphirepost_bench import streamengine
 from samphirepost_daemon.entry import core
 from tests import entryhelper
 
@@ -139,3 +140,27 @@
     fleet.stop()
     assert reply.status == 503
     assert fleet.arrived("late") == 0
+
+
+# An operator's report: what was in progress at the end of a stop was closed
+# without an answer.
+def test_a_request_in_progress_at_the_exit_is_answered():
+    """504 promises nothing; a closed connection says even less.
+
+    The request came long before the stop, and its engine has not answered.
+    """
+    fleet = entryhelper.Fleet(stop_s=2.5, unready_s=0.0)
+    (daemon,) = fleet.daemons
+    for engine in fleet.engines:
+        engine.faults.extend([streamengine.Fault.SILENT] * 8)
+    replies = []
+    sender = threading.Thread(
+        target=lambda: replies.append(fleet.send_online("long", "/bills/1"))
+    )
+    sender.start()
+    entryhelper.wait_until(lambda: fleet.arrived("long"), "it runs")
+    core.drain(daemon)
+    assert daemon.callers.idle
+    sender.join()
+    fleet.stop()
+    assert [reply.status for reply in replies] == [504]
