Without the store, one version is what all daemons know, not one of them

Cause: the base counted as the only version while the registry had been read within 20 s. Ruled out: records read late, peers that are cut off too.

The daemons report pools with another version to the hub, which announces the union once all members told theirs; without a fresh announcement a take-up is refused as not run.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
@@ -8,6 +8,7 @@
 
 from samphirepost import allocator
 from samphirepost import judge
+from samphirepost import otherversions
 from samphirepost import quarantine
 from samphirepost import slotmessages
 
@@ -25,6 +26,8 @@
 # to all daemons (s), and more for each daemon: many report crashes at once.
 CAUSES_ANNOUNCEMENT_INTERVAL_S = 0.1
 CAUSES_ANNOUNCEMENT_PER_DAEMON_S = 0.0002
+# Interval at which the hub looks at the versions that the daemons reported.
+VERSIONS_INTERVAL_S = 0.1
 # Interval at which the hub logs its loads (s), and the shortest one between
 # two lines about suspect engines.
 LOG_INTERVAL_S = 2.0
@@ -53,7 +56,10 @@
         self._next_announcement_s = 0.0
         self._next_judgement_s = 0.0
         self._next_causes_s = 0.0
-        self._has_new_causes = False
+        self._has_news = False
+        self._versions = otherversions.ReportedVersions()
+        self._other_versions = None
+        self._next_versions_s = 0.0
         self._logged_suspects = set()
         self._next_suspects_log_s = 0.0
         self.decided = None
@@ -63,6 +69,7 @@
         """Applies a daemon's report; answers with totals if they are due."""
         self._apply_evidence(report, now_s)
         self._apply_limits(report, now_s)
+        self._versions.apply(report.vm, report.other_versions)
         report = self._without_probes(report, now_s)
         self._send_all(self._allocator.apply_report(report, address, now_s))
         sent_s = self._totals_sent_s.get(address, 0.0)
@@ -103,7 +110,7 @@
         ]
         if new:
             self._log.event("causes.suspected", causes=new, reporter=report.vm)
-            self._has_new_causes = True
+            self._has_news = True
 
     def _apply_begun(self, begun, reporter, now_s):
         cleared_before = self._judge.cleared_count
@@ -123,14 +130,27 @@
 
     def decide_causes(self, now_s):
         """Quarantines what crashes engines; announces what is new."""
-        if self._judge.is_idle:
-            return
-        if now_s >= self._next_judgement_s:
+        if not self._judge.is_idle and now_s >= self._next_judgement_s:
             self._next_judgement_s = now_s + JUDGE_INTERVAL_S
             self._decide(now_s)
-        if self._has_new_causes and now_s >= self._next_causes_s:
+        self._announce_news(now_s)
+
+    def collect_versions(self, now_s):
+        """Collects in which pools any daemon knows more than one version."""
+        if now_s < self._next_versions_s:
+            return
+        self._next_versions_s = now_s + VERSIONS_INTERVAL_S
+        found = self._versions.union(self._hub_selector.members)
+        if found == self._other_versions:
+            return
+        self._other_versions = found
+        self._has_news = True
+        self._log.event("hub.versions", other_versions=found)
+
+    def _announce_news(self, now_s):
+        if self._has_news and now_s >= self._next_causes_s:
             reporters = self._allocator.reporters()
-            self._has_new_causes = False
+            self._has_news = False
             self._next_causes_s = now_s + max(
                 CAUSES_ANNOUNCEMENT_INTERVAL_S,
                 CAUSES_ANNOUNCEMENT_PER_DAEMON_S * len(reporters),
@@ -147,7 +167,7 @@
                 left_s=round(decided.until_s - now_s, 1),
                 first_crash_s=round(now_s - decided.since_s, 3),
             )
-            self._has_new_causes = True
+            self._has_news = True
             self.decided(cause, decided)
 
     def _without_probes(self, report, now_s):
@@ -179,7 +199,8 @@
         """Drops lost daemons and grants free slots to what waits."""
         if now_s >= self._next_drop_s:
             self._next_drop_s = now_s + DROP_INTERVAL_S
-            self._allocator.drop_stale_reporters(now_s)
+            for vm in self._allocator.drop_stale_reporters(now_s):
+                self._versions.remove(vm)
             self._allocator.limits.forget(now_s)
         if not self._is_informed(now_s):
             return
@@ -236,6 +257,7 @@
             self._judge.suspects(),
             self._allocator.limits.all_rates(),
             tuple(self._judge.on_probation),
+            self._other_versions,
         )
         self._send(address, totals)
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -14,6 +14,7 @@
 from samphirepost import codec
 from samphirepost import crashes
 from samphirepost import loadshare
+from samphirepost import otherversions
 from samphirepost import slotmessages
 from samphirepost_daemon.entry import hub
 from samphirepost_daemon.platform import wire
@@ -84,6 +85,10 @@
         self._observations = parts.observations
         self._limits = parts.limits
         self._parts = parts
+        self._known_versions = otherversions.KnownVersions(
+            parts.state.roster, parts.bases
+        )
+        self._announced_versions = otherversions.AnnouncedVersions()
         self._failed_engines = []
         self._suspects = ()
         self._begun_known = {}
@@ -212,6 +217,10 @@
             self._failed_engines.append(engine_id)
         self._send_report()
 
+    def has_one_version(self, pool):
+        """Whether no daemon knows another version than the pool's base."""
+        return self._announced_versions.has_one_version(pool, _boottime_s())
+
     def report(self):
         """Sends a report now, before the next one is due."""
         self._send_report()
@@ -282,9 +291,13 @@
 
     def _work(self, now_s):
         self._select_hub(now_s)
+        pools = self._parts.state.pools()
+        if self._known_versions.refresh(pools, now_s):
+            self._send_report()
         if now_s >= self._next_report_s:
             self._send_report()
         self.hub_server.allocate(now_s)
+        self.hub_server.collect_versions(now_s)
         self.hub_server.decide_causes(now_s)
         if self._hub.vm == self._me:
             self.hub_server.announce_and_log(now_s)
@@ -325,6 +338,7 @@
                 self._limits.to_report(now_s),
                 self._own_paths(),
                 tuple(failed[:FAILED_MAX]),
+                self._known_versions.pools,
             )
             self._send(address, report)
 
@@ -377,6 +391,9 @@
             if message.vm == self._hub.vm:
                 self._load_tracker.record_others(message.counts, now_s)
                 self._limits.announce(message.limits)
+                self._announced_versions.record(
+                    message.other_versions, _boottime_s()
+                )
                 self._apply_suspects(message, now_s)
         elif isinstance(message, slotmessages.Preemption):
             self._metrics.preemptions.inc(len(message.ids))
@@ -411,3 +428,8 @@
         elif not self._load_tracker.is_running(reply.id):
             # Its request went elsewhere, or its caller left.
             self.end_run(reply.id, slotmessages.Outcome.UNKNOWN)
+
+
+def _boottime_s():
+    """Returns the time of a clock that runs while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/versiontable.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/versiontable.py
@@ -110,6 +110,7 @@
     def __init__(self, client, parts, clock):
         self._store = client
         self._state = parts.state
+        self._slots = parts.slots
         self._bases = parts.bases
         self._log = parts.log
         self._clock = clock
@@ -174,6 +175,7 @@
             self._bases.get(pool),
             self._state.roster.recent_versions(pool, now_s),
             self._state.registry_age_s(now_s),
+            self._slots.has_one_version(pool),
         )
 
     def _read(self, pool, request_id):
--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -289,7 +289,11 @@
         return [(reporter.address, message)]
 
     def drop_stale_reporters(self, now_s):
-        """Drops daemons that no longer report, with all their runs."""
+        """Drops daemons that no longer report, with all their runs.
+
+        Returns their VMs.
+        """
+        dropped = []
         for vm, reporter in list(self._reporters.items()):
             if now_s - reporter.received_s > REPORT_STALE_S:
                 for run_id in list(reporter.run_ids):
@@ -297,8 +301,10 @@
                 del self._reporters[vm]
                 self._wanting.discard(vm)
                 self.relays.remove(vm)
+                dropped.append(vm)
         if not self._reporters:
             self._first_report_s = None
+        return dropped
 
     def reporters(self):
         """Returns the VMs and addresses of the daemons that report."""
--- a/packages/samphirepost/src/samphirepost/roster.py
+++ b/packages/samphirepost/src/samphirepost/roster.py
@@ -37,7 +37,8 @@
     An entry that is missing or removed while the registry is not yet stable
     after an outage is pending removal: its engine stays usable until
     RESTORE_GRACE_S after the end of the outage. `last_read_s` is the instant
-    of the last successful read, or None.
+    of the last successful read, or None. `change_count` counts the engines
+    that came and left.
     """
 
     __slots__ = (
@@ -47,6 +48,7 @@
         "_restored_s",
         "_unavailable",
         "_versions_left_s",
+        "change_count",
         "last_read_s",
     )
 
@@ -57,6 +59,7 @@
         self._pending_removal = {}
         self._unavailable = False
         self._restored_s = None
+        self.change_count = 0
         self.last_read_s = None
 
     def record_outage(self):
@@ -84,6 +87,7 @@
             self._remove(engine.id, now_s)
         self._listed_s.setdefault(engine.id, now_s)
         self._engines[engine.id] = engine
+        self.change_count += known is None or known != engine
         self._pending_removal.pop(engine.id, None)
 
     def apply_removal(self, engine_id, now_s):
@@ -171,4 +175,5 @@
         self._pending_removal.pop(engine_id, None)
         self._listed_s.pop(engine_id, None)
         if engine is not None:
+            self.change_count += 1
             self._versions_left_s[engine.pool, engine.version] = now_s
--- a/packages/samphirepost/src/samphirepost/slotmessages.py
+++ b/packages/samphirepost/src/samphirepost/slotmessages.py
@@ -120,7 +120,8 @@
     `crashes` and `limits` may come in several reports; `begun` answers the
     last Totals.suspects and has quarantined causes. `failed` has the ids of
     engines that turned out to be at fault for runs that ended before, one for
-    each run.
+    each run. `other_versions` are the pools in which the daemon knows of
+    engines of a version other than the base, or None.
     """
 
     vm: str
@@ -133,6 +134,7 @@
     limits: tuple[NamedLimit, ...] = ()
     paths: Paths = NO_PATHS
     failed: tuple[str, ...] = ()
+    other_versions: tuple[str, ...] | None = None
 
 
 class SlotRequest(msgspec.Struct, frozen=True, array_like=True, tag=12):
@@ -216,7 +218,8 @@
     Requests with a cause of crashes that is `quarantined` must not be sent to
     engines, those with one `on_probation` only as a probe. `suspects` are the
     causes for which the hub asks whether answers have begun. `limits` are the
-    rates (requests a second) that engines named.
+    rates (requests a second) that engines named. `other_versions` are the
+    pools that any daemon named in a Report, or None if some daemon named none.
     """
 
     vm: str
@@ -225,6 +228,7 @@
     suspects: tuple[str, ...] = ()
     limits: dict[str, float] = {}
     on_probation: tuple[str, ...] = ()
+    other_versions: tuple[str, ...] | None = None
 
 
 Message = Report | SlotRequest | Grant | Queued | Denial | Preemption | Totals
--- a/packages/samphirepost/src/samphirepost/streamversions.py
+++ b/packages/samphirepost/src/samphirepost/streamversions.py
@@ -24,8 +24,8 @@
 RECORD_KEPT_S = 60.0
 # A version is remembered for this long (s) after its last engine has left.
 VERSION_KEPT_S = 60.0
-# Without an answer of the registry for this long (s), engines of another
-# version may have started unseen.
+# Without an answer of the registry for this long (s), the base may have
+# changed unseen.
 REGISTRY_STALE_S = 20.0
 
 
@@ -66,17 +66,22 @@
 
 
 class Bases:
-    """What a daemon knows of the base versions, last read at `read_s`."""
+    """What a daemon knows of the base versions, last read at `read_s`.
 
-    __slots__ = ("_by_pool", "read_s")
+    `change_count` counts the changes.
+    """
+
+    __slots__ = ("_by_pool", "change_count", "read_s")
 
     def __init__(self):
         self._by_pool = {}
+        self.change_count = 0
         self.read_s = None
 
     def replace(self, by_pool, now_s):
         """Replaces all bases, a dict of PoolBase by pool."""
         self._by_pool = dict(by_pool)
+        self.change_count += 1
         self.read_s = now_s
 
     def update(self, changes, now_s):
@@ -85,6 +90,7 @@
         self._by_pool = {
             pool: base for pool, base in merged.items() if base is not None
         }
+        self.change_count += bool(changes)
         self.read_s = now_s
 
     def get(self, pool):
@@ -118,12 +124,15 @@
     return Known(base.version, "base")
 
 
-def version_without_store(base, recent_versions, registry_age_s):
-    """Returns Known or Unknown for a stream while the store is out.
+def version_without_store(
+    base, recent_versions, registry_age_s, has_one_version
+):
+    """Returns Known or Unknown for a stream while the store is out here.
 
-    Known if the base was the only version of late: no engine of another one
-    can have been listed since the registry was last read. `base` is the
-    PoolBase last read, or None; `recent_versions` are those of the pool.
+    Known if no daemon knows of engines of a version other than the base.
+    `base` is the PoolBase last read, or None; `recent_versions` are those of
+    the pool's engines that this daemon knows. `has_one_version` tells whether
+    all daemons know no other one either: they may still reach the store.
     """
     if base is None or base.record_all:
         return Unknown("the store is out")
@@ -131,6 +140,8 @@
         return Unknown("the store is out and the pool has several versions")
     if registry_age_s is None or registry_age_s > REGISTRY_STALE_S:
         return Unknown("the store is out for long")
+    if not has_one_version:
+        return Unknown("other daemons may know of another version")
     return Known(base.version, "single version")
 
 
--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -73,10 +73,12 @@
         assert found == streamversions.Known("v1", "base")
 
     def test_streams_go_on_while_the_store_is_out(self):
-        """No other version can have come meanwhile."""
+        """If no daemon knows of another version; some may reach the store."""
         base = streamversions.PoolBase("v1", 0)
-        found = streamversions.version_without_store(base, {"v1"}, 5.0)
+        found = streamversions.version_without_store(base, {"v1"}, 5.0, True)
         assert found.version == "v1"
+        found = streamversions.version_without_store(base, {"v1"}, 0.0, False)
+        assert isinstance(found, streamversions.Unknown)
 
 
 class TestTwoVersions:
@@ -113,7 +115,7 @@
             (None, {"v1"}, 1.0),
         ):
             found = streamversions.version_without_store(
-                base_read, versions, age_s
+                base_read, versions, age_s, True
             )
             assert isinstance(found, streamversions.Unknown)
 
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from samphirepost_bench import entryfleet
+from samphirepost_bench import fleet as fleet_module
 from samphirepost_bench import streamengine
 from tests import entryhelper
 
@@ -183,6 +185,87 @@
     take_up(streams)
 
 
+def common_hub(fleet):
+    """Returns the VM id of the hub of all daemons, or None."""
+    hubs = {
+        one.slots.hub_vm if one.slots.hub_answers else None
+        for one in fleet.daemons
+    }
+    return hubs.pop() if len(hubs) == 1 else None
+
+
+def isolate(fleet, daemon):
+    """Cuts a daemon off from the store and from the other daemons."""
+    others = [one for one in fleet.daemons if one is not daemon]
+    entryhelper.wait_until(
+        lambda: daemon.parts.bases.get(entryfleet.POOL), "the base is known"
+    )
+    daemon.store._client._port = fleet_module.free_port()
+    daemon.store._members = dict
+    daemon.slots._send = lambda *_: None
+    daemon.slots._apply_datagram = lambda *_: None
+    entryhelper.wait_until(
+        lambda: all(one._in_outage for one in daemon.watchers),
+        "no feed is open",
+    )
+    return others
+
+
+# An operator's report: a release began while one VM was cut off for seconds.
+# It took the version that it had read last for the only one, and streams that
+# had begun elsewhere at the new version went on there at the old one.
+def test_a_daemon_that_is_cut_off_joins_no_streams_of_two_versions(fleet):
+    hub = entryhelper.wait_until(
+        lambda: common_hub(fleet), "all daemons have the same hub"
+    )
+    fleet.daemons.sort(key=lambda one: one.parts.me != hub)
+    cut_off = fleet.daemons[-1]
+    add_engines_unseen(fleet, isolate(fleet, cut_off))
+    streams = []
+    for number in range(12):
+        for engine in fleet.engines:
+            engine.faults.clear()
+            engine.faults.append(streamengine.Fault.CUT)
+        stream, _ = entryhelper.wait_until(
+            lambda number=number: begin_stream(fleet, number % 2),
+            "a stream has begun",
+        )
+        streams.append(stream)
+    for engine in fleet.engines:
+        engine.faults.clear()
+    assert set().union(*(one.versions for one in streams)) == {OLD, NEW}
+    for stream in streams:
+        reply = stream.send(DAEMONS - 1)
+        assert len(stream.versions) == 1
+        if reply.status != 200:
+            assert reply.status == 503
+
+
+def add_engines_unseen(fleet, daemons):
+    """Adds engines of the new version that only some daemons learn of."""
+    for _ in range(2):
+        engine = fleet.add_engine(NEW)
+        for daemon in daemons:
+            entryhelper.wait_until(
+                lambda one=daemon, engine=engine: one.state.roster.get(
+                    engine.name
+                ),
+                f"{engine.name} is listed",
+            )
+
+
+# Refusing all of them would be no way out.
+def test_streams_go_on_while_the_store_is_out_for_all(fleet):
+    streams = begin_streams(fleet, 6)
+    for daemon in fleet.daemons:
+        entryhelper.wait_until(
+            lambda one=daemon: one.slots.has_one_version(entryfleet.POOL),
+            "all daemons told their versions",
+        )
+    fleet.store.unavailable = True
+    assert len(take_up(streams)) == len(streams)
+
+
 # An item's output so far was kept without the version that wrote it.
 def test_an_item_is_not_joined_from_two_versions(fleet):
     for engine in fleet.engines:
