A row that cannot be read names nothing, whatever decoding it raises

Cause: each decoder caught its own exceptions, so that deep nesting and text that is not UTF-8 ended the following of a table; ports and numbers out of range were taken for an engine's and failed later, in connecting and in packing reports. Ruled out: failures of other rows of the same page.

One place decodes and returns a failure; one parses addresses; entries are bounded. Rows of jobs that cannot be read are skipped with a log line. Before: entries nested, with port 70000 or a start of 31 digits, and odd rows of members and jobs fail the new tests. After: they pass.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/enginerelay.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/enginerelay.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from samphirepost import codec
 from samphirepost import relays
 from samphirepost_daemon.entry import engineclient
 from samphirepost_daemon.entry import tunnel
@@ -81,7 +82,7 @@
         """Answers one order; see tunnel for the response."""
         try:
             order = _order_decoder.decode(environ["wsgi.input"].read())
-        except msgspec.DecodeError:
+        except codec.UNREADABLE:
             return self._refuse(start_response, "unreadable", 400)
         engine = self._parts.state.roster.get(order.engine)
         if not self._is_member(environ.get("REMOTE_ADDR")):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/jobstore.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/jobstore.py
@@ -103,10 +103,14 @@
 
 
 class JobStore:
-    """Access to the jobs in the store; thread-safe."""
+    """Access to the jobs in the store; thread-safe.
 
-    def __init__(self, client, daemon_id, row_bytes_max):
+    Rows that cannot be read are skipped and logged, if there is a `log`.
+    """
+
+    def __init__(self, client, daemon_id, row_bytes_max, log=None):
         self._store = client
+        self._log = log
         self._daemon_id = daemon_id
         self._chunker = chunks.Chunker(row_bytes_max)
         self._head_cache = LruCache(CACHED_HEADS_MAX)
@@ -214,8 +218,8 @@
             return page
         tokens = 0
         for row in page.rows:
-            progress = codec.unpack(row.value, batchjob.Progress)
-            if progress.route == route.name:
+            progress = self._read_row(row, batchjob.Progress)
+            if progress is not None and progress.route == route.name:
                 tokens += progress.waiting_tokens
         return page.store_ms, tokens
 
@@ -229,7 +233,9 @@
             return row.as_not_run()
         if row is None:
             return JobNotFound()
-        head = codec.unpack(row.value, batchjob.Head)
+        head = codec.read(row.value, batchjob.Head)
+        if isinstance(head, errors.Failure):
+            return head
         self._head_cache.put((host, job_id), head)
         return head
 
@@ -249,7 +255,9 @@
         results = []
         size = 0
         for data in self._chunker.join(page.rows, page.more):
-            result = codec.unpack(data, batchjob.Result)
+            result = codec.read(data, batchjob.Result)
+            if isinstance(result, errors.Failure):
+                return result
             size += len(result.text)
             if results and size > RESULTS_TEXT_BYTES_MAX:
                 break
@@ -267,7 +275,9 @@
         data = self._read_record_bytes(host, job_id, head)
         if isinstance(data, errors.Failure):
             return data.as_not_run()
-        record = codec.unpack(data, batchjob.Record)
+        record = codec.read(data, batchjob.Record)
+        if isinstance(record, errors.Failure):
+            return record
         self._record_cache.put((host, job_id), record)
         return record
 
@@ -293,7 +303,10 @@
             return page
         partials = {}
         for row in page.rows:
-            checkpoint = codec.unpack(row.value, batchjob.Checkpoint)
+            checkpoint = self._read_row(row, batchjob.Checkpoint)
+            if checkpoint is None:
+                # Those that follow it are not restored either.
+                continue
             partial = partials.setdefault(
                 checkpoint.index, batchjob.PartialOutput()
             )
@@ -422,9 +435,7 @@
                 return page
             if revision is None or page.revision < revision:
                 revision = page.revision
-            open_jobs.extend(
-                _decode_open_job(row, page.store_ms) for row in page.rows
-            )
+            open_jobs.extend(self._decode_open_jobs(page.rows, page.store_ms))
         return open_jobs, revision
 
     def read_changes(self, after):
@@ -436,20 +447,40 @@
         found = self._store.read_changes("open", after, 0.0)
         if isinstance(found, (errors.Failure, store.HistoryCompacted)):
             return found
-        changed = [
-            _decode_open_job(row, found.store_ms)
-            for row in found.rows
-            if not row.deleted
-        ]
+        changed = self._decode_open_jobs(
+            [row for row in found.rows if not row.deleted], found.store_ms
+        )
         closed = [
             (row.key.part, row.key.key) for row in found.rows if row.deleted
         ]
         return changed, closed, found.revision
 
-
-def _decode_open_job(row, store_ms):
-    progress = codec.unpack(row.value, batchjob.Progress)
-    return OpenJob(row.key.part, row.key.key, row.revision, progress, store_ms)
+    def _decode_open_jobs(self, rows, store_ms):
+        open_jobs = []
+        for row in rows:
+            progress = self._read_row(row, batchjob.Progress)
+            if progress is not None:
+                key = row.key
+                open_jobs.append(
+                    OpenJob(
+                        key.part, key.key, row.revision, progress, store_ms
+                    )
+                )
+        return open_jobs
+
+    def _read_row(self, row, kind):
+        """Returns the value in a row, or None if it cannot be read."""
+        value = codec.read(row.value, kind)
+        if not isinstance(value, errors.Failure):
+            return value
+        if self._log is not None:
+            self._log.failure(
+                "job.unusable",
+                table=row.key.table,
+                key=row.key.key,
+                reason=value.reason,
+            )
+        return None
 
 
 def _result_key(job_id, position):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/members.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/members.py
@@ -2,6 +2,7 @@
 
 import threading
 
+from samphirepost import addresses
 from samphirepost import errors
 from samphirepost_daemon.entry import store
 
@@ -49,13 +50,16 @@
 
     def _decode(self, row):
         """Returns the VM id and address in a row; logs a malformed row."""
+        address = addresses.parse(row.key.key)
+        if isinstance(address, errors.Failure):
+            return self._log_unusable(row, address.reason)
         try:
-            return row.value.decode(), _parse_address(row.key.key)
-        except ValueError as exc:
-            self._log.failure(
-                "member.unusable", key=row.key.key, reason=str(exc)
-            )
-            return None
+            return row.value.decode(), address
+        except UnicodeDecodeError as exc:
+            return self._log_unusable(row, str(exc))
+
+    def _log_unusable(self, row, reason):
+        self._log.failure("member.unusable", key=row.key.key, reason=reason)
 
 
 class MembershipWriter(threading.Thread):
@@ -88,8 +92,3 @@
         result = self._store.commit(store.Transaction({}, {}, (self._key,)))
         if isinstance(result, errors.Failure):
             self._log.failure("member.unremoved", reason=result.reason)
-
-
-def _parse_address(key):
-    host, _, port = key.rpartition(":")
-    return host, int(port)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/quarantinetable.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/quarantinetable.py
@@ -69,11 +69,10 @@
 
     def _decode(self, row):
         """Returns the Quarantined in a row; logs an invalid row."""
-        try:
-            stored = codec.unpack(row.value, StoredCause)
-        except msgspec.DecodeError as exc:
+        stored = codec.read(row.value, StoredCause)
+        if isinstance(stored, errors.Failure):
             self._log.failure(
-                "quarantine.unusable", key=row.key.key, reason=str(exc)
+                "quarantine.unusable", key=row.key.key, reason=stored.reason
             )
             return None
         return quarantine.Quarantined(
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/settings.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/settings.py
@@ -57,8 +57,7 @@
         "store.address": cfg.store.address,
     }
     for field, address in addresses.items():
-        host, _, port = address.rpartition(":")
-        if not host or not port.isdigit():
+        if isinstance(addresses.parse(address), errors.Failure):
             return errors.Failure(
                 errors.Kind.BAD_SETTINGS,
                 f"{path}: must be IP:PORT, not {address!r} - at `$.{field}`",
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -368,7 +368,7 @@
     def _apply_datagram(self, data, address):
         try:
             message = _message_decoder.decode(data)
-        except msgspec.DecodeError as exc:
+        except codec.UNREADABLE as exc:
             self._log.event("peer.unreadable", reason=str(exc))
             return
         now_s = time.monotonic()
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/storerelay.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/storerelay.py
@@ -153,7 +153,7 @@
         """Answers one store request of a peer."""
         try:
             request = _request_decoder.decode(environ["wsgi.input"].read())
-        except msgspec.DecodeError as exc:
+        except codec.UNREADABLE as exc:
             text = f"the call is not readable: {exc}\n".encode()
             return web.send_response(start_response, 400, text, "text/plain")
         answer = self._failover.request_directly(request)
@@ -311,7 +311,7 @@
                 headers,
             )
             answer = _answer_decoder.decode(data)
-        except (*boundedhttp.FAILURES, msgspec.DecodeError) as exc:
+        except (*boundedhttp.FAILURES, *codec.UNREADABLE) as exc:
             return self._relay_failure(
                 f"a peer did not answer: {exc!r}"
             ).as_unknown()
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/versiontable.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/versiontable.py
@@ -9,8 +9,6 @@
 import threading
 import time
 
-import msgspec
-
 from samphirepost import codec
 from samphirepost import errors
 from samphirepost import streamversions
@@ -95,13 +93,13 @@
         """Does nothing: the bases last read are still those of the streams."""
 
     def _decode(self, row):
-        try:
-            return codec.unpack(row.value, streamversions.PoolBase)
-        except msgspec.DecodeError as exc:
+        found = codec.read(row.value, streamversions.PoolBase)
+        if isinstance(found, errors.Failure):
             self._log.failure(
-                "base.unusable", key=row.key.key, reason=str(exc)
+                "base.unusable", key=row.key.key, reason=found.reason
             )
             return None
+        return found
 
 
 class StreamTable:
@@ -186,15 +184,13 @@
         base = store.read_one(self._store, base_key(pool))
         if isinstance(base, errors.Failure):
             return base
-        try:
-            return streamversions.stream_version(
-                pool,
-                record
-                and codec.unpack(record.value, streamversions.StreamRecord),
-                base and codec.unpack(base.value, streamversions.PoolBase),
-            )
-        except msgspec.DecodeError as exc:
-            return streamversions.Unknown(f"a row cannot be read: {exc}")
+        found = _read_row(record, streamversions.StreamRecord)
+        found_base = _read_row(base, streamversions.PoolBase)
+        for one in (found, found_base):
+            if isinstance(one, errors.Failure):
+                reason = f"a row cannot be read: {one.reason}"
+                return streamversions.Unknown(reason)
+        return streamversions.stream_version(pool, found, found_base)
 
 
 class BaseKeeper(threading.Thread):
@@ -277,8 +273,10 @@
 
 def _is_old(row, store_ms):
     """Whether a record is no longer needed, or cannot be read."""
-    try:
-        record = codec.unpack(row.value, streamversions.StreamRecord)
-    except msgspec.DecodeError:
-        return True
-    return record.until_ms < store_ms
+    record = codec.read(row.value, streamversions.StreamRecord)
+    return isinstance(record, errors.Failure) or record.until_ms < store_ms
+
+
+def _read_row(row, kind):
+    """Returns the value in a row, None without a row, or a Failure."""
+    return None if row is None else codec.read(row.value, kind)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -131,7 +131,7 @@
         )
         store_client = self.store
         job_store = jobstore.JobStore(
-            store_client, me, cfg.store.row_bytes_max
+            store_client, me, cfg.store.row_bytes_max, parts.log
         )
         self.actor = holder.Holder.start(
             parts, job_store, self.slots.member_ids
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/client.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/client.py
@@ -10,6 +10,7 @@
 import msgspec
 import urllib3
 
+from samphirepost import codec
 from samphirepost import errors
 from samphirepost_daemon.entry import boundedhttp
 from samphirepost_daemon.entry import store
@@ -224,10 +225,11 @@
 
 
 def _decode_response(data):
-    try:
-        return msgspec.json.decode(data, type=_RowsResponse)
-    except msgspec.DecodeError as exc:
-        return _platform_failure(f"the store's answer is not readable: {exc}")
+    found = codec.from_json(data, _RowsResponse)
+    if isinstance(found, errors.Failure):
+        reason = f"the store's answer is not readable: {found.reason}"
+        return _platform_failure(reason)
+    return found
 
 
 def _platform_failure(reason):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/registry.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/registry.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from samphirepost import addresses
+from samphirepost import codec
 from samphirepost import errors
 from samphirepost import roster
 from samphirepost import routing
@@ -19,6 +21,11 @@
 }
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 DEFAULT_SLOTS = 8
+# What an entry of an engine may name: more is not an engine's, and numbers
+# have to fit the messages between daemons.
+SLOTS_MAX = 100_000
+STARTED_MS_MAX = 2**53
+NAME_LENGTH_MAX = 200
 
 
 class _TrafficSplit(msgspec.Struct):
@@ -82,10 +89,10 @@
     """
     if row.key.key != CONFIG_KEY or row.deleted:
         return None
-    try:
-        cfg = msgspec.json.decode(row.value, type=_Config)
-    except msgspec.DecodeError as exc:
-        return errors.Failure(errors.Kind.BAD_JSON, f"configuration: {exc}")
+    cfg = codec.from_json(row.value, _Config)
+    if isinstance(cfg, errors.Failure):
+        reason = f"configuration: {cfg.reason}"
+        return errors.Failure(errors.Kind.BAD_JSON, reason)
     routes = []
     for route in cfg.routes:
         if route.kind in _ROUTE_KINDS:
@@ -129,15 +136,20 @@
 
 def decode_engine(row):
     """Returns the engine in a row, or a Failure if the entry is not valid."""
-    try:
-        found = msgspec.json.decode(row.value, type=_Server)
-    except msgspec.DecodeError as exc:
-        return _entry_failure(row, str(exc))
+    found = codec.from_json(row.value, _Server)
+    if isinstance(found, errors.Failure):
+        return _entry_failure(row, found.reason)
     if found.state not in _DRAINING_BY_STATE:
-        return _entry_failure(row, f"unknown state {found.state!r}")
-    host, _, port = found.address.rpartition(":")
-    if not host or not port.isdigit():
-        return _entry_failure(row, f"bad address {found.address!r}")
+        return _entry_failure(row, f"unknown state {found.state[:80]!r}")
+    address = addresses.parse(found.address)
+    if isinstance(address, errors.Failure):
+        return _entry_failure(row, address.reason)
+    if found.slots > SLOTS_MAX:
+        return _entry_failure(row, f"too many slots: {found.slots}")
+    if not 0 <= found.born <= STARTED_MS_MAX:
+        return _entry_failure(row, f"a start out of range: {found.born}")
+    if max(len(found.version), len(found.zone)) > NAME_LENGTH_MAX:
+        return _entry_failure(row, "a name is too long")
     return roster.Engine(
         id=row.key.key,
         pool=found.service,
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from samphirepost import batchjob
+from samphirepost import codec
 from samphirepost import errors
 from samphirepost import fingerprint
 
@@ -28,6 +29,8 @@
 PART_ID_LENGTH_MAX = 64
 SHARED_PARTS_MAX = 64
 WAIT_HEADER = "Wait-Ms"
+# Digits of the largest number in a header or query.
+NUMBER_DIGITS_MAX = 18
 
 # Hop-by-hop headers, which are not forwarded.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -292,7 +295,7 @@
             )
             for item in found.requests
         )
-    except (msgspec.DecodeError, ValueError) as exc:
+    except codec.UNREADABLE as exc:
         return errors.Failure(errors.Kind.BAD_JSON, str(exc))
     return batchjob.Record(req.id, host, route.name, req.path, items)
 
@@ -359,4 +362,5 @@
 
 def _is_number(text):
     """Whether a text is a whole number; isdigit() also takes "\u00b2"."""
-    return text.isascii() and text.isdigit()
+    is_digits = text.isascii() and text.isdigit()
+    return is_digits and len(text) <= NUMBER_DIGITS_MAX
--- a/packages/samphirepost/src/samphirepost/codec.py
+++ b/packages/samphirepost/src/samphirepost/codec.py
@@ -4,6 +4,16 @@
 
 from samphirepost import errors
 
+# Raised by msgspec for bytes that hold no value of the type: text that is not
+# UTF-8, numbers with too many digits and deep nesting included.
+UNREADABLE = (
+    msgspec.MsgspecError,
+    ValueError,
+    OverflowError,
+    RecursionError,
+)
+REASON_LENGTH_MAX = 200
+
 _packer = msgspec.msgpack.Encoder()
 
 
@@ -15,11 +25,23 @@
 def unpack(data, kind):
     """Returns the value of type `kind` decoded from MessagePack bytes.
 
-    Raises msgspec.DecodeError or msgspec.ValidationError.
+    Raises one of UNREADABLE; for bytes that this build itself has written.
     """
     return msgspec.msgpack.decode(data, type=kind)
 
 
+def read(data, kind):
+    """Returns the value of type `kind` decoded from MessagePack bytes.
+
+    Returns a Failure for bytes that cannot be read: another build, or another
+    writer, may have written them.
+    """
+    try:
+        return unpack(data, kind)
+    except UNREADABLE as exc:
+        return _unreadable(exc)
+
+
 def to_json(value):
     """Returns the JSON bytes of a typed value."""
     return msgspec.json.encode(value)
@@ -31,5 +53,9 @@
         return msgspec.json.decode(data, type=kind)
     except msgspec.ValidationError as exc:
         return errors.Failure(errors.Kind.BAD_REQUEST, str(exc))
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        return errors.Failure(errors.Kind.BAD_JSON, str(exc))
+    except UNREADABLE as exc:
+        return _unreadable(exc)
+
+
+def _unreadable(exc):
+    return errors.Failure(errors.Kind.BAD_JSON, str(exc)[:REASON_LENGTH_MAX])
