An event id of thousands of digits is no id

The new test raised before; it passes after. A Content-Length of that kind was refused before as well.

--- a/packages/samphirepost/src/samphirepost/events.py
+++ b/packages/samphirepost/src/samphirepost/events.py
@@ -5,6 +5,7 @@
 EVENT_END = b"\n\n"
 # An event has a few tokens; a longer one is not a sound stream's.
 EVENT_BYTES_MAX = 1_048_576
+ID_DIGITS_MAX = 18
 
 
 class Event(msgspec.Struct, frozen=True):
@@ -54,8 +55,12 @@
     for line in block.split(b"\n"):
         field, _, value = line.partition(b":")
         value = value.removeprefix(b" ")
-        if field == b"id" and value.isdigit():
+        if field == b"id" and _is_number(value):
             event_id = int(value)
         elif field == b"data":
             data.append(value)
     return Event(block + EVENT_END, event_id, b"\n".join(data))
+
+
+def _is_number(value):
+    return value.isdigit() and len(value) <= ID_DIGITS_MAX
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -131,6 +131,26 @@
     assert server.closed.wait(entryhelper.WAIT_S)
 
 
+DIGITS = b"9" * 5000
+LARGE_NUMBERS = {
+    "length": b"HTTP/1.1 200 OK\r\nContent-Length: " + DIGITS + b"\r\n\r\n",
+    "event id": CHUNKED_HEAD
+    + b"%x\r\nid: %s\ndata: a\n\n\r\n" % (len(DIGITS) + 14, DIGITS),
+}
+
+
+# Numbers of over 4,300 digits are not converted; that is an exception.
+@pytest.mark.parametrize("kind", LARGE_NUMBERS)
+def test_a_number_of_many_digits_is_no_answer(serve, kind):
+    """The item's run is interrupted, and its engine is at fault."""
+    server = serve(LARGE_NUMBERS[kind], b"", pause_s=TRICKLE_S)
+    item = batchjob.Item("r1", "/", {}, b"", 1)
+    engine = roster.Engine("e0", "plants", server.address, "a", 8)
+    outcome = entryhelper.run_item(item, engine, batchjob.PartialOutput())
+    assert isinstance(outcome, items.InterruptedRun)
+    assert outcome.is_engine_failure
+
+
 @pytest.mark.parametrize("kind", ENDLESS)
 def test_a_store_that_sends_without_end_is_uncertain(serve, watchdog, kind):
     """A write may have taken effect, so its outcome is unknown."""
