A message of any hub ends its exclusion

Cause: an excluded hub is selected again upon a message of it, but only those of the present hub were recorded. Ruled out: members that differ.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -380,12 +380,14 @@
             self._apply_hub_message(message, now_s)
 
     def _apply_hub_message(self, message, now_s):
-        """Applies a message of a hub; one of a former hub is outdated.
+        """Applies a message of a hub; one of another hub is outdated.
 
-        Its grants are still valid: they cost a slot in its picture only.
+        Its grants are still valid: they cost a slot in its picture only. It
+        lives, whichever hub it is, so that one that was excluded for its
+        silence can be selected again.
         """
+        self._hub.selector.record_message(message.vm, now_s)
         if message.vm == self._hub.vm:
-            self._hub.selector.record_message(message.vm, now_s)
             self._hub.answers = True
         if isinstance(message, slotmessages.Totals):
             if message.vm == self._hub.vm:
--- a/tests/entryhelper.py
+++ b/tests/entryhelper.py
@@ -266,6 +266,14 @@
         for engine in self.engines:
             engine.shutdown()
 
+    def common_hub(self):
+        """Returns the VM id of the hub of all daemons, or None."""
+        hubs = {
+            one.slots.hub_vm if one.slots.hub_answers else None
+            for one in self.daemons
+        }
+        return hubs.pop() if len(hubs) == 1 else None
+
     def ran(self, request):
         """Returns how often a request ran, over all engines."""
         return sum(engine.ran(request) for engine in self.engines)
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -185,15 +185,6 @@
     take_up(streams)
 
 
-def common_hub(fleet):
-    """Returns the VM id of the hub of all daemons, or None."""
-    hubs = {
-        one.slots.hub_vm if one.slots.hub_answers else None
-        for one in fleet.daemons
-    }
-    return hubs.pop() if len(hubs) == 1 else None
-
-
 def isolate(fleet, daemon):
     """Cuts a daemon off from the store and from the other daemons."""
     others = [one for one in fleet.daemons if one is not daemon]
@@ -216,7 +207,7 @@
 # had begun elsewhere at the new version went on there at the old one.
 def test_a_daemon_that_is_cut_off_joins_no_streams_of_two_versions(fleet):
     hub = entryhelper.wait_until(
-        lambda: common_hub(fleet), "all daemons have the same hub"
+        lambda: fleet.common_hub(), "all daemons have the same hub"
     )
     fleet.daemons.sort(key=lambda one: one.parts.me != hub)
     cut_off = fleet.daemons[-1]
