--- a/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
@@ -113,8 +113,19 @@
     def start(self):
         """Starts the process."""
         argv = [sys.executable, str(ENTRY_PROGRAM), str(self._path)]
-        log = self._folder / f"{self.name}.log"
-        self.process = fleet.Process(self.name, argv, log)
+        self.process = fleet.Process(self.name, argv, self._log_path)
+
+    @property
+    def _log_path(self):
+        return self._folder / f"{self.name}.log"
+
+    def hub(self):
+        """Returns the VM id of its hub by its log, or None."""
+        hub = None
+        for line in self._log_path.read_text().splitlines():
+            if '"hub.changed"' in line:
+                hub = json.loads(line)["hub"]
+        return hub
 
     @property
     def is_ready(self):
--- a/packages/samphirepost-bench/src/samphirepost_bench/soak.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/soak.py
@@ -369,9 +369,16 @@
         self._stop.set()
         for thread in threads:
             thread.join()
+        self._check_hubs()
         self._read_open_jobs()
         self._check_engines()
 
+    def _check_hubs(self):
+        """Checks that all daemons report to one hub after the last fault."""
+        hubs = {one.name: one.hub() for one in self.fleet.daemons}
+        if len(set(hubs.values())) != 1:
+            self.record_violation("HUBS", f"several hubs: {hubs}")
+
     def _wait_ready(self):
         deadline_s = time.monotonic() + soakfaults.READY_TIMEOUT_S
         while not all(one.is_ready for one in self.fleet.daemons):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/settings.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/settings.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from samphirepost import addresses
 from samphirepost import errors
 from samphirepost import jsonc
 
@@ -51,12 +52,12 @@
     cfg = jsonc.read(path, EntrySettings)
     if isinstance(cfg, errors.Failure):
         return cfg
-    addresses = {
+    address_by_field = {
         "listen.callers": cfg.listen.callers,
         "listen.readiness": cfg.listen.readiness,
         "store.address": cfg.store.address,
     }
-    for field, address in addresses.items():
+    for field, address in address_by_field.items():
         if isinstance(addresses.parse(address), errors.Failure):
             return errors.Failure(
                 errors.Kind.BAD_SETTINGS,
