--- a/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
@@ -200,6 +200,29 @@
         return 1 if failed else 0
 
 
+@cappa.command(name="drains", help="Measures requests to engines that leave.")
+@dataclasses.dataclass
+class Drains:
+    """Engines leave real daemons one after the other, beside faults."""
+
+    seed: typing.Annotated[
+        int, cappa.Arg(long=True, help="First seed; 0: from the clock.")
+    ] = 0
+    runs: typing.Annotated[
+        int, cappa.Arg(long=True, help="Number of consecutive seeds to run.")
+    ] = 1
+    leaves: typing.Annotated[
+        int, cappa.Arg(long=True, help="Engines that leave in each run.")
+    ] = 12
+
+    def __call__(self):
+        from samphirepost_bench import drains
+
+        first = self.seed or int(time.time())
+        seeds = range(first, first + self.runs)
+        return 1 if drains.run(seeds, self.leaves) else 0
+
+
 Command = (
     Platform
     | Engine
@@ -212,6 +235,7 @@
     | Dispatch
     | Faults
     | Soak
+    | Drains
 )
 
 
