An engine that says in its answers that it leaves gets no new work

The header is read from the head of any answer: streams, refusals, runs of items and relayed answers. It holds for the incarnation until its entry is gone, whatever the registry says. The daemon reports it to the hub, which announces it to all; new fields of reports and totals have defaults, so that builds side by side read each other. A slot that was granted while its engine left is returned, and a peer sends nothing to an engine that it knows to leave.

--- a/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
@@ -82,7 +82,8 @@
     requests: the engine crashes when it begins to answer a request that has
     one of them. It then calls `on_crash(engine)`. With `limit_per_s`, its
     answers name that rate of requests as its limit. If `unframed`, its streams
-    have no length and end with the connection.
+    have no length and end with the connection. If `says_leaving`, its answers
+    say that it leaves.
     """
 
     daemon_threads = True
@@ -106,6 +107,7 @@
         self.crash_parts = frozenset()
         self.on_crash = None
         self.limit_per_s = None
+        self.says_leaving = False
         self.unframed = False
         self.has_crashed = False
         self._connections = set()
@@ -208,15 +210,17 @@
     def _send_status(self, status, *headers):
         self.send_response(status)
         self.send_header("Request-Id", self.headers["Request-Id"])
-        self._send_limit()
+        self._send_own_headers()
         for name, value in headers:
             self.send_header(name, value)
         self.send_header("Content-Length", "0")
         self.end_headers()
 
-    def _send_limit(self):
+    def _send_own_headers(self):
         if self.server.limit_per_s is not None:
             self.send_header("Server-Limit", f"{self.server.limit_per_s:g}")
+        if self.server.says_leaving:
+            self.send_header("Server-Leaving", "1")
 
     def _send_stream(self, arrival, fault):
         name = arrival.id if fault is not Fault.CROSS else "other"
@@ -226,7 +230,7 @@
         self.send_header("Content-Type", "text/event-stream")
         if not self.server.unframed:
             self.send_header("Transfer-Encoding", "chunked")
-        self._send_limit()
+        self._send_own_headers()
         self.end_headers()
         pause = threading.Event()
         if self._is_crashed_by(arrival):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/enginerelay.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/enginerelay.py
@@ -87,7 +87,10 @@
         engine = self._parts.state.roster.get(order.engine)
         if not self._is_member(environ.get("REMOTE_ADDR")):
             return self._refuse(start_response, "not-member", 403)
-        if engine is None:
+        is_test = not order.data
+        if engine is None or not (
+            is_test or self._parts.state.is_usable(engine)
+        ):
             return self._refuse(start_response, "no-engine")
         if self._parts.state.stop_began_s is not None:
             return self._refuse(start_response, "stopping")
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -322,6 +322,10 @@
         engines.
         """
         engine = engines[grant.engine]
+        if not self._state.is_usable(engine):
+            # It left while the request waited for the slot.
+            self._slots.end_run(grant.id, slotmessages.Outcome.UNKNOWN)
+            return self._obtain_slot()
         if not self._paths.is_unreached(engine.id) and (
             not self._paths.is_doubtful
         ):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -392,10 +392,13 @@
     def _use_grant(self, message):
         """Starts the item for which the hub granted a slot."""
         engine = self._parts.state.roster.get(message.engine_id)
-        if engine is None or engine.draining or self._stopping:
-            engine = None
-        if engine is None or not self._start_item(
-            message.run_id, message.run_id, engine, message.through
+        is_usable = engine is not None and self._parts.state.is_usable(engine)
+        if (
+            not is_usable
+            or self._stopping
+            or not self._start_item(
+                message.run_id, message.run_id, engine, message.through
+            )
         ):
             self._parts.slots.end_run(
                 message.run_id, slotmessages.Outcome.UNKNOWN
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
@@ -8,6 +8,7 @@
 
 from samphirepost import allocator
 from samphirepost import judge
+from samphirepost import leaving
 from samphirepost import otherversions
 from samphirepost import quarantine
 from samphirepost import slotmessages
@@ -57,6 +58,7 @@
         self._next_judgement_s = 0.0
         self._next_causes_s = 0.0
         self._has_news = False
+        self._leaving = leaving.ReportedLeaving()
         self._versions = otherversions.ReportedVersions()
         self._other_versions = None
         self._next_versions_s = 0.0
@@ -70,13 +72,15 @@
         self._apply_evidence(report, now_s)
         self._apply_limits(report, now_s)
         self._versions.apply(report.vm, report.other_versions)
+        if self._leaving.apply(report.leaving_engines, now_s):
+            self._has_news = True
         report = self._without_probes(report, now_s)
         self._send_all(self._allocator.apply_report(report, address, now_s))
         sent_s = self._totals_sent_s.get(address, 0.0)
         if now_s - sent_s < TOTALS_INTERVAL_S:
             return
         self._totals_sent_s[address] = now_s
-        self._send_totals(report.vm, address)
+        self._send_totals(report.vm, address, now_s)
 
     def _apply_limits(self, report, now_s):
         """Applies what engines named in their answers to a daemon."""
@@ -156,7 +160,7 @@
                 CAUSES_ANNOUNCEMENT_PER_DAEMON_S * len(reporters),
             )
             for vm, address in reporters:
-                self._send_totals(vm, address)
+                self._send_totals(vm, address, now_s)
 
     def _decide(self, now_s):
         for cause, decided in self._judge.decide(now_s).items():
@@ -217,7 +221,7 @@
         """Announces the hub and logs its loads, each at its interval."""
         if now_s >= self._next_announcement_s:
             self._next_announcement_s = now_s + ANNOUNCEMENT_INTERVAL_S
-            self._announce()
+            self._announce(now_s)
         if now_s >= self._next_log_s:
             self._next_log_s = now_s + LOG_INTERVAL_S
             self._log_loads()
@@ -243,12 +247,12 @@
         member_count = len(self._hub_selector.members)
         return self._allocator.is_informed(member_count, now_s)
 
-    def _announce(self):
+    def _announce(self, now_s):
         for vm, address in self._hub_selector.members.items():
             if vm != self._me and not self._allocator.has_reporter(vm):
-                self._send_totals(vm, address)
+                self._send_totals(vm, address, now_s)
 
-    def _send_totals(self, vm, address):
+    def _send_totals(self, vm, address, now_s):
         counts = self._allocator.totals_of_others(vm)
         totals = slotmessages.Totals(
             self._me,
@@ -258,6 +262,7 @@
             self._allocator.limits.all_rates(),
             tuple(self._judge.on_probation),
             self._other_versions,
+            self._leaving.known(now_s),
         )
         self._send(address, totals)
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -193,14 +193,26 @@
         return len(self._hub.selector.members)
 
     def record_head(self, engine, head):
-        """Records the limit that an engine's response names, if any."""
+        """Records the limit that an engine's response names, if any.
+
+        Also records if the engine says that it leaves.
+        """
         if wire.is_from_another_engine(head):
             return
+        if wire.is_leaving(head):
+            self._record_leaving(engine)
         per_s = wire.named_limit(head)
         if self._limits.record_answer(engine, per_s, time.monotonic()):
             self._log.event("engine.limit", engine=engine.id, per_s=per_s)
             self._send_report()
 
+    def _record_leaving(self, engine):
+        """Takes an engine out of use, and tells the others through the hub."""
+        state = self._parts.state
+        if state.leaving.record_told(engine, time.monotonic()):
+            self._log.event("engine.leaving", engine=engine.id)
+            self._send_report()
+
     def record_crash(self, engine, request, parts, has_head):
         """Reports a request lost with an engine before its answer had begun.
 
@@ -339,6 +351,7 @@
                 self._own_paths(),
                 tuple(failed[:FAILED_MAX]),
                 self._known_versions.pools,
+                self._parts.state.leaving.to_report(now_s),
             )
             self._send(address, report)
 
@@ -393,6 +406,8 @@
             if message.vm == self._hub.vm:
                 self._load_tracker.record_others(message.counts, now_s)
                 self._limits.announce(message.limits)
+                known = self._parts.state.leaving
+                known.announce(message.leaving_engines, now_s)
                 self._announced_versions.record(
                     message.other_versions, _boottime_s()
                 )
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/state.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/state.py
@@ -2,6 +2,7 @@
 
 import time
 
+from samphirepost import leaving
 from samphirepost import roster
 from samphirepost import routing
 
@@ -17,6 +18,7 @@
     __slots__ = (
         "exit_s",
         "held_jobs",
+        "leaving",
         "quarantine_read",
         "roster",
         "stop_began_s",
@@ -28,6 +30,7 @@
         self.table = None
         self.table_read_s = None
         self.roster = roster.Roster()
+        self.leaving = leaving.LeavingEngines()
         self.stop_began_s = None
         self.exit_s = None
         self.held_jobs = 0
@@ -59,7 +62,22 @@
 
     def engines(self, pool):
         """Returns the pool's engines that accept new work."""
-        return self.roster.usable_engines(pool, time.monotonic())
+        now_s = time.monotonic()
+        return [
+            engine
+            for engine in self.roster.usable_engines(pool, now_s)
+            if not self.leaving.is_leaving(engine, now_s)
+        ]
+
+    def is_usable(self, engine):
+        """Whether this incarnation of an engine still accepts new work."""
+        now_s = time.monotonic()
+        listed = self.roster.usable_engine(engine.id, now_s)
+        return (
+            listed is not None
+            and listed.started_ms == engine.started_ms
+            and not self.leaving.is_leaving(engine, now_s)
+        )
 
     def pools(self):
         """Returns the names of the pools in the active tables."""
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
@@ -24,6 +24,7 @@
 SEAL_HEADER = "response-seal"
 PROMPT_HEADER = "Prompt-Prefix"
 LIMIT_HEADER = "server-limit"
+LEAVING_HEADER = "server-leaving"
 CREDENTIAL_HEADER = "Credential"
 # Longest id of a part of a prompt, and most shared parts of one.
 PART_ID_LENGTH_MAX = 64
@@ -224,6 +225,12 @@
     return per_s if math.isfinite(per_s) and per_s >= 0 else None
 
 
+def is_leaving(head):
+    """Whether an engine says in its answer that it leaves."""
+    value = head.get(LEAVING_HEADER)
+    return value is not None and value.strip() not in ("", "0")
+
+
 def is_from_another_engine(head):
     """Whether the engine at the address is not the one that was meant."""
     return head.status == 421
--- a/packages/samphirepost/src/samphirepost/roster.py
+++ b/packages/samphirepost/src/samphirepost/roster.py
@@ -108,6 +108,12 @@
             if engine.pool == pool and not engine.draining
         ]
 
+    def usable_engine(self, engine_id, now_s):
+        """Returns an engine that accepts new work by its id, or None."""
+        self._remove_expired(now_s)
+        engine = self._engines.get(engine_id)
+        return None if engine is None or engine.draining else engine
+
     def usable(self):
         """Returns the engines of all pools that accept new work."""
         return [
--- a/packages/samphirepost/src/samphirepost/slotmessages.py
+++ b/packages/samphirepost/src/samphirepost/slotmessages.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from samphirepost import leaving
+
 
 class Outcome(enum.IntEnum):
     """What a run showed about its engine."""
@@ -121,7 +123,8 @@
     last Totals.suspects and has quarantined causes. `failed` has the ids of
     engines that turned out to be at fault for runs that ended before, one for
     each run. `other_versions` are the pools in which the daemon knows of
-    engines of a version other than the base, or None.
+    engines of a version other than the base, or None. `leaving_engines` told
+    the daemon that they leave.
     """
 
     vm: str
@@ -135,6 +138,7 @@
     paths: Paths = NO_PATHS
     failed: tuple[str, ...] = ()
     other_versions: tuple[str, ...] | None = None
+    leaving_engines: tuple[leaving.Incarnation, ...] = ()
 
 
 class SlotRequest(msgspec.Struct, frozen=True, array_like=True, tag=12):
@@ -220,6 +224,7 @@
     causes for which the hub asks whether answers have begun. `limits` are the
     rates (requests a second) that engines named. `other_versions` are the
     pools that any daemon named in a Report, or None if some daemon named none.
+    `leaving_engines` leave by any daemon's word or by the hub's registry.
     """
 
     vm: str
@@ -229,6 +234,7 @@
     limits: dict[str, float] = {}
     on_probation: tuple[str, ...] = ()
     other_versions: tuple[str, ...] | None = None
+    leaving_engines: tuple[leaving.Incarnation, ...] = ()
 
 
 Message = Report | SlotRequest | Grant | Queued | Denial | Preemption | Totals
