A daemon whose feed is slow hears from the hub which engines leave

Callers: requests reached engines later than 2 s after they had left (DRAIN, seen by the users on real processes).

Cause: each daemon relied on its own feed, and any failed feed of its own put off removals for 2.2 s, longer than drainMs.

The hub announces what drains or left by its list; removals are deferred only if the entry may have expired in an outage. Before: the tests of the roster and of a stalled feed fail.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
@@ -262,10 +262,16 @@
             self._allocator.limits.all_rates(),
             tuple(self._judge.on_probation),
             self._other_versions,
-            self._leaving.known(now_s),
+            self._leaving_engines(now_s),
         )
         self._send(address, totals)
 
+    def _leaving_engines(self, now_s):
+        """Returns the incarnations that leave, as all daemons told."""
+        listed = self._state.roster.left_engines(now_s)
+        left = {leaving.incarnation(engine) for engine in listed}
+        return (*self._leaving.known(now_s), *left)
+
     def _send_all(self, messages):
         for address, message in messages:
             self._send(address, message)
--- a/packages/samphirepost/src/samphirepost/roster.py
+++ b/packages/samphirepost/src/samphirepost/roster.py
@@ -13,6 +13,11 @@
 # The registry counts as stable once it has responded for more than this time
 # (s) since an outage. The platform defines a store as stable after 3 s.
 STABLE_S = 3.0
+# An entry expires after this time (s) without a write of its engine, three
+# heartbeats. An outage that was shorter can have ended none after it.
+ENTRY_EXPIRY_S = 3.6
+# An engine that left is told for this long (s).
+LEFT_TOLD_S = 30.0
 
 
 class Engine(msgspec.Struct, frozen=True):
@@ -34,16 +39,19 @@
 class Roster:
     """The listed engines by id.
 
-    An entry that is missing or removed while the registry is not yet stable
-    after an outage is pending removal: its engine stays usable until
-    RESTORE_GRACE_S after the end of the outage. `last_read_s` is the instant
-    of the last successful read, or None. `change_count` counts the engines
-    that came and left.
+    An entry that may have expired in an outage is pending removal: its engine
+    stays usable until RESTORE_GRACE_S after the end of the outage. Such are
+    the entries that are missing in the first answer after an outage; and after
+    one of ENTRY_EXPIRY_S, those removed until the registry is stable.
+    `last_read_s` is the instant of the last successful read, or None.
+    `change_count` counts the engines that came and left.
     """
 
     __slots__ = (
         "_engines",
+        "_left",
         "_listed_s",
+        "_outage_s",
         "_pending_removal",
         "_restored_s",
         "_unavailable",
@@ -54,7 +62,9 @@
 
     def __init__(self):
         self._engines = {}
+        self._left = {}
         self._listed_s = {}
+        self._outage_s = 0.0
         self._versions_left_s = {}
         self._pending_removal = {}
         self._unavailable = False
@@ -87,6 +97,7 @@
             self._remove(engine.id, now_s)
         self._listed_s.setdefault(engine.id, now_s)
         self._engines[engine.id] = engine
+        self._left.pop((engine.id, engine.started_ms), None)
         self.change_count += known is None or known != engine
         self._pending_removal.pop(engine.id, None)
 
@@ -134,6 +145,21 @@
             if engine.pool == pool
         ]
 
+    def left_engines(self, now_s):
+        """Returns the engines that drain, and those that left of late."""
+        left = []
+        for key, (engine, left_s) in list(self._left.items()):
+            if now_s - left_s > LEFT_TOLD_S:
+                self._left.pop(key, None)
+            else:
+                left.append(engine)
+        draining = [
+            engine
+            for engine in list(self._engines.values())
+            if engine.draining
+        ]
+        return [*draining, *left]
+
     def listed_s(self, engine_id):
         """Returns since when an engine is listed with its version, or None."""
         return self._listed_s.get(engine_id)
@@ -156,21 +182,29 @@
         return len(self._engines)
 
     def _record_response(self, now_s):
-        self.last_read_s = now_s
         if self._unavailable:
             self._unavailable = False
             self._restored_s = now_s
+            self._outage_s = now_s - (self.last_read_s or 0.0)
+        self.last_read_s = now_s
 
     def _remove_or_defer(self, engine_id, now_s):
         if engine_id not in self._engines:
             return
-        if self._restored_s is None or now_s - self._restored_s > STABLE_S:
+        if not self._may_have_expired(now_s):
             self._remove(engine_id, now_s)
             return
         self._pending_removal.setdefault(
             engine_id, self._restored_s + RESTORE_GRACE_S
         )
 
+    def _may_have_expired(self, now_s):
+        """Whether an entry that is missing now may come back."""
+        if self._restored_s is None or now_s - self._restored_s > STABLE_S:
+            return False
+        is_first_answer = now_s == self._restored_s
+        return is_first_answer or self._outage_s >= ENTRY_EXPIRY_S
+
     def _remove_expired(self, now_s):
         for engine_id, until_s in list(self._pending_removal.items()):
             if now_s >= until_s:
@@ -182,4 +216,5 @@
         self._listed_s.pop(engine_id, None)
         if engine is not None:
             self.change_count += 1
+            self._left[engine_id, engine.started_ms] = engine, now_s
             self._versions_left_s[engine.pool, engine.version] = now_s
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -4,6 +4,8 @@
 drain, and an answer may tell sooner than the list.
 """
 
+import threading
+
 import hypothesis
 from hypothesis import strategies as st
 import pytest
@@ -57,8 +59,8 @@
     for daemon in fleet.daemons:
         entryhelper.wait_until(
             lambda one=daemon: (
-                one.state.roster.get(other.name).draining
-                == (state == "draining")
+                one.state.is_usable(one.state.roster.get(other.name))
+                == (state == "ready")
             ),
             f"the second engine is {state}",
         )
@@ -140,6 +142,34 @@
     assert [one.engine for one in told] == [engine.name]
 
 
+# On real machines, a feed that stalled kept an engine in use that drained or
+# whose entry was removed: up to 2.7 s where 2 s are allowed.
+@pytest.mark.parametrize("way", ["draining", "removed"])
+def test_a_daemon_with_a_stalled_feed_hears_from_the_hub(fleet, way):
+    """The daemon itself reads the list only later."""
+    vm = entryhelper.wait_until(fleet.common_hub, "all have one hub")
+    stalled = next(one for one in fleet.daemons if one.parts.me != vm)
+    has_stalled = threading.Event()
+    # A failed poll is tried again after a pause.
+    stalled.watchers[1].poll_once = has_stalled.set
+    assert has_stalled.wait(entryhelper.WAIT_S)
+    hub = next(one for one in fleet.daemons if one is not stalled)
+    engine = fleet.engines[0]
+    listed = stalled.state.roster.get(engine.name)
+    if way == "removed":
+        fleet.store.remove_row("servers", engine.name)
+    else:
+        fleet.list_engine(engine, "draining")
+    entryhelper.wait_until(
+        lambda: not hub.state.is_usable(listed), "the hub has read it"
+    )
+    entryhelper.wait_until(
+        lambda: not stalled.state.is_usable(listed),
+        "the daemon no longer uses it",
+    )
+    assert stalled.state.roster.get(engine.name) == listed
+
+
 class TestLeavingEngines:
     """What a daemon remembers of engines that leave."""
 
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -52,6 +52,45 @@
     assert usable_ids(engines, 4.0) == ["two"]
 
 
+def test_a_removal_after_a_short_outage_applies_at_once():
+    """The registry expires no entry in less than ENTRY_EXPIRY_S.
+
+    One feed that breaks off or stalls would else keep an engine in use for
+    longer than `drainMs`.
+    """
+    engines = roster.Roster()
+    engines.apply_full_read([engine("one"), engine("two")], 0.0)
+    engines.record_outage()
+    engines.record_read(1.6)
+    engines.apply_removal("one", 1.7)
+    assert usable_ids(engines, 1.7) == ["two"]
+
+
+def test_entries_removed_after_a_long_outage_may_be_restored():
+    """They may expire before their engines' first write after it."""
+    engines = roster.Roster()
+    engines.apply_full_read([engine("one"), engine("two")], 0.0)
+    engines.record_outage()
+    engines.record_read(roster.ENTRY_EXPIRY_S)
+    later_s = roster.ENTRY_EXPIRY_S + 0.5
+    engines.apply_removal("one", later_s)
+    assert usable_ids(engines, later_s) == ["one", "two"]
+
+
+def test_engines_that_left_are_told_until_they_are_listed_again():
+    """The hub tells daemons whose own registry is slow to answer."""
+    engines = roster.Roster()
+    engines.apply_full_read([engine("one"), engine("two")], 0.0)
+    engines.apply_entry(engine("one", draining=True), 1.0)
+    engines.apply_removal("two", 1.0)
+    assert {one.id for one in engines.left_engines(1.0)} == {"one", "two"}
+    engines.apply_entry(engine("two"), 2.0)
+    assert [one.id for one in engines.left_engines(2.0)] == ["one"]
+    engines.apply_removal("two", 3.0)
+    late_s = 3.1 + roster.LEFT_TOLD_S
+    assert [one.id for one in engines.left_engines(late_s)] == ["one"]
+
+
 @hypothesis.given(
     strategies.lists(
         strategies.tuples(
