A table that is read in pages is followed from the first page on

Found by the review by reading: a full read of several pages kept the last one's revision, so that a change between two pages was missed until the row changed again. The new test missed it before; it passes after.

--- a/packages/samphirepost-bench/src/samphirepost_bench/memorystore.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/memorystore.py
@@ -25,7 +25,8 @@
     `apply_late_writes` is called, if its condition still holds then.
 
     While `unavailable` is set, all requests are refused; while
-    `reads_unanswered` is set, reads of rows receive no response. Several
+    `reads_unanswered` is set, reads of rows receive no response. A page has
+    `page_rows_max` rows at most. Several
     threads and daemons may share one store.
     """
 
@@ -37,6 +38,7 @@
         self.late_writes = []
         self.unavailable = False
         self.reads_unanswered = False
+        self.page_rows_max = 500
         self.history = []
         self.request_count = 0
         self._lock = threading.RLock()
@@ -62,7 +64,9 @@
                 and key.key >= start
                 and (not end or key.key < end)
             ]
-            return store.Page(tuple(found), self.revision, 1000)
+            page = tuple(found[: self.page_rows_max])
+            has_more = len(found) > len(page)
+            return store.Page(page, self.revision, 1000, has_more)
 
     def list_parts(self, table):
         """Returns the sorted names of a table's parts, or a Failure."""
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/store.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/store.py
@@ -124,16 +124,20 @@
 def read_all(store, table, part, start="", end=""):
     """Returns a Page with all rows of the range, or a Failure.
 
-    The page has the revision and time of the last request.
+    The page has the revision of the first request, so that the changes after
+    it include those between the requests, and the time of the last one.
     """
     rows = []
+    revision = None
     while True:
         page = store.read_rows(table, part, start, end)
         if isinstance(page, errors.Failure):
             return page
+        if revision is None:
+            revision = page.revision
         rows.extend(page.rows)
         if not page.more or not page.rows:
-            return Page(tuple(rows), page.revision, page.store_ms)
+            return Page(tuple(rows), revision, page.store_ms)
         start = page.rows[-1].key.key + "\0"
 
 
--- a/tests/test_batchjob.py
+++ b/tests/test_batchjob.py
@@ -10,6 +10,7 @@
 from samphirepost import routing
 from samphirepost_bench import memorystore
 from samphirepost_daemon.entry import jobstore
+from samphirepost_daemon.entry import store
 
 HOST = "shop.example"
 ROW_BYTES = 65536
@@ -635,3 +636,25 @@
         partial = held_job.partial_outputs[0]
         assert (partial.checkpoint_count, partial.durable_count) == (0, 0)
         assert partial.row_count == 1
+
+
+def test_a_change_between_two_pages_of_a_read_is_not_missed(rows):
+    """A long table is read in pages; it is followed from the first one on."""
+    for number in range(4):
+        key = store.Key("t", "", f"k{number}")
+        rows.commit(store.Transaction({}, {key: b"v"}))
+    rows.page_rows_max = 2
+    read_rows = rows.read_rows
+
+    def read_then_change(*args):
+        page = read_rows(*args)
+        rows.read_rows = read_rows
+        key = store.Key("t", "", "k0")
+        rows.commit(store.Transaction({}, {key: b"changed"}))
+        return page
+
+    rows.read_rows = read_then_change
+    page = store.read_all(rows, "t", "")
+    assert len(page.rows) == 4
+    changes = rows.read_changes("t", page.revision, 0.0)
+    assert [row.value for row in changes.rows] == [b"changed"]
