--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/core.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/core.py
@@ -22,6 +22,32 @@
 SEND_MARGIN_S = 0.2
 
 
+class Signals:
+    """The signals that have come; its handlers take no lock.
+
+    A handler runs between two steps of the main thread. That thread may hold
+    the lock of an Event for which it waits, and setting it would never end.
+    """
+
+    __slots__ = ("reload", "stop")
+
+    def __init__(self):
+        self.reload = False
+        self.stop = False
+
+    def install(self):
+        """Handles SIGTERM, SIGINT and SIGHUP from now on."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._request_stop)
+        signal.signal(signal.SIGHUP, self._request_reload)
+
+    def _request_stop(self, *_):
+        self.stop = True
+
+    def _request_reload(self, *_):
+        self.reload = True
+
+
 def main(path):
     """Reads the settings and runs the daemon until SIGTERM or SIGINT.
 
@@ -31,18 +57,17 @@
     if isinstance(cfg, errors.Failure):
         print(f"samphirepostd: {cfg.reason}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    stop = threading.Event()
-    reload = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
-    signal.signal(signal.SIGHUP, lambda *_: reload.set())
+    signals = Signals()
+    signals.install()
     daemon = wiring.Daemon(cfg)
     threading.excepthook = daemon.log_thread_failure
     start(daemon)
-    while not stop.wait(TICK_INTERVAL_S):
+    pause = threading.Event()
+    while not signals.stop:
+        pause.wait(TICK_INTERVAL_S)
         tick(daemon)
-        if reload.is_set():
-            reload.clear()
+        if signals.reload:
+            signals.reload = False
             log_changed_settings(daemon, path)
     drain(daemon)
     os._exit(0)
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -1,5 +1,7 @@
 """Planned stops of an entry daemon: no request is read and then cut."""
 
+import subprocess
+import sys
 import threading
 import time
 
@@ -164,3 +166,35 @@
     sender.join()
     fleet.stop()
     assert [reply.status for reply in replies] == [504]
+
+
+# Found by a review by reading: SIGTERM while the main thread held the lock of
+# the event that the handler sets blocked the process until SIGKILL.
+def test_a_signal_is_handled_whatever_lock_the_main_thread_holds():
+    """Signals come at each line of the wait; a blocked handler times out."""
+    program = """
+import signal, sys, threading
+from samphirepost_daemon.entry import core
+
+signals = core.Signals()
+signals.install()
+
+def raise_at_each_line(frame, event, _):
+    if frame.f_code.co_filename == threading.__file__:
+        if event == "line":
+            sys.settrace(None)
+            signal.raise_signal(signal.SIGTERM)
+            sys.settrace(raise_at_each_line)
+        return raise_at_each_line
+
+sys.settrace(raise_at_each_line)
+threading.Event().wait(0.001)
+sys.settrace(None)
+assert signals.stop and not signals.reload
+signal.raise_signal(signal.SIGHUP)
+assert signals.reload
+"""
+    found = subprocess.run(
+        [sys.executable, "-c", program], timeout=entryhelper.WAIT_S
+    )
+    assert found.returncode == 0
