--- a/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
@@ -223,6 +223,31 @@
         return 1 if drains.run(seeds, self.leaves) else 0
 
 
+@cappa.command(
+    name="upgrade", help="Replaces an older build under traffic, and back."
+)
+@dataclasses.dataclass
+class Upgrade:
+    """Daemons of two builds side by side."""
+
+    old: typing.Annotated[
+        str, cappa.Arg(long=True, help="Commit of the older build.")
+    ]
+    seed: typing.Annotated[
+        int, cappa.Arg(long=True, help="First seed; 0: from the clock.")
+    ] = 0
+    runs: typing.Annotated[
+        int, cappa.Arg(long=True, help="Number of consecutive seeds to run.")
+    ] = 1
+
+    def __call__(self):
+        from samphirepost_bench import upgrade
+
+        first = self.seed or int(time.time())
+        seeds = range(first, first + self.runs)
+        return 1 if upgrade.run(seeds, self.old) else 0
+
+
 Command = (
     Platform
     | Engine
@@ -236,6 +261,7 @@
     | Faults
     | Soak
     | Drains
+    | Upgrade
 )
 
 
--- a/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
@@ -82,7 +82,10 @@
 
 
 class Daemon:
-    """One entry daemon; its ports and settings survive a restart."""
+    """One entry daemon; its ports and settings survive a restart.
+
+    `program` is what the next start runs.
+    """
 
     def __init__(self, name, store_proxy, folder):
         self.name = name
@@ -93,6 +96,7 @@
         self._path = folder / f"{name}.json"
         self._path.write_text(json.dumps(self._settings()))
         self.process = None
+        self.program = ENTRY_PROGRAM
 
     def _settings(self):
         return {
@@ -112,7 +116,7 @@
 
     def start(self):
         """Starts the process."""
-        argv = [sys.executable, str(ENTRY_PROGRAM), str(self._path)]
+        argv = [sys.executable, str(self.program), str(self._path)]
         self.process = fleet.Process(self.name, argv, self._log_path)
 
     @property
