--- a/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
@@ -9,6 +9,17 @@
 import cappa
 
 _Port = typing.Annotated[int, cappa.Arg(long=True, help="Port to listen on.")]
+_Seed = typing.Annotated[
+    int, cappa.Arg(long=True, help="First seed; 0: from the clock.")
+]
+_Runs = typing.Annotated[
+    int, cappa.Arg(long=True, help="Number of consecutive seeds to run.")
+]
+
+
+def _seeds(first, runs):
+    first = first or int(time.time())
+    return range(first, first + runs)
 
 
 @cappa.command(name="platform", help="Runs the platform emulator.")
@@ -182,12 +193,8 @@
 class Soak:
     """The fault soak: one run for each seed."""
 
-    seed: typing.Annotated[
-        int, cappa.Arg(long=True, help="First seed; 0: from the clock.")
-    ] = 0
-    runs: typing.Annotated[
-        int, cappa.Arg(long=True, help="Number of consecutive seeds to run.")
-    ] = 1
+    seed: _Seed = 0
+    runs: _Runs = 1
     seconds: typing.Annotated[
         float, cappa.Arg(long=True, help="How long faults are injected (s).")
     ] = 15.0
@@ -195,8 +202,7 @@
     def __call__(self):
         from samphirepost_bench import soak
 
-        first = self.seed or int(time.time())
-        failed = soak.run(range(first, first + self.runs), self.seconds)
+        failed = soak.run(_seeds(self.seed, self.runs), self.seconds)
         return 1 if failed else 0
 
 
@@ -205,12 +211,8 @@
 class Drains:
     """Engines leave real daemons one after the other, beside faults."""
 
-    seed: typing.Annotated[
-        int, cappa.Arg(long=True, help="First seed; 0: from the clock.")
-    ] = 0
-    runs: typing.Annotated[
-        int, cappa.Arg(long=True, help="Number of consecutive seeds to run.")
-    ] = 1
+    seed: _Seed = 0
+    runs: _Runs = 1
     leaves: typing.Annotated[
         int, cappa.Arg(long=True, help="Engines that leave in each run.")
     ] = 12
@@ -218,9 +220,8 @@
     def __call__(self):
         from samphirepost_bench import drains
 
-        first = self.seed or int(time.time())
-        seeds = range(first, first + self.runs)
-        return 1 if drains.run(seeds, self.leaves) else 0
+        late = drains.run(_seeds(self.seed, self.runs), self.leaves)
+        return 1 if late else 0
 
 
 @cappa.command(
@@ -233,19 +234,14 @@
     old: typing.Annotated[
         str, cappa.Arg(long=True, help="Commit of the older build.")
     ]
-    seed: typing.Annotated[
-        int, cappa.Arg(long=True, help="First seed; 0: from the clock.")
-    ] = 0
-    runs: typing.Annotated[
-        int, cappa.Arg(long=True, help="Number of consecutive seeds to run.")
-    ] = 1
+    seed: _Seed = 0
+    runs: _Runs = 1
 
     def __call__(self):
         from samphirepost_bench import upgrade
 
-        first = self.seed or int(time.time())
-        seeds = range(first, first + self.runs)
-        return 1 if upgrade.run(seeds, self.old) else 0
+        failed = upgrade.run(_seeds(self.seed, self.runs), self.old)
+        return 1 if failed else 0
 
 
 Command = (
--- a/tests/test_oddrows.py
+++ b/tests/test_oddrows.py
@@ -63,6 +63,13 @@
     fleet.store.store.commit(store.Transaction({}, {name: data}))
 
 
+@pytest.mark.parametrize("kind", ODD_ENTRIES)
+def test_an_odd_entry_is_a_failure(kind):
+    """Not an engine, and not an exception."""
+    row = store.Row(store.Key("servers", "", "e1"), ODD_ENTRIES[kind], 1)
+    assert isinstance(registry.decode_engine(row), errors.Failure)
+
+
 # An operator's report, and review case 3: one entry of another writer ended
 # the following of the list, so that engines that left were used on.
 @pytest.mark.parametrize("kind", ODD_ENTRIES)
