--- a/tests/test_brokenanswers.py
+++ b/tests/test_brokenanswers.py
@@ -40,10 +40,16 @@
         super().__init__()
 
     def serve(self, conn):
-        """Reads one request and sends the script."""
+        """Reads one request and sends the script.
+
+        Returns if the connection ends before it, as a test of the path does.
+        """
         data = b""
         while b"\r\n\r\n" not in data:
-            data += conn.recv(65_536)
+            received = conn.recv(65_536)
+            if not received:
+                return
+            data += received
         (request,) = [
             line.partition(": ")[2]
             for line in data.decode().split("\r\n")
