The hub's comment on its interval names all news that it spaces out

Read again before the landing: versions and engines that leave share the interval that was named after crashes. A comment only; no behaviour changes.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
@@ -23,8 +23,9 @@
 DROP_INTERVAL_S = 0.1
 # Interval at which the hub looks for what crashes engines (s).
 JUDGE_INTERVAL_S = 0.05
-# Shortest interval at which it announces new suspects and quarantined causes
-# to all daemons (s), and more for each daemon: many report crashes at once.
+# Shortest interval at which it announces news to all daemons (s): causes of
+# crashes, versions, engines that leave. More for each daemon, as many report
+# crashes at once.
 CAUSES_ANNOUNCEMENT_INTERVAL_S = 0.1
 CAUSES_ANNOUNCEMENT_PER_DAEMON_S = 0.0002
 # Interval at which the hub looks at the versions that the daemons reported.
