An item is done only once its engine has said that nothing follows

Cause: an answer without a length ends with its connection. An engine that is killed has its connections closed by the kernel just so, and between two events, as it writes whole ones. _collect_events took any such end for the end of the output.

Ruled out: an end inside an event (interrupted since before), an aborted call, results of several rows (read whole or not at all), a reset (a failure at the socket).

The fix: after such an end the engine is asked, in the same run, for what follows the last event. An engine that answers again was not killed in the answer before, and adds what that one lacked. An engine that leaves, or that names a limit, is not asked in the same run: the item waits for its next run, and an answer there that adds nothing ends it. A head without the seal that all successful answers have is no answer of an item either.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -60,9 +60,10 @@
 class SlotObserver(items.RunObserver):
     """Passes on what a run of an item shows of its engine and its prompt."""
 
-    __slots__ = ("_engine", "_item", "_parts", "_slots")
+    __slots__ = ("_engine", "_item", "_parts", "_shared", "_slots")
 
     def __init__(self, shared, engine, item):
+        self._shared = shared
         self._slots = shared.slots
         self._engine = engine
         self._item = quarantine.item_key(item.id)
@@ -76,6 +77,16 @@
         """Records that the prompt's parts are answered."""
         self._slots.record_begun(self._parts, self._item)
 
+    def may_ask_again(self):
+        """Whether the engine takes work and names no limit.
+
+        A second request in a run would not be counted towards the limit.
+        """
+        engine = self._engine
+        return self._shared.state.is_usable(engine) and (
+            not self._shared.limits.is_limited(engine)
+        )
+
 
 class Holder(pykka.ThreadingActor):
     """The actor that owns the state of the held jobs.
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
@@ -64,6 +64,13 @@
         return self.lost or self.unreached or self.silent
 
 
+class UnframedEnd(msgspec.Struct, frozen=True):
+    """The answer ended with its connection, and had whole events until then.
+
+    An engine that is killed ends its answers in the same way.
+    """
+
+
 def engine_outcome(outcome):
     """Returns what the outcome of a run shows about its engine."""
     if isinstance(outcome, (CompletedRun, UnprocessableItem)):
@@ -88,6 +95,10 @@
     def begun(self):
         """Called once the engine has begun to answer; maybe repeatedly."""
 
+    def may_ask_again(self):
+        """Whether the engine may get the item once more in the same run."""
+        return True
+
 
 def run_item(paths, record, item, engine, run, should_stop, observer):
     """Runs an item on an engine and appends its events to `run.partial`.
@@ -100,18 +111,48 @@
     Returns a CompletedRun, FailedRun, UnprocessableItem or InterruptedRun,
     whose `label` is the outcome in logs and metrics.
     """
-    try:
-        outcome = _send_and_collect(
-            paths, run, record, item, engine, should_stop, observer
-        )
-    finally:
-        run.call.close()
+    outcome = _run_until_certain(
+        paths, run, record, item, engine, should_stop, observer
+    )
     if isinstance(outcome, InterruptedRun) and should_stop():
         # The connection was ended by this daemon.
         return InterruptedRun("stopped", False)
     return outcome
 
 
+def _run_until_certain(
+    paths, run, record, item, engine, should_stop, observer
+):
+    """Runs an item; asks again after an end that proves nothing.
+
+    The engine is asked for what follows the last event. Its answer shows that
+    it was not killed in the answer before, and adds what that one lacked.
+    """
+    partial = run.partial
+    is_repeated = False
+    while True:
+        events_before = len(partial.texts)
+        try:
+            outcome = _send_and_collect(
+                paths, run, record, item, engine, should_stop, observer
+            )
+        finally:
+            run.call.close()
+        if not isinstance(outcome, UnframedEnd):
+            return outcome
+        is_known = is_repeated or partial.ended_id == partial.last_id
+        is_empty = len(partial.texts) == events_before
+        partial.ended_id = partial.last_id
+        may_ask_again = observer.may_ask_again()
+        if is_empty and is_known and (is_repeated or not may_ask_again):
+            observer.begun()
+            return CompletedRun()
+        if not may_ask_again or should_stop():
+            return InterruptedRun("the end is not certain", False)
+        is_repeated = True
+        run.call = engineclient.Call()
+
+
 def _send_and_collect(paths, run, record, item, engine, should_stop, observer):
     call, partial = run.call, run.partial
     req = wire.item_request(record, item)
@@ -136,6 +177,8 @@
         return FailedRun("the engine failed")
     if head.status != 200:
         return InterruptedRun(f"status {head.status}", True)
+    if not wire.is_complete_head(head):
+        return InterruptedRun("the head has no seal", True, True, True)
     return _collect_events(call, partial, should_stop, observer)
 
 
@@ -147,15 +190,12 @@
     while True:
         part = _read_next(call, should_stop, deadline_s)
         if isinstance(part, engineclient.EndOfResponse):
-            is_empty = len(partial.texts) == events_before
-            if (
-                parser.incomplete
-                or not partial.texts
-                or (is_empty and part.unframed)
-            ):
+            if parser.incomplete or not partial.texts:
                 return InterruptedRun(
                     "the stream ended early", True, True, True
                 )
+            if part.unframed:
+                return UnframedEnd()
             observer.begun()
             return CompletedRun()
         if not isinstance(part, engineclient.BodyData):
--- a/packages/samphirepost/src/samphirepost/batchjob.py
+++ b/packages/samphirepost/src/samphirepost/batchjob.py
@@ -149,13 +149,16 @@
     It goes on at engines of software version `version` only; an item that
     starts again has another `output_id`. The first `durable_count` events are
     durable, in `checkpoint_count` checkpoints; `row_count` rows may be stored,
-    of former outputs too. The thread that runs the item appends events; the
-    holder's thread does the rest.
+    of former outputs too. `ended_id` is the last event of the newest answer
+    that ended with its connection, which proves no end of the output. The
+    thread that runs the item sets it and appends events; the holder's thread
+    does the rest.
     """
 
     __slots__ = (
         "checkpoint_count",
         "durable_count",
+        "ended_id",
         "first_id",
         "output_id",
         "row_count",
@@ -167,6 +170,7 @@
         self.output_id = output_id
         self.row_count = row_count
         self.version = None
+        self.ended_id = None
         self.first_id = None
         self.texts = []
         self.durable_count = 0
--- a/packages/samphirepost/src/samphirepost/ratelimit.py
+++ b/packages/samphirepost/src/samphirepost/ratelimit.py
@@ -258,6 +258,10 @@
             with self._lock:
                 self._buckets.clear()
 
+    def is_limited(self, engine):
+        """Whether an engine is known to have a limit."""
+        return self._rate(engine) is not None
+
     def sendable(self, engines, daemon_count, now_s):
         """Returns the engines to which this daemon may send by itself.
 
@@ -265,7 +269,7 @@
         has only its share of a limit.
         """
         unlimited = [
-            engine for engine in engines if self._rate(engine) is None
+            engine for engine in engines if not self.is_limited(engine)
         ]
         if unlimited:
             return unlimited
@@ -278,7 +282,7 @@
 
     def take(self, engine, daemon_count, now_s):
         """Counts a request that this daemon sends by itself."""
-        if self._rate(engine) is None:
+        if not self.is_limited(engine):
             return
         with self._lock:
             self._bucket(engine, daemon_count, now_s).take(now_s)
--- a/tests/test_unframed.py
+++ b/tests/test_unframed.py
@@ -70,6 +70,21 @@
         assert found.text == fleet.engines[0].text(f"r{number}")
 
 
+# The same for a whole job: parts of texts were listed as done.
+def test_a_job_at_engines_that_cut_their_answers_between_events_is_whole(
+    fleet,
+):
+    for engine in fleet.engines:
+        engine.faults.extend([Fault.CUT] * 4)
+    assert fleet.submit("job", 6).status == 202
+    results = entryhelper.wait_until(
+        lambda: fleet.complete_results("job"), "the job is done"
+    )
+    for result in results:
+        assert result["state"] == "done"
+        assert result["text"] == fleet.engines[0].text(result["id"])
+
+
 class HeadServer(entryhelper.RawServer):
     """An engine that closes each connection after the head of an answer."""
 
@@ -92,6 +107,98 @@
     assert (outcome.lost, outcome.has_head) == (True, True)
 
 
+ITEM_EVENTS = 6
+
+
+class ShortServer(entryhelper.RawServer):
+    """An engine that ends its answers after some events of an item.
+
+    `counts` has the number of events of each next answer; answers have no
+    length if `unframed` has a true value for them, and name `limit` if it is
+    set. Once `counts` is used up, the engine is gone. `resumed` lists the
+    event after which each request asked.
+    """
+
+    def __init__(self, counts, unframed=(), limit=""):
+        super().__init__()
+        self.counts = list(counts)
+        self.unframed = list(unframed)
+        self.limit = limit
+        self.resumed = []
+
+    def serve(self, conn):
+        """Answers one request; the last one ends the engine."""
+        lines = conn.recv(65_536).lower().split(b"\r\n")
+        after = [one for one in lines if one.startswith(b"last-event-id:")]
+        if len(lines) == 1:
+            # A connection only, without a request.
+            return
+        first = int(after[0].split(b":")[1]) + 1 if after else 1
+        self.resumed.append(first - 1)
+        count = self.counts.pop(0)
+        is_unframed = not self.unframed or self.unframed.pop(0)
+        if not self.counts:
+            self.stop()
+        body = b"".join(
+            b"id: %d\ndata: %d\n\n" % (number, number)
+            for number in range(first, first + count)
+        )
+        length = b"" if is_unframed else b"Content-Length: %d\r\n" % len(body)
+        conn.sendall(
+            b"HTTP/1.1 200 OK\r\nRequest-Id: i1\r\nResponse-Seal: s\r\n"
+            + self.limit.encode()
+            + length
+            + b"\r\n"
+            + body
+        )
+
+
+def run_short_item(server, partial):
+    """Runs an item at a ShortServer; returns the outcome."""
+    item = batchjob.Item("i1", "/evening/1", {}, b"body", 10)
+    engine = roster.Engine("e1", "plants", server.address, "a", 8)
+    outcome = entryhelper.run_item(item, engine, partial)
+    server.stop()
+    return outcome
+
+
+# Days of the users, MIXED: an engine that is killed writes whole events and
+# its connection ends as after a whole answer, so part of a text was done.
+def test_an_item_whose_engine_is_killed_between_events_is_not_complete():
+    partial = batchjob.PartialOutput()
+    outcome = run_short_item(ShortServer([3]), partial)
+    assert isinstance(outcome, items.InterruptedRun)
+    assert outcome.may_be_path
+    assert partial.text == b"1\n2\n3"
+
+
+# The same if the engine lives on: it is asked for what follows.
+def test_an_item_whose_answer_ends_early_goes_on_at_the_same_engine():
+    partial = batchjob.PartialOutput()
+    server = ShortServer([3, 2, 1, 0])
+    outcome = run_short_item(server, partial)
+    assert isinstance(outcome, items.CompletedRun)
+    assert partial.text == b"1\n2\n3\n4\n5\n6"
+    assert server.resumed == [0, 3, 5, 6]
+
+
+def test_an_item_is_complete_once_its_engine_says_that_nothing_follows():
+    for unframed in ([True, False], [True, True]):
+        partial = batchjob.PartialOutput()
+        server = ShortServer([ITEM_EVENTS, 0], unframed)
+        outcome = run_short_item(server, partial)
+        assert isinstance(outcome, items.CompletedRun)
+        assert server.resumed == [0, ITEM_EVENTS]
+
+
+def test_an_answer_with_a_length_is_not_asked_for_again():
+    partial = batchjob.PartialOutput()
+    server = ShortServer([ITEM_EVENTS, 0], [False])
+    outcome = run_short_item(server, partial)
+    assert isinstance(outcome, items.CompletedRun)
+    assert server.resumed == [0]
+
+
 class EventServer(entryhelper.RawServer):
     """An engine whose answer has no length; it ends when the caller leaves.
 
