An online answer without a length is whole only if its engine still runs

Cause: the same: the end of the connection was taken for the end of the answer, in online._read_events and exchange._read_body.

Ruled out as a remedy: asking for what follows, as items do (a stream that may not be repeated can't be asked for again, and a retry costs one of the route's attempts); a connection that is accepted (a proxy, or an engine that has started again at its address, accepts too: the stand-in's listener outlives its connections, and the stream passed for whole).

Otherwise the answer is broken off: it goes on elsewhere where that is allowed, and does not look complete where it isn't.

--- a/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
@@ -177,6 +177,7 @@
     def restart(self):
         """Starts a new incarnation, without the state of the previous one."""
         incarnation = streamengine.Engine(self.name)
+        incarnation.born = len(self.incarnations) + 1
         incarnation.crash_bodies = self.crash_bodies
         incarnation.crash_parts = self.crash_parts
         incarnation.on_crash = self._restart_crashed
@@ -211,7 +212,6 @@
         """
         entry = self.newest_incarnation.entry(POOL, state)
         entry["address"] = f"{fleet.HOST}:{self.proxy.port}"
-        entry["born"] = len(self.incarnations)
         self._store.put_row("servers", self.name, entry)
         return time.monotonic()
 
--- a/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
@@ -9,6 +9,7 @@
 import contextlib
 import enum
 import http.server
+import json
 import socket
 import threading
 import time
@@ -83,7 +84,7 @@
     one of them. It then calls `on_crash(engine)`. With `limit_per_s`, its
     answers name that rate of requests as its limit. If `unframed`, its streams
     have no length and end with the connection. If `says_leaving`, its answers
-    say that it leaves.
+    say that it leaves. `born` tells incarnations of an engine apart.
     """
 
     daemon_threads = True
@@ -109,6 +110,7 @@
         self.limit_per_s = None
         self.says_leaving = False
         self.unframed = False
+        self.born = 0
         self.has_crashed = False
         self._connections = set()
 
@@ -157,6 +159,7 @@
             "slots": 8,
             "state": state,
             "seq": 1,
+            "born": self.born,
         }
 
     def ran(self, request):
@@ -179,6 +182,18 @@
     def log_message(self, *_):
         """Suppresses the request log on standard error."""
 
+    def do_GET(self):
+        """Answers with the engine's report, unless it has crashed."""
+        if self.server.has_crashed:
+            self.close_connection = True
+            return
+        body = json.dumps({"born": self.server.born}).encode()
+        self.send_response(200)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
     def do_POST(self):
         """Answers one request with a stream of events or a fault.
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -11,6 +11,7 @@
 from samphirepost import routing
 from samphirepost import slotmessages
 from samphirepost_daemon.entry import engineclient
+from samphirepost_daemon.entry import enginestatus
 from samphirepost_daemon.entry import pathmonitor
 from samphirepost_daemon.entry import streamversion
 from samphirepost_daemon.entry import tunnel
@@ -612,8 +613,11 @@
                 self.record_progress()
             elif isinstance(part, engineclient.EndOfResponse):
                 is_success = response.head.status == 200
-                if is_success and part.unframed and not chunks:
-                    # The engine may have ended after its head.
+                # The engine may have ended after its head.
+                is_cut = part.unframed and not chunks
+                if is_success and (
+                    is_cut or not self.is_whole(response, part)
+                ):
                     return self._failed_attempt(part)
                 break
             else:
@@ -630,6 +634,25 @@
             return FailedAttempt(attempts.AttemptFailure.FAILED, reason)
         return response
 
+    def is_whole(self, response, end):
+        """Whether a response whose events are complete is whole at its end.
+
+        One that has no length ends with the connection, as it does when the
+        engine is killed; it is whole if the engine still runs afterwards.
+        """
+        if not end.unframed:
+            return True
+        is_running = enginestatus.still_runs(
+            self._paths,
+            response.engine,
+            response.slot.through,
+            self.left_s(),
+        )
+        self._metrics.unframed.labels(
+            "running" if is_running else "gone"
+        ).inc()
+        return is_running
+
     def record_progress(self):
         """Records that a head or an event has arrived, or is now due.
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/metrics.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/metrics.py
@@ -43,6 +43,11 @@
             "Runs sent through a peer, or relayed for one",
             ["for", "result"],
         )
+        self.unframed = self._counter(
+            "unframed_answers",
+            "Online answers that ended with the engine's connection",
+            ["engine"],
+        )
         self.no_path = prometheus_client.Counter(
             "samphirepost_no_path_refusals",
             "Requests refused as neither this VM nor a peer reaches engines",
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
@@ -127,6 +127,7 @@
         if (
             isinstance(part, engineclient.EndOfResponse)
             and not response.parser.incomplete
+            and self._exchange.is_whole(response, part)
         ):
             response.events = []
             response.done = True
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
@@ -12,6 +12,7 @@
 from samphirepost import fingerprint
 
 READINESS_PATH = "/readiness"
+REPORT_PATH = "/report"
 JOBS_PREFIX = "/lots/"
 ITEMS_PREFIX = "/items/"
 
@@ -190,6 +191,31 @@
     return headers
 
 
+def report_request(engine):
+    """Returns method, path, headers and body that ask for its report."""
+    headers = [
+        ("Host", engine.address),
+        (TARGET_ID_HEADER, engine.id),
+        ("Connection", "close"),
+    ]
+    return ("GET", REPORT_PATH, headers, b"")
+
+
+def is_report_of(head, body, engine):
+    """Whether this incarnation of an engine answered report_request().
+
+    Any answer shows that an engine runs, unless it names another start.
+    """
+    if is_from_another_engine(head):
+        return False
+    found = codec.from_json(body, _Report)
+    if isinstance(found, errors.Failure):
+        return True
+    return 0 in (found.born, engine.started_ms) or (
+        found.born == engine.started_ms
+    )
+
+
 def is_response_to(head, req):
     """Whether an engine's response belongs to this request."""
     return head.get(REQUEST_ID_HEADER.lower()) == req.id
@@ -307,6 +333,10 @@
     return batchjob.Record(req.id, host, route.name, req.path, items)
 
 
+class _Report(msgspec.Struct):
+    born: int = 0
+
+
 class _Result(msgspec.Struct):
     id: str
     state: str
--- a/tests/entryhelper.py
+++ b/tests/entryhelper.py
@@ -1,5 +1,6 @@
 """Runs entry daemons in this process with an emulated store and engines."""
 
+import contextlib
 import http.client
 import json
 import socket
@@ -120,7 +121,10 @@
         raise NotImplementedError
 
     def stop(self):
-        """Stops accepting connections."""
+        """Stops accepting connections; new ones are refused."""
+        with contextlib.suppress(OSError):
+            # Ends a call of accept(), which close() leaves waiting.
+            self._sock.shutdown(socket.SHUT_RDWR)
         self._sock.close()
 
 
@@ -174,6 +178,25 @@
             "servers", engine.name, engine.entry(entryfleet.POOL, state)
         )
 
+    def list_address(self, name, address, born=0):
+        """Lists an engine at an address, and waits until all daemons know."""
+        entry = {
+            "service": entryfleet.POOL,
+            "address": address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "seq": 1,
+            "born": born,
+        }
+        self.store.put_row("servers", name, entry)
+        for daemon in self.daemons:
+            wait_until(
+                lambda one=daemon: one.state.roster.get(name) is not None,
+                f"{name} is listed",
+            )
+
     def remove_engine(self, engine):
         """Removes an engine and waits until the daemons know."""
         self.store.remove_row("servers", engine.name)
--- a/tests/test_brokenanswers.py
+++ b/tests/test_brokenanswers.py
@@ -4,6 +4,7 @@
 """
 
 import re
+import threading
 
 import pytest
 
@@ -20,6 +21,8 @@
     "Content-Length: 0\r\n\r\n"
 )
 BEGUN_STREAM = HEAD + "\r\nid: 1\ndata: {id}:1\n\nid: 2\nda"
+# How much later an engine sends what it adds to an answer (s).
+ADDED_AFTER_S = 0.2
 ROUTES = (
     *entryfleet.ROUTES,
     entryfleet.route("slips", "/slips/", "idempotent"),
@@ -30,11 +33,13 @@
 class ScriptedEngine(entryhelper.RawServer):
     """Sends `script` for each request, with the request's id, then closes.
 
-    Later requests get `later_script`, unless it is None.
+    Later requests get `later_script`, unless it is None. After a script,
+    `added` follows, which the daemon reads apart.
     """
 
     def __init__(self, script):
         self._script = script
+        self.added = ""
         self.later_script = None
         self.requests = []
         super().__init__()
@@ -58,6 +63,9 @@
         self.requests.append(request)
         conn.sendall(self._script.format(id=request).encode())
         self._script = self.later_script or self._script
+        if self.added:
+            threading.Event().wait(ADDED_AFTER_S)
+            conn.sendall(self.added.format(id=request).encode())
 
 
 @pytest.fixture
@@ -73,29 +81,11 @@
     new_fleet.stop()
 
 
-def list_engine(fleet, name, engine):
-    """Lists a scripted engine and waits until the daemon knows it."""
-    entry = {
-        "service": entryfleet.POOL,
-        "address": engine.address,
-        "zone": "a",
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-        "seq": 1,
-    }
-    fleet.store.put_row("servers", name, entry)
-    state = fleet.daemons[0].state
-    entryhelper.wait_until(
-        lambda: state.roster.get(name) is not None, "the engine is listed"
-    )
-
-
 def script(fleet, *scripts):
     """Lists an engine for each script; returns the ScriptedEngines."""
     engines = [ScriptedEngine(one) for one in scripts]
     for number, engine in enumerate(engines):
-        list_engine(fleet, f"scripted-{number}", engine)
+        fleet.list_address(f"scripted-{number}", engine.address)
     return engines
 
 
@@ -137,7 +127,7 @@
 def test_only_the_rest_of_a_stream_follows_what_broke_off(fleet, rest):
     (engine,) = script(fleet, BEGUN_STREAM)
     engine.later_script = NOT_THE_REST[rest]
-    list_engine(fleet, "again", engine)
+    fleet.list_address("again", engine.address)
     found = fleet.send_online("r1")
     assert len(engine.requests) == 2
     assert (found.status, found.complete) == (200, False)
--- a/tests/test_stranded.py
+++ b/tests/test_stranded.py
@@ -141,10 +141,13 @@
         assert reply.text == fleet.engines[0].text(name)
 
 
-# Connections that live on while new ones are refused are left to end.
-def test_streams_that_live_on_are_left_to_end(fleet):
+# Connections that live on while new ones are refused are left to end. Peers
+# tell whether the engine still runs if an answer has no length.
+@pytest.mark.parametrize("unframed", [False, True])
+def test_streams_that_live_on_are_left_to_end(fleet, unframed):
     for engine in fleet.engines:
         engine.events, engine.event_interval_s = 20, 0.05
+        engine.unframed = unframed
     stranded, _ = choose(fleet, 2, False)
     names = [f"r{number}" for number in range(6)]
     futures = send_all(fleet, stranded, names, "/bills/1")
--- a/tests/test_unframed.py
+++ b/tests/test_unframed.py
@@ -1,11 +1,13 @@
 """Streams that have no length and end with the engine's connection."""
 
+import concurrent.futures
 import threading
 
 import pytest
 
 from samphirepost import batchjob
 from samphirepost import roster
+from samphirepost_bench import entryfleet
 from samphirepost_bench import streamengine
 from samphirepost_daemon.entry import engineclient
 from samphirepost_daemon.entry import holdermessages
@@ -85,6 +87,146 @@
         assert result["text"] == fleet.engines[0].text(result["id"])
 
 
+NO_REPORT = b"HTTP/1.1 404 Not Found\r\n\r\n"
+
+
+class DyingServer(entryhelper.RawServer):
+    """An engine that ends between two events of its answer, if it is told to.
+
+    Its answers have no length. `report` is what it answers if it is asked for
+    its report; None to close the connection.
+    """
+
+    def __init__(self, dies, report=NO_REPORT):
+        super().__init__()
+        self._dies = dies
+        self._report = report
+        self.requests = 0
+
+    def serve(self, conn):
+        """Sends two events, then refuses connections and closes this one."""
+        data = conn.recv(65_536)
+        if data.startswith(b"GET /report "):
+            if self._report is not None:
+                conn.sendall(self._report)
+            return
+        request = data.partition(b"Request-Id: ")[2].partition(b"\r\n")[0]
+        self.requests += 1
+        conn.sendall(
+            b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\n"
+            b"Content-Type: text/event-stream\r\n\r\n"
+            b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n" % request
+        )
+        if self._dies:
+            self.stop()
+
+
+PATHS = ["/notes/1", "/bills/1", "/slips/1", "/prints/1"]
+
+
+@pytest.fixture
+def lone_fleet():
+    """A daemon without engines, with routes of all online kinds."""
+    new_fleet = entryhelper.Fleet(engines=0)
+    new_fleet.configure(
+        2,
+        (
+            *entryfleet.ROUTES,
+            entryfleet.route("slips", "/slips/", "idempotent"),
+            entryfleet.route("prints", "/prints/", "non_idempotent"),
+        ),
+    )
+    state = new_fleet.daemons[0].state
+    entryhelper.wait_until(
+        lambda: state.table.revision == 2, "the routes are known"
+    )
+    yield new_fleet
+    new_fleet.stop()
+
+
+# Users' days, MIXED: an engine that is killed ends its connections as after a
+# whole answer, and callers got a part of one, framed as whole.
+@pytest.mark.parametrize("path", PATHS)
+def test_an_answer_whose_engine_is_gone_is_not_whole(lone_fleet, path):
+    engine = DyingServer(dies=True)
+    lone_fleet.list_address("e1", engine.address)
+    found = lone_fleet.send_online("r1", path)
+    assert engine.requests == 1
+    if path in ("/slips/1", "/prints/1"):
+        assert found.status == 502
+        assert "Response-Seal" not in found.headers
+    else:
+        assert (found.status, found.complete) == (200, False)
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_an_answer_whose_engine_is_still_there_is_whole(lone_fleet, path):
+    engine = DyingServer(dies=False)
+    lone_fleet.list_address("e1", engine.address)
+    found = lone_fleet.send_online("r1", path)
+    engine.stop()
+    assert engine.requests == 1
+    assert (found.status, found.complete) == (200, True)
+    assert found.text == "1\n2"
+
+
+def report(born):
+    """Returns the report of an engine that started at `born` (ms)."""
+    body = b'{"born":%d}' % born
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (
+        len(body),
+        body,
+    )
+
+
+BORN_MS = 1_700_000_000_000
+# What is answered at the engine's address after its answer has ended, and
+# whether that shows that the engine has not been killed in it.
+REPORTS = {
+    "its own": (report(BORN_MS), True),
+    "none": (NO_REPORT, True),
+    "without a start": (report(0), True),
+    "that of a later start": (report(BORN_MS + 1), False),
+    "another engine": (b"HTTP/1.1 421 Misdirected\r\n\r\n", False),
+    "closed": (None, False),
+    "cut": (b"HTTP/1.1 200 O", False),
+}
+
+
+# An engine that has started again at its address, or a proxy before it, takes
+# connections as the killed one did.
+@pytest.mark.parametrize("kind", REPORTS)
+def test_the_same_start_of_an_engine_has_to_run_after_its_answer(
+    lone_fleet, kind
+):
+    answer, is_whole = REPORTS[kind]
+    engine = DyingServer(False, answer)
+    lone_fleet.list_address("e1", engine.address, BORN_MS)
+    found = lone_fleet.send_online("r1", "/bills/1")
+    engine.stop()
+    assert (found.status, found.complete) == (200, is_whole)
+
+
+# The end of a killed engine's stream is not that of the output: another
+# engine goes on.
+def test_a_stream_whose_engine_is_gone_goes_on_elsewhere(fleet):
+    for engine in fleet.engines:
+        engine.events, engine.event_interval_s = 20, 0.05
+    with concurrent.futures.ThreadPoolExecutor(1) as executor:
+        fut = executor.submit(fleet.send_online, "r1")
+        engine = entryhelper.wait_until(
+            lambda: next(
+                (one for one in fleet.engines if one.ran("r1")), None
+            ),
+            "the request runs",
+        )
+        engine.crash()
+        found = fut.result()
+    assert (found.status, found.complete) == (200, True)
+    assert found.text == fleet.engines[0].text("r1")
+    assert fleet.ran("r1") == 2
+
+
 class HeadServer(entryhelper.RawServer):
     """An engine that closes each connection after the head of an answer."""
 
