The events of each stream have to follow one another, not of resumed ones only

If the first answer has no length, nothing tells where it ends, and the second one is read as a part of its body.

Cause: OpenResponse.feed looked at the ids of events only if the stream had been resumed; others were passed on as they came. Items were checked always.

The fix: the first event's id is what the next ones follow. A stream whose events have no ids is passed on as before. What can't be told: where a plain answer without a length ends, if an engine adds bytes to it (docs/CALLERS.md).

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -77,8 +77,8 @@
     are not yet passed on. `done` is true once the engine has sent the complete
     response; `closed`, once the connection to the engine is closed. `began_s`
     is the monotonic time of a stream's first events, `event_count` the number
-    of events so far. The events of a stream that was resumed have to follow
-    the one with the id `last_id`.
+    of events so far. `last_id` is the id of the event that the next one has to
+    follow; None before the first event of a stream that was not resumed.
     """
 
     call: engineclient.Call
@@ -106,7 +106,9 @@
         found = self.parser.feed(data)
         if self.parser.is_overlong:
             return OVERLONG_EVENT
-        if self.last_id is not None and found:
+        if found and self.last_id is None and found[0].id is not None:
+            self.last_id = found[0].id - 1
+        if found and self.last_id is not None:
             if not events.follow(found, self.last_id):
                 return NOT_THE_REST
             self.last_id = found[-1].id
--- a/tests/test_brokenanswers.py
+++ b/tests/test_brokenanswers.py
@@ -159,3 +159,28 @@
     found = fleet.send_online("r1", path)
     assert found.status == 502
     assert "Response-Seal" not in found.headers
+
+
+# What an engine adds to an answer that has no length. Nothing tells where that
+# ends, so a second answer on its connection is read as a part of its body.
+ADDED = {
+    "a second answer": HEAD + "\r\nid: 1\ndata: {id}:1\n\n",
+    "the first event": "id: 1\ndata: {id}:1\n\n",
+    "a later event": "id: 9\ndata: {id}:9\n\n",
+    "no event": "broken\n\n",
+}
+
+
+# Users' days, MIXED: back ends that stutter may answer twice, the second time
+# late, and a caller had both answers in one.
+@pytest.mark.parametrize("path", ["/notes/1", "/bills/1"])
+@pytest.mark.parametrize("added", ADDED)
+def test_what_is_added_to_an_answer_is_not_passed_on(fleet, added, path):
+    (engine,) = script(
+        fleet,
+        HEAD + "\r\nid: 1\ndata: {id}:1\n\nid: 2\ndata: {id}:2\n\n",
+    )
+    engine.added = ADDED[added]
+    found = fleet.send_online("r1", path)
+    assert (found.status, found.complete) == (200, False)
+    assert found.body == (b"id: 1\ndata: r1:1\n\nid: 2\ndata: r1:2\n\n")
