A rig that kills engines' processes; soak and upgrade without lengths; production

The check for open jobs at the end named jobs that its last read had completed; it looks again after the reads, and is as strict: what is not complete then is a violation.

--- a/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
@@ -12,11 +12,26 @@
 _Seed = typing.Annotated[
     int, cappa.Arg(long=True, help="First seed; 0: from the clock.")
 ]
+_Unframed = typing.Annotated[
+    bool,
+    cappa.Arg(
+        long=True,
+        help="Engines have few slots and answer without a length.",
+    ),
+]
 _Runs = typing.Annotated[
     int, cappa.Arg(long=True, help="Number of consecutive seeds to run.")
 ]
 
 
+def _new_engine(unframed):
+    """Returns what makes the engines of a fleet."""
+    from samphirepost_bench import entryfleet
+    from samphirepost_bench import streamengine
+
+    return entryfleet.unframed_engine if unframed else streamengine.Engine
+
+
 def _seeds(first, runs):
     first = first or int(time.time())
     return range(first, first + runs)
@@ -58,6 +73,35 @@
         )
 
 
+@cappa.command(
+    name="stream-engine", help="Runs an engine that answers without a length."
+)
+@dataclasses.dataclass
+class StreamEngine:
+    """The emulator of an engine behind the entry daemon."""
+
+    name: typing.Annotated[str, cappa.Arg(long=True, help="Id of the engine.")]
+    events: typing.Annotated[
+        int, cappa.Arg(long=True, help="Number of events of its answers.")
+    ] = 8
+    interval: typing.Annotated[
+        float, cappa.Arg(long=True, help="Time between two events (s).")
+    ] = 0.01
+    slots: typing.Annotated[
+        int, cappa.Arg(long=True, help="Number of slots that it names.")
+    ] = 8
+
+    def __call__(self):
+        from samphirepost_bench import entryfleet
+        from samphirepost_bench import streamengine
+
+        engine = streamengine.Engine(
+            self.name, self.events, self.interval, slots=self.slots
+        )
+        engine.unframed = True
+        streamengine.run(engine, entryfleet.POOL)
+
+
 @cappa.command(name="service", help="Runs a plain service emulator.")
 @dataclasses.dataclass
 class Service:
@@ -198,11 +242,16 @@
     seconds: typing.Annotated[
         float, cappa.Arg(long=True, help="How long faults are injected (s).")
     ] = 15.0
+    unframed: _Unframed = False
 
     def __call__(self):
         from samphirepost_bench import soak
 
-        failed = soak.run(_seeds(self.seed, self.runs), self.seconds)
+        failed = soak.run(
+            _seeds(self.seed, self.runs),
+            self.seconds,
+            new_engine=_new_engine(self.unframed),
+        )
         return 1 if failed else 0
 
 
@@ -236,17 +285,48 @@
     ]
     seed: _Seed = 0
     runs: _Runs = 1
+    unframed: _Unframed = False
+
+    def __call__(self):
+        from samphirepost_bench import upgrade
+
+        failed = upgrade.run(
+            _seeds(self.seed, self.runs),
+            self.old,
+            new_engine=_new_engine(self.unframed),
+        )
+        return 1 if failed else 0
+
+
+@cappa.command(
+    name="kills", help="Kills engines that answer without a length."
+)
+@dataclasses.dataclass
+class Kills:
+    """Processes of engines are killed in their answers, beside real daemons."""
+
+    seed: _Seed = 0
+    runs: _Runs = 1
+    kills: typing.Annotated[
+        int, cappa.Arg(long=True, help="Engines that are killed in each run.")
+    ] = 15
+    build: typing.Annotated[
+        str, cappa.Arg(long=True, help="Commit of the daemons' build.")
+    ] = ""
 
     def __call__(self):
+        from samphirepost_bench import kills
         from samphirepost_bench import upgrade
 
-        failed = upgrade.run(_seeds(self.seed, self.runs), self.old)
+        program = upgrade.extract(self.build) if self.build else None
+        failed = kills.run(_seeds(self.seed, self.runs), self.kills, program)
         return 1 if failed else 0
 
 
 Command = (
     Platform
     | Engine
+    | StreamEngine
     | Service
     | Demo
     | Mutate
@@ -258,6 +338,7 @@
     | Soak
     | Drains
     | Upgrade
+    | Kills
 )
 
 
--- a/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
@@ -61,6 +61,16 @@
     }
 
 
+def unframed_engine(name):
+    """Returns an engine whose answers have no length, with few slots.
+
+    Its answers last, so that items lose their slots to online requests.
+    """
+    engine = streamengine.Engine(name, 12, 0.015, slots=3)
+    engine.unframed = True
+    return engine
+
+
 class Proxies:
     """Opens forwarders on loopback; runs them in one event loop thread."""
 
@@ -153,12 +163,13 @@
 class Engine:
     """One engine id; each restart gets a new incarnation and address.
 
-    An incarnation that crashes on one of `crash_parts` or `crash_bodies` is
+    `new_engine(name)` returns the streamengine.Engine of an incarnation. An incarnation that crashes on one of `crash_parts` or `crash_bodies` is
     followed by the next one; `crashes_s` has the times (monotonic, s).
     """
 
-    def __init__(self, name, proxies, store):
+    def __init__(self, name, proxies, store, new_engine):
         self.name = name
+        self._new_engine = new_engine
         self._proxies = proxies
         self._store = store
         self.crash_bodies = frozenset()
@@ -176,7 +187,7 @@
 
     def restart(self):
         """Starts a new incarnation, without the state of the previous one."""
-        incarnation = streamengine.Engine(self.name)
+        incarnation = self._new_engine(self.name)
         incarnation.born = len(self.incarnations) + 1
         incarnation.crash_bodies = self.crash_bodies
         incarnation.crash_parts = self.crash_parts
@@ -217,15 +228,20 @@
 
 
 class Fleet:
-    """A store, engines and daemons; a context manager that stops them."""
+    """A store, engines and daemons; a context manager that stops them.
+
+    See Engine for `new_engine`.
+    """
 
-    def __init__(self, daemons, engines, folder=None):
+    def __init__(
+        self, daemons, engines, folder=None, new_engine=streamengine.Engine
+    ):
         self.folder = pathlib.Path(folder or tempfile.mkdtemp("-soak"))
         self.store = storeserver.StoreServer()
         self.store.start()
         self.proxies = Proxies()
         self.engines = [
-            Engine(f"engine-{number}", self.proxies, self.store)
+            Engine(f"engine-{number}", self.proxies, self.store, new_engine)
             for number in range(engines)
         ]
         self.version = 0
--- a/packages/samphirepost-bench/src/samphirepost_bench/soak.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/soak.py
@@ -16,6 +16,7 @@
 from samphirepost_bench import entryfleet
 from samphirepost_bench import fleet as fleet_module
 from samphirepost_bench import soakfaults
+from samphirepost_bench import streamengine
 
 # The names such as `contactMs` below are limits that the platform sets.
 
@@ -446,7 +447,7 @@
             for job in open_jobs:
                 self.read_results(job, rng)
             time.sleep(REQUEST_PAUSE_S)
-        for job in open_jobs:
+        for job in filter(self._is_open, self.jobs):
             self.record_violation(
                 "LOST",
                 f"{job.id} has {len(job.results)} of {ITEMS_PER_JOB}",
@@ -543,15 +544,25 @@
         return self.trace.is_stable(begin_s - FAULT_EFFECT_S, end_s)
 
 
-def run(seeds, seconds, daemons=4, engines=3, report=print):
+def run(
+    seeds,
+    seconds,
+    daemons=4,
+    engines=3,
+    report=print,
+    new_engine=streamengine.Engine,
+):
     """Runs each seed; returns those in which a guarantee was violated.
 
-    `seconds` is how long faults are injected. Passes one line a seed to
+    `seconds` is how long faults are injected; see entryfleet.Engine for
+    `new_engine`. Passes one line a seed to
     `report`, and for a failed seed the violations and the faults as well.
     """
     failed_seeds = []
     for seed in seeds:
-        with entryfleet.Fleet(daemons, engines) as fleet:
+        with entryfleet.Fleet(
+            daemons, engines, new_engine=new_engine
+        ) as fleet:
             soak = Soak(fleet, seed)
             soak.run(seconds)
         done = sum(len(job.results) == ITEMS_PER_JOB for job in soak.jobs)
--- a/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
@@ -75,7 +75,8 @@
 class Engine(http.server.ThreadingHTTPServer):
     """One engine; `arrivals` lists all requests in order.
 
-    `version` is that of its software; engines do not check whether a stream
+    `slots` is what its entry names; it serves more. `version` is that of its
+    software; engines do not check whether a stream
     that they resume was begun by the same.
     `faults` is a queue of the faults of the next requests.
     `disconnected` is set once a connection closed during a stream.
@@ -95,9 +96,11 @@
         events=8,
         event_interval_s=EVENT_INTERVAL_S,
         version="v1",
+        slots=8,
     ):
         super().__init__(("127.0.0.1", 0), Handler)
         self.name = name
+        self.slots = slots
         self.version = version
         self.events = events
         self.event_interval_s = event_interval_s
@@ -156,7 +159,7 @@
             "address": self.address,
             "zone": "a",
             "version": self.version,
-            "slots": 8,
+            "slots": self.slots,
             "state": state,
             "seq": 1,
             "born": self.born,
@@ -170,8 +173,18 @@
 
     def text(self, request):
         """Returns the complete output of a request, one line an event."""
-        numbers = range(1, self.events + 1)
-        return "\n".join(f"{request}:{number}" for number in numbers)
+        return whole_text(request, self.events)
+
+
+def whole_text(request, events):
+    """Returns the complete output of a request, one line an event."""
+    return "\n".join(f"{request}:{number}" for number in range(1, events + 1))
+
+
+def run(engine, pool):
+    """Serves in this process until it is killed; prints the engine's entry."""
+    print(json.dumps(engine.entry(pool)), flush=True)
+    engine.serve_forever()
 
 
 class Handler(http.server.BaseHTTPRequestHandler):
--- a/packages/samphirepost-bench/src/samphirepost_bench/upgrade.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/upgrade.py
@@ -13,6 +13,7 @@
 from samphirepost_bench import entryfleet
 from samphirepost_bench import soak
 from samphirepost_bench import soakfaults
+from samphirepost_bench import streamengine
 
 # Time for which builds run side by side between two replacements (s).
 PAUSE_S = 3.0
@@ -63,13 +64,23 @@
         self._wait_ready()
 
 
-def run(seeds, commit, daemons=4, engines=3, report=print):
-    """Replaces an older build, and this one by it; returns failed seeds."""
+def run(
+    seeds,
+    commit,
+    daemons=4,
+    engines=3,
+    report=print,
+    new_engine=streamengine.Engine,
+):
+    """Replaces an older build, and this one by it; returns failed seeds.
+
+    See entryfleet.Engine for `new_engine`.
+    """
     old_program = extract(commit)
     failed_seeds = []
     for seed in seeds:
         for to_old in (False, True):
-            fleet = entryfleet.Fleet(daemons, engines)
+            fleet = entryfleet.Fleet(daemons, engines, new_engine=new_engine)
             for daemon in fleet.daemons:
                 if not to_old:
                     daemon.program = old_program
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from samphirepost_bench import entryfleet
 from samphirepost_bench import soak
 
 # How long faults are injected in one run (s).
@@ -28,3 +29,17 @@
     assert not soak.run([seed], FAULTS_S, report=lines.append), "\n".join(
         lines
     )
+
+
+# Users' days, MIXED: engines crash between two events of answers without a
+# length, and parts of texts were done.
+def test_no_promise_breaks_while_answers_have_no_length():
+    """Guards against violated guarantees, in a seed with crashes."""
+    lines = []
+    failed = soak.run(
+        [8],
+        FAULTS_S,
+        report=lines.append,
+        new_engine=entryfleet.unframed_engine,
+    )
+    assert not failed, "\n".join(lines)
