--- a/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
@@ -303,7 +303,7 @@
 )
 @dataclasses.dataclass
 class Kills:
-    """Processes of engines are killed in their answers, beside real daemons."""
+    """Engines are killed in the middle of their answers."""
 
     seed: _Seed = 0
     runs: _Runs = 1
--- a/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
@@ -163,8 +163,9 @@
 class Engine:
     """One engine id; each restart gets a new incarnation and address.
 
-    `new_engine(name)` returns the streamengine.Engine of an incarnation. An incarnation that crashes on one of `crash_parts` or `crash_bodies` is
-    followed by the next one; `crashes_s` has the times (monotonic, s).
+    `new_engine(name)` returns the streamengine.Engine of an incarnation. One
+    that crashes on one of `crash_parts` or `crash_bodies` is followed by the
+    next one; `crashes_s` has the times (monotonic, s).
     """
 
     def __init__(self, name, proxies, store, new_engine):
