Items run at other engines while no daemon reaches one that is suspect

What callers see: no item of any job runs (LOST) while an engine that has ended is still listed and no daemon reaches it; online requests go on.

Hypotheses: a quarantine (ruled out: items have no parts there, nothing in the log), the limit of engine-0 (ruled out: engine-1 names none and is idle), the reserve for online requests (ruled out: none ran). Found by reading: the hub offers a suspect engine to items first; a daemon that does not reach it needs a peer that does; there is none, and the item was passed over, as were all others, in place of trying the next engine.

The fix: whether the item's daemon or a peer reaches an engine is a part of the choice. Without a hub a failed connection already excludes an engine.

TestAnEngineThatNoDaemonReaches::test_items_run_at_the_other_engines fails before (0 of 4 granted) and passes after; test_allocator, test_relays and test_ratelimit pass (58).

--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -499,16 +499,16 @@
 
     def _grant_request(self, req, engine, now_s):
         relay = None
-        if req.relay or self._needs_relay(req.vm, engine):
+        if req.relay or self._needs_relay(req.vm, engine.id):
             relay = self.relays.choose(
                 req.vm, req.zone, engine.id, req.not_through
             )
         return self._grant(req.vm, req.id, engine, False, now_s, relay)
 
-    def _needs_relay(self, vm, engine):
+    def _needs_relay(self, vm, engine_id):
         """Whether a daemon may not reach an engine itself."""
         paths = self._reporters[vm].paths
-        return paths.doubtful or engine.id in paths.unreached
+        return paths.doubtful or engine_id in paths.unreached
 
     def _grant(self, vm, run_id, engine, batch, now_s, relay=None):
         reporter = self._reporters[vm]
@@ -582,17 +582,16 @@
             if len(sent) >= (late_budget if late else budget):
                 break
             wanted, _ = self._reporters[vm].wanted[wanted_id]
-            engine = self._engine_for_item(view, wanted.version, now_s)
-            if engine is None and wanted.version is None:
+            paths = self._reporters[vm].paths
+            engine = self._engine_for_item(view, wanted.version, vm, now_s)
+            reaches_all = not (paths.doubtful or paths.unreached)
+            if engine is None and wanted.version is None and reaches_all:
                 break
             if engine is None:
                 continue
             relay = None
-            if self._needs_relay(vm, engine):
-                zone = self._reporters[vm].paths.zone
-                relay = self.relays.choose(vm, zone, engine.id)
-                if relay is None:
-                    continue
+            if self._needs_relay(vm, engine.id):
+                relay = self.relays.choose(vm, paths.zone, engine.id)
             del self._reporters[vm].wanted[wanted_id]
             sent.append(self._grant(vm, wanted_id, engine, True, now_s, relay))
         return sent
@@ -612,10 +611,11 @@
         count = math.ceil(budget) + PASSED_ITEMS_MAX
         return heapq.nsmallest(count, wanted_slots)
 
-    def _engine_for_item(self, view, version, now_s):
+    def _engine_for_item(self, view, version, vm, now_s):
         """Returns an engine with a free slot, a suspect one first.
 
         An item tells whether a suspect engine works again at the least cost.
+        The item's daemon, or a peer of it, reaches the engine.
         """
 
         def is_usable(engine_id):
@@ -623,6 +623,10 @@
                 version in (None, view.engines[engine_id].version)
                 and self.limits.allows(engine_id, now_s)
                 and not self.health.is_avoided(engine_id, now_s)
+                and (
+                    not self._needs_relay(vm, engine_id)
+                    or self.relays.can_reach(vm, engine_id)
+                )
             )
 
         for engine_id in self.health.suspects:
--- a/packages/samphirepost/src/samphirepost/relays.py
+++ b/packages/samphirepost/src/samphirepost/relays.py
@@ -48,6 +48,19 @@
         """Removes a daemon that no longer relays."""
         self._relays.pop(vm, None)
 
+    def _usable(self, vm, engine_id):
+        return (
+            relay
+            for relay in self._relays.values()
+            if relay.vm != vm
+            and relay.runs < RUNS_MAX
+            and engine_id not in relay.unreached
+        )
+
+    def can_reach(self, vm, engine_id):
+        """Whether a daemon reaches an engine through another one."""
+        return any(True for _ in self._usable(vm, engine_id))
+
     def choose(self, vm, zone, engine_id, excluded=(), draw=random.sample):
         """Returns a Relay by which a daemon reaches an engine, or None.
 
@@ -56,11 +69,8 @@
         """
         usable = [
             relay
-            for relay in self._relays.values()
-            if relay.vm != vm
-            and relay.runs < RUNS_MAX
-            and engine_id not in relay.unreached
-            and format_address(relay.address) not in excluded
+            for relay in self._usable(vm, engine_id)
+            if format_address(relay.address) not in excluded
         ]
         if len(usable) > COMPARED_MAX:
             near = [relay for relay in usable if relay.zone == zone]
--- a/tests/test_allocator.py
+++ b/tests/test_allocator.py
@@ -567,3 +567,49 @@
         hub.report(wanted=wanted, vm="batch")
         assert ("batch", 50) not in hub.grants
         assert hub.grants["batch", 51] != "e0"
+
+
+class TestAnEngineThatNoDaemonReaches:
+    """Load pattern: an engine ends, and its entry stays for a while."""
+
+    # Found by soak 11: the hub chose the suspect engine for each item, found
+    # no peer that reaches it, and started none at the other engines.
+    def test_items_run_at_the_other_engines(self):
+        hub = Hub()
+        paths = slotmessages.Paths("a", True, ("e0",))
+        wanted = [
+            slotmessages.WantedSlot(1000 + i, POOL, False, 10.0)
+            for i in range(4)
+        ]
+        for _ in range(4):
+            for vm in ("vm0", "vm1"):
+                hub.seq += 1
+                report = slotmessages.Report(
+                    vm, hub.seq, failed=("e0",), paths=paths
+                )
+                hub.allocator.apply_report(report, vm, hub.now_s)
+        hub.now_s += enginehealth.AVOID_MAX_S
+        hub.seq += 1
+        report = slotmessages.Report(
+            "vm0", hub.seq, wanted=tuple(wanted), paths=paths
+        )
+        hub.allocator.apply_report(report, "vm0", hub.now_s)
+        hub.allocate()
+        assert "e0" in hub.allocator.health.suspects
+        assert len(hub.grants) == len(wanted)
+        assert "e0" not in hub.grants.values()
+
+    def test_a_peer_that_reaches_it_is_used(self):
+        hub = Hub(engines=1)
+        for vm, unreached in (("vm0", ("e0",)), ("vm1", ())):
+            hub.seq += 1
+            wanted = [slotmessages.WantedSlot(1000, POOL, False, 10.0)]
+            report = slotmessages.Report(
+                vm,
+                hub.seq,
+                wanted=tuple(wanted if unreached else ()),
+                paths=slotmessages.Paths("a", True, unreached),
+            )
+            hub.allocator.apply_report(report, (vm, 1), hub.now_s)
+        hub.allocate()
+        assert hub.grants == {(("vm0", 1), 1000): "e0"}
