Stand-ins: an engine that has crashed refuses connections and is listed again

The soak's engines ended their connections before their port, and the proxy before a crashed engine still accepted and closed connections: requests that were sent up to 1.4 s after a crash counted as lost with it. The check is as it was.

A crashed engine's entry was written once only; if the store refused that, the dead one stayed listed for the rest of the run. Engines write their entries again and again, so the stand-in repeats it.

--- a/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
@@ -26,6 +26,8 @@
 ENTRY_PROGRAM = pathlib.Path(__file__).parents[4] / "deploy" / "entry.py"
 # The platform's time between SIGTERM and SIGKILL (s).
 STOP_GRACE_S = 8
+# Pause after which an engine writes an entry again that was not written (s).
+REGISTER_PAUSE_S = 0.1
 
 
 def route(name, prefix, kind="stream", **fields):
@@ -86,6 +88,10 @@
         asyncio.run_coroutine_threadsafe(proxy.start(), self._loop).result()
         return proxy
 
+    def close(self, proxy):
+        """Schedules the end of a forwarder's listening."""
+        self._loop.call_soon_threadsafe(proxy.close)
+
     def reset(self, proxy):
         """Schedules a reset of a forwarder's open connections."""
         self._loop.call_soon_threadsafe(proxy.reset)
@@ -179,6 +185,7 @@
         self.limit_per_s = None
         self.incarnations = []
         self.proxy = None
+        self._is_registered = False
         self.restart()
 
     @property
@@ -200,8 +207,16 @@
         self.register("ready")
 
     def _restart_crashed(self, _):
+        self._proxies.close(self.proxy)
         self.crashes_s.append(time.monotonic())
         self.restart()
+        incarnation = self.newest_incarnation
+        # An engine writes its entry again and again.
+        while not self._is_registered and (
+            incarnation is self.newest_incarnation
+        ):
+            time.sleep(REGISTER_PAUSE_S)
+            self.register("ready")
 
     def crash_on(self, part=None, body=None):
         """Makes the engine crash on a part of prompts or on a body."""
@@ -224,7 +239,7 @@
         """
         entry = self.newest_incarnation.entry(POOL, state)
         entry["address"] = f"{fleet.HOST}:{self.proxy.port}"
-        self._store.put_row("servers", self.name, entry)
+        self._is_registered = self._store.put_row("servers", self.name, entry)
         return time.monotonic()
 
 
--- a/packages/samphirepost-bench/src/samphirepost_bench/forwarder.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/forwarder.py
@@ -12,8 +12,8 @@
     them, while new ones work; `reset` aborts the open connections. While
     `refuses_connections` is set, new connections are aborted; while
     `drops_responses` is set, data from the far end is dropped. Each chunk
-    of data is delayed by `delay_s`. `start` and `reset` are called in the
-    event loop's thread, the rest from any thread.
+    of data is delayed by `delay_s`. `start`, `reset` and `close` are called in
+    the event loop's thread, the rest from any thread.
     """
 
     def __init__(self, host, port, to_port):
@@ -59,6 +59,10 @@
         await asyncio.sleep(self.delay_s)
         return self.drops_responses
 
+    def close(self):
+        """Stops listening: new connections are refused, the others go on."""
+        self._server.close()
+
     def black_hole(self):
         """Drops all further traffic of the open connections.
 
--- a/packages/samphirepost-bench/src/samphirepost_bench/storeserver.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/storeserver.py
@@ -45,10 +45,14 @@
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
     def put_row(self, table, key, document):
-        """Writes a row as JSON, as the operator or an engine would."""
+        """Writes a row as JSON, as the operator or an engine would.
+
+        Returns whether the store has acknowledged it.
+        """
         name = store.Key(table, "", key)
         data = json.dumps(document).encode()
-        self.store.commit(store.Transaction({}, {name: data}))
+        found = self.store.commit(store.Transaction({}, {name: data}))
+        return isinstance(found, store.CommitReceipt)
 
     def remove_row(self, table, key):
         """Removes a row."""
--- a/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
@@ -144,6 +144,9 @@
         if self.has_crashed:
             return
         self.has_crashed = True
+        # The port refuses connections from now on, as that of a process that
+        # has ended; this also ends the wait of shutdown().
+        self.socket.shutdown(socket.SHUT_RDWR)
         for conn in list(self._connections):
             with contextlib.suppress(OSError):
                 conn.shutdown(socket.SHUT_RDWR)
