The hub looks for engines that leave once an interval, not for each totals

It looked through all listed engines for each totals it sent: at the planned size 12,000 engines some 3,400 times a second (1,200 daemons, one in 0.35 s; reckoned, not measured). What a daemon reports is collected at once, as before. tests/test_leaving.py, test_hubs.py, test_builds.py and test_slotexchange.py pass.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
@@ -30,6 +30,8 @@
 CAUSES_ANNOUNCEMENT_PER_DAEMON_S = 0.0002
 # Interval at which the hub looks at the versions that the daemons reported.
 VERSIONS_INTERVAL_S = 0.1
+# Interval at which it looks through the registry for engines that leave (s).
+LEAVING_INTERVAL_S = 0.05
 # Interval at which the hub logs its loads (s), and the shortest one between
 # two lines about suspect engines.
 LOG_INTERVAL_S = 2.0
@@ -60,6 +62,8 @@
         self._next_causes_s = 0.0
         self._has_news = False
         self._leaving = leaving.ReportedLeaving()
+        self._leaving_engines = ()
+        self._next_leaving_s = 0.0
         self._versions = otherversions.ReportedVersions()
         self._other_versions = None
         self._next_versions_s = 0.0
@@ -75,13 +79,14 @@
         self._versions.apply(report.vm, report.other_versions)
         if self._leaving.apply(report.leaving_engines, now_s):
             self._has_news = True
+            self._next_leaving_s = now_s
         report = self._without_probes(report, now_s)
         self._send_all(self._allocator.apply_report(report, address, now_s))
         sent_s = self._totals_sent_s.get(address, 0.0)
         if now_s - sent_s < TOTALS_INTERVAL_S:
             return
         self._totals_sent_s[address] = now_s
-        self._send_totals(report.vm, address, now_s)
+        self._send_totals(report.vm, address)
 
     def _apply_limits(self, report, now_s):
         """Applies what engines named in their answers to a daemon."""
@@ -152,6 +157,18 @@
         self._has_news = True
         self._log.event("hub.versions", other_versions=found)
 
+    def collect_leaving(self, now_s):
+        """Collects the incarnations that leave, as any daemon was told.
+
+        Once for all totals: there are many engines, and many daemons.
+        """
+        if now_s < self._next_leaving_s:
+            return
+        self._next_leaving_s = now_s + LEAVING_INTERVAL_S
+        listed = self._state.roster.left_engines(now_s)
+        left = {leaving.incarnation(engine) for engine in listed}
+        self._leaving_engines = (*self._leaving.known(now_s), *left)
+
     def _announce_news(self, now_s):
         if self._has_news and now_s >= self._next_causes_s:
             reporters = self._allocator.reporters()
@@ -161,7 +178,7 @@
                 CAUSES_ANNOUNCEMENT_PER_DAEMON_S * len(reporters),
             )
             for vm, address in reporters:
-                self._send_totals(vm, address, now_s)
+                self._send_totals(vm, address)
 
     def _decide(self, now_s):
         for cause, decided in self._judge.decide(now_s).items():
@@ -222,7 +239,7 @@
         """Announces the hub and logs its loads, each at its interval."""
         if now_s >= self._next_announcement_s:
             self._next_announcement_s = now_s + ANNOUNCEMENT_INTERVAL_S
-            self._announce(now_s)
+            self._announce()
         if now_s >= self._next_log_s:
             self._next_log_s = now_s + LOG_INTERVAL_S
             self._log_loads()
@@ -248,12 +265,12 @@
         member_count = len(self._hub_selector.members)
         return self._allocator.is_informed(member_count, now_s)
 
-    def _announce(self, now_s):
+    def _announce(self):
         for vm, address in self._hub_selector.members.items():
             if vm != self._me and not self._allocator.has_reporter(vm):
-                self._send_totals(vm, address, now_s)
+                self._send_totals(vm, address)
 
-    def _send_totals(self, vm, address, now_s):
+    def _send_totals(self, vm, address):
         counts = self._allocator.totals_of_others(vm)
         totals = slotmessages.Totals(
             self._me,
@@ -263,16 +280,10 @@
             self._allocator.limits.all_rates(),
             tuple(self._judge.on_probation),
             self._other_versions,
-            self._leaving_engines(now_s),
+            self._leaving_engines,
         )
         self._send(address, totals)
 
-    def _leaving_engines(self, now_s):
-        """Returns the incarnations that leave, as all daemons told."""
-        listed = self._state.roster.left_engines(now_s)
-        left = {leaving.incarnation(engine) for engine in listed}
-        return (*self._leaving.known(now_s), *left)
-
     def _send_all(self, messages):
         for address, message in messages:
             self._send(address, message)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -310,6 +310,7 @@
             self._send_report()
         self.hub_server.allocate(now_s)
         self.hub_server.collect_versions(now_s)
+        self.hub_server.collect_leaving(now_s)
         self.hub_server.decide_causes(now_s)
         if self._hub.vm == self._me:
             self.hub_server.announce_and_log(now_s)
