--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -7,9 +7,9 @@
 from samphirepost import attempts
 from samphirepost import events
 from samphirepost import quarantine
-from samphirepost import roster
 from samphirepost import routing
 from samphirepost import slotmessages
+from samphirepost_daemon.entry import engineattempt
 from samphirepost_daemon.entry import engineclient
 from samphirepost_daemon.entry import enginestatus
 from samphirepost_daemon.entry import pathmonitor
@@ -26,130 +26,22 @@
 # The same while this daemon reaches no engine itself, for attempts that do not
 # go through a peer.
 STRANDED_STALL_TIMEOUT_S = 0.5
-# Events of a stream from which an engine's pace is judged.
-PACE_EVENTS_MIN = 6
 # Expected wait (s) while no hub answers and all engines named a limit.
 LIMITED_WAIT_S = 1.0
 # An answer has begun with this many events: an engine that crashes on a prompt
 # may put out one.
 BEGUN_EVENTS = 2
-# Failed attempts that tell nothing about their engine.
-NO_ENGINE_FAILURES = (
-    attempts.AttemptFailure.REFUSED,
-    attempts.AttemptFailure.UNRECORDED,
-    attempts.AttemptFailure.PEER,
-)
-# Failed attempts after which the engine or the path to it may be at fault.
-PATH_FAILURES = (
-    attempts.AttemptFailure.UNREACHABLE,
-    attempts.AttemptFailure.SILENT,
-)
 # Longest Retry-After (s) of a request that crashes engines.
 RETRY_AFTER_MAX_S = 3600.0
 
 
-OVERLONG_EVENT = engineclient.CallFailure("an event is too long")
 CUT_HEAD = engineclient.CallFailure("the head has no seal")
-NOT_THE_REST = engineclient.CallFailure("not the rest of the stream")
 
 
 class CallerDisconnected(Exception):
     """The caller has disconnected."""
 
 
-class Slot(msgspec.Struct, frozen=True):
-    """An engine for one attempt, which runs under `run_id`.
-
-    `granted` unless this daemon chose the engine itself. The request goes
-    through the peer at the address `through`, if any.
-    """
-
-    engine: roster.Engine
-    run_id: int
-    granted: bool
-    through: str = ""
-
-
-class OpenResponse(msgspec.Struct):
-    """A response whose head has arrived.
-
-    Either `body` is complete, or `events` holds the events of a stream that
-    are not yet passed on. `done` is true once the engine has sent the complete
-    response; `closed`, once the connection to the engine is closed. `began_s`
-    is the monotonic time of a stream's first events, `event_count` the number
-    of events so far. `last_id` is the id of the event that the next one has to
-    follow; None before the first event of a stream that was not resumed.
-    """
-
-    call: engineclient.Call
-    slot: Slot
-    head: engineclient.ResponseHead
-    events: list[events.Event]
-    parser: events.Parser
-    body: bytes = b""
-    done: bool = False
-    closed: bool = False
-    began_s: float = 0.0
-    event_count: int = 0
-    last_id: int | None = None
-
-    @property
-    def engine(self):
-        """The engine that responds."""
-        return self.slot.engine
-
-    def feed(self, data):
-        """Parses bytes of a stream into `events`; returns None, or a failure.
-
-        The CallFailure tells that they are not sound.
-        """
-        found = self.parser.feed(data)
-        if self.parser.is_overlong:
-            return OVERLONG_EVENT
-        if found and self.last_id is None and found[0].id is not None:
-            self.last_id = found[0].id - 1
-        if found and self.last_id is not None:
-            if not events.follow(found, self.last_id):
-                return NOT_THE_REST
-            self.last_id = found[-1].id
-        self.events = found
-        return None
-
-    @property
-    def pace_s(self):
-        """The mean time between two events; 0 after too few of them."""
-        if self.event_count < PACE_EVENTS_MIN:
-            return 0.0
-        return (time.monotonic() - self.began_s) / (self.event_count - 1)
-
-
-class FailedAttempt(msgspec.Struct, frozen=True):
-    """An attempt that gave no usable response after `events` events.
-
-    `lost` if the connection ended, `has_head` if the response's head had
-    arrived. `at_peer` if the peer that relayed the request failed.
-    """
-
-    seen: attempts.AttemptFailure
-    reason: str
-    events: int = 0
-    lost: bool = False
-    has_head: bool = False
-    at_peer: bool = False
-
-    @property
-    def may_be_path(self):
-        """Whether the path to the engine may be at fault."""
-        return self.lost or self.seen in PATH_FAILURES
-
-    @property
-    def outcome(self):
-        """What the attempt showed about its engine when it ended."""
-        if self.seen in NO_ENGINE_FAILURES or self.at_peer or self.may_be_path:
-            return slotmessages.Outcome.UNKNOWN
-        return slotmessages.Outcome.FAILED
-
-
 class Exchange:
     """One online request and its attempts; used by one thread."""
 
@@ -216,7 +108,7 @@
             if isinstance(slot, attempts.ErrorResponse):
                 return slot
             result = self._attempt(slot, resume_after)
-            if isinstance(result, OpenResponse):
+            if isinstance(result, engineattempt.OpenResponse):
                 self._is_answered = True
                 return result
             self._record_failure(slot, result)
@@ -332,11 +224,11 @@
         if not self._paths.is_unreached(engine.id) and (
             not self._paths.is_doubtful
         ):
-            return Slot(engine, grant.id, True)
+            return engineattempt.Slot(engine, grant.id, True)
         if not grant.through and self._paths.is_stranded:
             self._slots.end_run(grant.id, slotmessages.Outcome.UNKNOWN)
             return self._no_path_error()
-        return Slot(engine, grant.id, True, grant.through)
+        return engineattempt.Slot(engine, grant.id, True, grant.through)
 
     def _no_path_error(self):
         self._metrics.no_path.inc()
@@ -409,7 +301,9 @@
             if not through and self._paths.is_stranded:
                 return self._no_path_error()
         self._limits.take(engine, daemon_count, now_s)
-        return Slot(engine, self._slots.next_run_id(), False, through)
+        return engineattempt.Slot(
+            engine, self._slots.next_run_id(), False, through
+        )
 
     def _busy_error(self, wait_s):
         return attempts.ErrorResponse(
@@ -477,7 +371,10 @@
         self.history.record_failure(engine_id, failure.seen)
         self.last_failure = failure
         self._metrics.attempts.labels(failure.seen.value).inc()
-        if failure.seen not in NO_ENGINE_FAILURES and not failure.at_peer:
+        if (
+            failure.seen not in engineattempt.NO_ENGINE_FAILURES
+            and not failure.at_peer
+        ):
             self._load_tracker.record_failure(engine_id, time.monotonic())
         self._log.event(
             "attempt.failed",
@@ -514,7 +411,7 @@
         try:
             result = self._send(call, slot, resume_after)
         finally:
-            if not isinstance(result, OpenResponse):
+            if not isinstance(result, engineattempt.OpenResponse):
                 call.close()
                 self._slots.end_run(slot.run_id, _outcome(result))
         return result
@@ -540,17 +437,17 @@
     def _failed_attempt(self, part, has_head=True):
         """Returns the failure shown by `part`, a result of receive()."""
         if part is None:
-            return FailedAttempt(
+            return engineattempt.FailedAttempt(
                 attempts.AttemptFailure.SILENT, "the engine is silent"
             )
         if isinstance(part, engineclient.EndOfResponse):
-            return FailedAttempt(
+            return engineattempt.FailedAttempt(
                 attempts.AttemptFailure.BROKEN,
                 "the answer ended early",
                 lost=True,
                 has_head=True,
             )
-        return FailedAttempt(
+        return engineattempt.FailedAttempt(
             attempts.AttemptFailure.BROKEN,
             part.reason,
             lost=part.lost,
@@ -564,21 +461,21 @@
         if not isinstance(
             head, engineclient.ResponseHead
         ) or not wire.is_response_to(head, self._req):
-            return FailedAttempt(
+            return engineattempt.FailedAttempt(
                 attempts.AttemptFailure.BROKEN, "another request's answer"
             )
         if wire.is_rejected(head):
-            return FailedAttempt(
+            return engineattempt.FailedAttempt(
                 attempts.AttemptFailure.REFUSED, f"status {head.status}"
             )
         if not wire.is_complete_head(head):
             return self._failed_attempt(CUT_HEAD)
-        response = OpenResponse(
+        response = engineattempt.OpenResponse(
             call, slot, head, [], events.Parser(), last_id=resume_after
         )
         if self._route.kind is routing.Kind.STREAM and head.status == 200:
             if resume_after is not None and not wire.is_event_stream(head):
-                return self._failed_attempt(NOT_THE_REST)
+                return self._failed_attempt(engineattempt.NOT_THE_REST)
             return self._read_first_events(response)
         return self._read_body(response)
 
@@ -597,7 +494,7 @@
                 return self._failed_attempt(part)
         self._load_tracker.record_success(response.engine.id)
         if not self.stream_version.may_begin(response.engine):
-            return FailedAttempt(
+            return engineattempt.FailedAttempt(
                 attempts.AttemptFailure.UNRECORDED,
                 "where the stream begins could not be recorded",
                 has_head=True,
@@ -633,7 +530,9 @@
             return response
         if response.head.status == 503 or not self.history.is_last_execution:
             reason = f"status {response.head.status}"
-            return FailedAttempt(attempts.AttemptFailure.FAILED, reason)
+            return engineattempt.FailedAttempt(
+                attempts.AttemptFailure.FAILED, reason
+            )
         return response
 
     def is_whole(self, response, end):
@@ -718,7 +617,7 @@
         seen = attempts.AttemptFailure.BROKEN
     elif failure.at_peer:
         seen = attempts.AttemptFailure.PEER
-    return FailedAttempt(
+    return engineattempt.FailedAttempt(
         seen, failure.reason, lost=failure.lost, at_peer=failure.at_peer
     )
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holdermessages.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holdermessages.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from samphirepost import batchjob
+from samphirepost_daemon.entry import engineattempt
 from samphirepost_daemon.entry import engineclient
-from samphirepost_daemon.entry import exchange
 from samphirepost_daemon.entry import jobstore
 
 
@@ -89,7 +89,7 @@
     def pace_s(self):
         """The mean time between two events; 0 after too few of them."""
         count = len(self.partial.texts) - self.events_before
-        if count < exchange.PACE_EVENTS_MIN:
+        if count < engineattempt.PACE_EVENTS_MIN:
             return 0.0
         return (time.monotonic() - self.began_s) / count
 
