--- a/tests/entryhelper.py
+++ b/tests/entryhelper.py
@@ -71,7 +71,7 @@
         return failure or call.send(*request)
 
 
-def run_item(item, engine, partial):
+def run_item(item, engine, partial, observer=None):
     """Runs an item at an engine without a holder; returns the outcome."""
     record = batchjob.Record("job", "h", "r", item.path, (item,))
     run = holdermessages.ItemRun(1, ("h", "job"), 0, engine, partial)
@@ -82,7 +82,7 @@
         engine,
         run,
         lambda: False,
-        items.RunObserver(),
+        observer or items.RunObserver(),
     )
 
 
--- a/tests/test_unframed.py
+++ b/tests/test_unframed.py
@@ -256,25 +256,21 @@
     """An engine that ends its answers after some events of an item.
 
     `counts` has the number of events of each next answer; answers have no
-    length if `unframed` has a true value for them, and name `limit` if it is
-    set. Once `counts` is used up, the engine is gone. `resumed` lists the
-    event after which each request asked.
+    length if `unframed` has a true value for them, or is empty. Once `counts`
+    is used up, the engine is gone. `resumed` lists the event after which each
+    request asked.
     """
 
-    def __init__(self, counts, unframed=(), limit=""):
+    def __init__(self, counts, unframed=()):
         super().__init__()
         self.counts = list(counts)
         self.unframed = list(unframed)
-        self.limit = limit
         self.resumed = []
 
     def serve(self, conn):
         """Answers one request; the last one ends the engine."""
         lines = conn.recv(65_536).lower().split(b"\r\n")
         after = [one for one in lines if one.startswith(b"last-event-id:")]
-        if len(lines) == 1:
-            # A connection only, without a request.
-            return
         first = int(after[0].split(b":")[1]) + 1 if after else 1
         self.resumed.append(first - 1)
         count = self.counts.pop(0)
@@ -288,59 +284,102 @@
         length = b"" if is_unframed else b"Content-Length: %d\r\n" % len(body)
         conn.sendall(
             b"HTTP/1.1 200 OK\r\nRequest-Id: i1\r\nResponse-Seal: s\r\n"
-            + self.limit.encode()
             + length
             + b"\r\n"
             + body
         )
 
 
-def run_short_item(server, partial):
+def run_short_item(server, partial, observer=None):
     """Runs an item at a ShortServer; returns the outcome."""
     item = batchjob.Item("i1", "/evening/1", {}, b"body", 10)
     engine = roster.Engine("e1", "plants", server.address, "a", 8)
-    outcome = entryhelper.run_item(item, engine, partial)
-    server.stop()
-    return outcome
+    return entryhelper.run_item(item, engine, partial, observer)
+
+
+@pytest.fixture
+def short_server():
+    """Returns a function that starts a ShortServer."""
+    servers = []
+
+    def start(*args):
+        servers.append(ShortServer(*args))
+        return servers[-1]
+
+    yield start
+    for server in servers:
+        server.stop()
 
 
 # Days of the users, MIXED: an engine that is killed writes whole events and
 # its connection ends as after a whole answer, so part of a text was done.
-def test_an_item_whose_engine_is_killed_between_events_is_not_complete():
+def test_an_item_whose_engine_is_killed_between_events_is_not_complete(
+    short_server,
+):
     partial = batchjob.PartialOutput()
-    outcome = run_short_item(ShortServer([3]), partial)
+    outcome = run_short_item(short_server([3]), partial)
     assert isinstance(outcome, items.InterruptedRun)
     assert outcome.may_be_path
     assert partial.text == b"1\n2\n3"
 
 
 # The same if the engine lives on: it is asked for what follows.
-def test_an_item_whose_answer_ends_early_goes_on_at_the_same_engine():
+def test_an_item_whose_answer_ends_early_goes_on_at_the_same_engine(
+    short_server,
+):
     partial = batchjob.PartialOutput()
-    server = ShortServer([3, 2, 1, 0])
+    server = short_server([3, 2, 1, 0])
     outcome = run_short_item(server, partial)
     assert isinstance(outcome, items.CompletedRun)
     assert partial.text == b"1\n2\n3\n4\n5\n6"
     assert server.resumed == [0, 3, 5, 6]
 
 
-def test_an_item_is_complete_once_its_engine_says_that_nothing_follows():
+def test_an_item_is_complete_once_its_engine_says_that_nothing_follows(
+    short_server,
+):
     for unframed in ([True, False], [True, True]):
         partial = batchjob.PartialOutput()
-        server = ShortServer([ITEM_EVENTS, 0], unframed)
+        server = short_server([ITEM_EVENTS, 0], unframed)
         outcome = run_short_item(server, partial)
         assert isinstance(outcome, items.CompletedRun)
         assert server.resumed == [0, ITEM_EVENTS]
 
 
-def test_an_answer_with_a_length_is_not_asked_for_again():
+def test_an_answer_with_a_length_is_not_asked_for_again(short_server):
     partial = batchjob.PartialOutput()
-    server = ShortServer([ITEM_EVENTS, 0], [False])
+    server = short_server([ITEM_EVENTS, 0], [False])
     outcome = run_short_item(server, partial)
     assert isinstance(outcome, items.CompletedRun)
     assert server.resumed == [0]
 
 
+class OnceObserver(items.RunObserver):
+    """An engine that must not be asked again in a run: it leaves, say."""
+
+    __slots__ = ()
+
+    def may_ask_again(self):
+        """Returns False."""
+        return False
+
+
+# An engine that leaves, or that names a limit, gets no second request: the
+# item waits for its next run, and is not run without an end.
+def test_an_item_that_may_not_ask_again_is_complete_at_its_next_run(
+    short_server,
+):
+    partial = batchjob.PartialOutput()
+    server = short_server([ITEM_EVENTS, 0])
+    outcomes = [
+        run_short_item(server, partial, OnceObserver()) for _ in range(2)
+    ]
+    assert isinstance(outcomes[0], items.InterruptedRun)
+    assert not outcomes[0].is_engine_failure
+    assert isinstance(outcomes[1], items.CompletedRun)
+    assert server.resumed == [0, ITEM_EVENTS]
+
+
 class EventServer(entryhelper.RawServer):
     """An engine whose answer has no length; it ends when the caller leaves.
 
