Concurrent soaks take their ports further apart

The first ports of processes with neighbouring ids were 101 apart, and a run takes some 25; they are 5,003 apart now.

--- a/packages/samphirepost-bench/src/samphirepost_bench/fleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/fleet.py
@@ -25,7 +25,7 @@
 PORT_COUNT = 16_000
 # The first port depends on the process id, so that concurrent runs rarely
 # try the same ports.
-_PORT_NUMBERS = itertools.count(os.getpid() * 101)
+_PORT_NUMBERS = itertools.count(os.getpid() * 5_003)
 POLL_INTERVAL_S = 0.05
 READY_WAIT_S = 30.0
 STOP_WAIT_S = 90.0
