--- a/packages/samphirepost-bench/src/samphirepost_bench/fleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/fleet.py
@@ -24,8 +24,8 @@
 PORT_FIRST = 16_000
 PORT_COUNT = 16_000
 # The first port depends on the process id, so that concurrent runs rarely
-# try the same ports.
-_PORT_NUMBERS = itertools.count(os.getpid() * 5_003)
+# try the same ports: those of ids up to 33 apart are over 300 apart.
+_PORT_NUMBERS = itertools.count(os.getpid() * 9_889)
 POLL_INTERVAL_S = 0.05
 READY_WAIT_S = 30.0
 STOP_WAIT_S = 90.0
