The rigs that kill and remove engines wait for their fleet in one place

drains and kills each had the same loop; it is Fleet.wait_ready now. The soak's own also starts daemons again that have exited, so it stays.

--- a/packages/samphirepost-bench/src/samphirepost_bench/drains.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/drains.py
@@ -19,8 +19,6 @@
 # Requests must not reach an engine later than this after the acknowledgement
 # (s): `drainMs`.
 DRAIN_S = 2.0
-READY_TIMEOUT_S = 30.0
-POLL_S = 0.05
 CALLERS = 8
 # Time for which arrivals at an engine that leaves are watched (s).
 WATCH_S = 4.0
@@ -54,7 +52,7 @@
 
     def run(self, count):
         """Has `count` engines leave, one after the other."""
-        self._wait_ready()
+        self._fleet.wait_ready()
         threads = [
             threading.Thread(target=self._send_requests, args=(number,))
             for number in range(CALLERS)
@@ -67,13 +65,6 @@
         for thread in threads:
             thread.join()
 
-    def _wait_ready(self):
-        deadline_s = time.monotonic() + READY_TIMEOUT_S
-        while not all(one.is_ready for one in self._fleet.daemons):
-            if time.monotonic() > deadline_s:
-                raise TimeoutError("the daemons are not ready")
-            time.sleep(POLL_S)
-
     def _send_requests(self, caller):
         rng = random.Random(f"{self._seed} caller {caller}")
         number = 0
--- a/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
@@ -26,6 +26,9 @@
 ENTRY_PROGRAM = pathlib.Path(__file__).parents[4] / "deploy" / "entry.py"
 # The platform's time between SIGTERM and SIGKILL (s).
 STOP_GRACE_S = 8
+# From the start of daemons to their readiness (s).
+READY_TIMEOUT_S = 30.0
+READY_POLL_S = 0.05
 # Pause after which an engine writes an entry again that was not written (s).
 REGISTER_PAUSE_S = 0.1
 
@@ -292,6 +295,14 @@
         routes = [{**one, **fields} for one in ROUTES]
         self.store.put_row("op", "config", tables(self.version, routes))
 
+    def wait_ready(self):
+        """Waits until all daemons are ready; raises FleetError."""
+        deadline_s = time.monotonic() + READY_TIMEOUT_S
+        while not all(one.is_ready for one in self.daemons):
+            if time.monotonic() > deadline_s:
+                raise fleet.FleetError("the daemons are not ready")
+            time.sleep(READY_POLL_S)
+
     def arrivals(self, request):
         """Returns a request's Arrivals at all engines and incarnations."""
         return [
--- a/packages/samphirepost-bench/src/samphirepost_bench/kills.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/kills.py
@@ -14,11 +14,9 @@
 import time
 
 from samphirepost_bench import entryfleet
-from samphirepost_bench import fleet as fleet_module
 from samphirepost_bench import soak
 from samphirepost_bench import streamengine
 
-READY_TIMEOUT_S = 30.0
 POLL_S = 0.05
 ENGINES = 4
 SLOTS = 2
@@ -75,7 +73,7 @@
         rng = random.Random(f"{self._seed} kills")
         for _ in range(ENGINES):
             self._start_engine()
-        self._wait_ready()
+        self._fleet.wait_ready()
         threads = [
             threading.Thread(target=self._send_requests, args=(number,))
             for number in range(CALLERS)
@@ -103,13 +101,6 @@
         self._fleet.store.put_row("servers", engine.name, engine.entry)
         self._engines.append(engine)
 
-    def _wait_ready(self):
-        deadline_s = time.monotonic() + READY_TIMEOUT_S
-        while not all(one.is_ready for one in self._fleet.daemons):
-            if time.monotonic() > deadline_s:
-                raise fleet_module.FleetError("the daemons are not ready")
-            time.sleep(POLL_S)
-
     def _send_requests(self, caller):
         rng = random.Random(f"{self._seed} caller {caller}")
         number = 0
