--- a/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
@@ -532,7 +532,7 @@
         "believe the first end of an item's answer without a length",
         f"{_DAEMON}/entry/items.py",
         "                return UnframedEnd()\n",
-        "                return CompletedRun()\n",
+        "                return CompletedRun(framed=False)\n",
         "tests/test_unframed.py",
     ),
     Mutation(
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -60,13 +60,21 @@
 class SlotObserver(items.RunObserver):
     """Passes on what a run of an item shows of its engine and its prompt."""
 
-    __slots__ = ("_engine", "_item", "_parts", "_shared", "_slots")
+    __slots__ = (
+        "_engine",
+        "_item",
+        "_item_id",
+        "_parts",
+        "_shared",
+        "_slots",
+    )
 
     def __init__(self, shared, engine, item):
         self._shared = shared
         self._slots = shared.slots
         self._engine = engine
         self._item = quarantine.item_key(item.id)
+        self._item_id = item.id
         self._parts = wire.shared_parts(item)
 
     def head_received(self, head):
@@ -77,6 +85,16 @@
         """Records that the prompt's parts are answered."""
         self._slots.record_begun(self._parts, self._item)
 
+    def unframed_end(self, resume_after, last_id):
+        """Logs an end from which the end of the output is inferred."""
+        self._shared.log.event(
+            "item.unframed",
+            item=self._item_id,
+            engine=self._engine.id,
+            resume_after=resume_after,
+            last_id=last_id,
+        )
+
     def may_ask_again(self):
         """Whether the engine takes work and names no limit.
 
@@ -543,7 +561,9 @@
             return
         item = held_job.record.items[run.index]
         self._apply_outcome(held_job, run, item, outcome)
-        if not isinstance(outcome, items.CompletedRun):
+        if isinstance(outcome, items.CompletedRun):
+            self._record_done(held_job, run, item, outcome)
+        else:
             self._parts.log.event(
                 "item.not_done",
                 job=held_job.record.id,
@@ -560,6 +580,22 @@
             )
         self._commit_if_due(run.key, held_job, time.monotonic())
 
+    def _record_done(self, held_job, run, item, outcome):
+        """Counts and logs how the end of an item's output was known."""
+        end = "framed" if outcome.framed else "inferred"
+        self._parts.metrics.item_ends.labels(end).inc()
+        self._parts.log.event(
+            "item.done",
+            job=held_job.record.id,
+            item=item.id,
+            engine=run.engine,
+            end=end,
+            first_id=run.partial.first_id,
+            last_id=run.partial.last_id,
+            run_events=len(run.partial.texts) - run.events_before,
+            version=run.version,
+        )
+
     def _apply_outcome(self, held_job, run, item, outcome):
         index = run.index
         now_s = time.monotonic()
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
@@ -20,9 +20,14 @@
 
 
 class CompletedRun(msgspec.Struct, frozen=True):
-    """The run completed the item's output."""
+    """The run completed the item's output.
+
+    `framed` if the engine ended an answer that has a length or chunks; else
+    the end was inferred from answers that ended with their connections.
+    """
 
     label = "whole"
+    framed: bool
 
 
 class FailedRun(msgspec.Struct, frozen=True):
@@ -95,6 +100,13 @@
     def begun(self):
         """Called once the engine has begun to answer; maybe repeatedly."""
 
+    def unframed_end(self, resume_after, last_id):
+        """Called when an answer has ended with its connection.
+
+        It was asked for after the event `resume_after`, and `last_id` is the
+        last event of the output then.
+        """
+
     def may_ask_again(self):
         """Whether the engine may get the item once more in the same run."""
         return True
@@ -132,6 +144,7 @@
     is_repeated = False
     while True:
         events_before = len(partial.texts)
+        last_id_before = partial.last_id
         try:
             outcome = _send_and_collect(
                 paths, run, record, item, engine, should_stop, observer
@@ -140,13 +153,14 @@
             run.call.close()
         if not isinstance(outcome, UnframedEnd):
             return outcome
+        observer.unframed_end(last_id_before, partial.last_id)
         is_known = is_repeated or partial.ended_id == partial.last_id
         is_empty = len(partial.texts) == events_before
         partial.ended_id = partial.last_id
         may_ask_again = observer.may_ask_again()
         if is_empty and is_known and (is_repeated or not may_ask_again):
             observer.begun()
-            return CompletedRun()
+            return CompletedRun(framed=False)
         if not may_ask_again or should_stop():
             return InterruptedRun("the end is not certain", False)
         is_repeated = True
@@ -197,7 +211,7 @@
             if part.unframed:
                 return UnframedEnd()
             observer.begun()
-            return CompletedRun()
+            return CompletedRun(framed=True)
         if not isinstance(part, engineclient.BodyData):
             return _interruption(part)
         found = parser.feed(part.data)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/metrics.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/metrics.py
@@ -48,6 +48,11 @@
             "Online answers that ended with the engine's connection",
             ["engine"],
         )
+        self.item_ends = self._counter(
+            "item_ends",
+            "Items done, by whether an engine's framed answer ended them",
+            ["end"],
+        )
         self.no_path = prometheus_client.Counter(
             "samphirepost_no_path_refusals",
             "Requests refused as neither this VM nor a peer reaches engines",
