Tests that fail: ends that no answer states, texts without a beginning

Each fails on: heads without events pass for the statement that nothing follows (three ways, and a whole job), and any first event for the first one.

--- a/tests/test_brokenanswers.py
+++ b/tests/test_brokenanswers.py
@@ -8,7 +8,10 @@
 
 import pytest
 
+from samphirepost import batchjob
+from samphirepost import roster
 from samphirepost_bench import entryfleet
+from samphirepost_daemon.entry import items
 from tests import entryhelper
 
 HEAD = (
@@ -184,3 +187,31 @@
     found = fleet.send_online("r1", path)
     assert (found.status, found.complete) == (200, False)
     assert found.body == (b"id: 1\ndata: r1:1\n\nid: 2\ndata: r1:2\n\n")
+
+
+BEGINS_LATE = "id: 3\ndata: 3\n\nid: 4\ndata: 4\n\n"
+
+
+# Any first event passed for the first of its output, so an answer of which the
+# beginning was missing was whole.
+@pytest.mark.parametrize("path", ["/notes/1", "/bills/1"])
+def test_a_stream_without_its_beginning_is_no_answer(fleet, path):
+    (engine,) = script(fleet, f"{HEAD}Content-Length: 32\r\n\r\n{BEGINS_LATE}")
+    found = fleet.send_online("r1", path)
+    assert engine.requests
+    assert found.status == 502
+    assert b"data" not in found.body
+
+
+# The same for an item, which was listed as done.
+def test_an_item_without_its_beginning_is_not_complete():
+    engine = ScriptedEngine(f"{HEAD}Content-Length: 32\r\n\r\n{BEGINS_LATE}")
+    partial = batchjob.PartialOutput()
+    outcome = entryhelper.run_item(
+        batchjob.Item("i1", "/evening/1", {}, b"body", 10),
+        roster.Engine("e1", "plants", engine.address, "a", 8),
+        partial,
+    )
+    engine.stop()
+    assert isinstance(outcome, items.InterruptedRun)
+    assert partial.text == b""
--- a/tests/test_unframed.py
+++ b/tests/test_unframed.py
@@ -380,6 +380,69 @@
     assert server.resumed == [0, ITEM_EVENTS]
 
 
+class HeadsServer(entryhelper.RawServer):
+    """An engine that lives on and ends each answer after a sealed head."""
+
+    def serve(self, conn):
+        """Sends a head without a length."""
+        conn.recv(65_536)
+        conn.sendall(
+            b"HTTP/1.1 200 OK\r\nRequest-Id: i1\r\nResponse-Seal: s\r\n\r\n"
+        )
+
+
+RUNS = 20
+
+
+# Users' days, MIXED: an engine that breaks off before its first event was
+# taken to say that nothing follows, so a resumed item was done with the part
+# that it had.
+def test_heads_without_events_never_complete_a_resumed_item():
+    server = HeadsServer()
+    partial = batchjob.PartialOutput()
+    assert partial.append_event(1, b"text")
+    outcomes = [run_short_item(server, partial) for _ in range(RUNS)]
+    server.stop()
+    for outcome in outcomes:
+        assert isinstance(outcome, items.InterruptedRun)
+    assert partial.text == b"text"
+
+
+# The same after an answer that ended between two events.
+def test_a_head_without_events_does_not_confirm_an_end(short_server):
+    partial = batchjob.PartialOutput()
+    server = short_server([3] + [0] * RUNS)
+    while server.counts:
+        outcome = run_short_item(server, partial)
+        assert isinstance(outcome, items.InterruptedRun)
+    assert partial.text == b"1\n2\n3"
+
+
+# The same at an engine that leaves or names a limit: one head was enough, if
+# an earlier run had ended there.
+def test_a_head_without_events_confirms_no_end_of_an_earlier_run(
+    short_server,
+):
+    partial = batchjob.PartialOutput()
+    server = short_server([3, 0])
+    for _ in range(2):
+        outcome = run_short_item(server, partial, OnceObserver())
+        assert isinstance(outcome, items.InterruptedRun)
+
+
+# The same for a whole job.
+def test_a_job_at_engines_that_end_after_the_head_is_whole(fleet):
+    for engine in fleet.engines:
+        engine.faults.extend([Fault.CUT, Fault.EMPTY, Fault.EMPTY] * 3)
+    assert fleet.submit("job", 6).status == 202
+    results = entryhelper.wait_until(
+        lambda: fleet.complete_results("job"), "the job is done"
+    )
+    for result in results:
+        assert result["state"] == "done"
+        assert result["text"] == fleet.engines[0].text(result["id"])
+
+
 class EventServer(entryhelper.RawServer):
     """An engine whose answer has no length; it ends when the caller leaves.
 
