The end of an item's text is stated by an engine, or witnessed by three answers

Cause: an answer without a length that ends after its head has no event; two of them, or one after an earlier run had ended there, passed for the statement that nothing follows. An engine that breaks off early makes both for one reason, and items that lost their slots are resumed ones as a rule. Fix: an answer with a length or chunks states the end; without one, three answers that began after different events have to end after the same one, and one asked for what follows it has to be empty. An answer without events is no witness, one that ends sooner refutes the others. Events that come again are not stored: two runs need not put out the same, and the text goes on only with what was asked for after its last event.

--- a/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
@@ -531,15 +531,15 @@
     Mutation(
         "believe the first end of an item's answer without a length",
         f"{_DAEMON}/entry/items.py",
-        "                return UnframedEnd()\n",
-        "                return CompletedRun(framed=False)\n",
+        "        return UnframedEnd(answer.end)\n",
+        "        return CompletedRun(framed=False)\n",
         "tests/test_unframed.py",
     ),
     Mutation(
         "ask again in a run that must not",
         f"{_DAEMON}/entry/items.py",
-        "        may_ask_again = observer.may_ask_again()\n",
-        "        may_ask_again = True\n",
+        "        if should_stop() or not observer.may_ask_again():\n",
+        "        if should_stop():\n",
         "tests/test_unframed.py",
     ),
     Mutation(
@@ -570,4 +570,25 @@
         "            pass\n",
         "tests/test_brokenanswers.py",
     ),
+    Mutation(
+        "take an answer without events for one that agrees on the end",
+        f"{_CORE}/endings.py",
+        "        if start == end:\n",
+        "        if start == end:\n            self._repeats += 1\n",
+        "tests/test_endings.py tests/test_unframed.py",
+    ),
+    Mutation(
+        "infer an end though no answer was asked for what follows it",
+        f"{_CORE}/endings.py",
+        "        return self._asked_at_end and (\n",
+        "        return (\n",
+        "tests/test_unframed.py tests/test_endings.py",
+    ),
+    Mutation(
+        "keep the answers that agreed on an end when another ends before it",
+        f"{_CORE}/endings.py",
+        "            self._witnesses.clear()\n            self._repeats = 0\n",
+        "            pass\n",
+        "tests/test_endings.py",
+    ),
 )
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -85,14 +85,14 @@
         """Records that the prompt's parts are answered."""
         self._slots.record_begun(self._parts, self._item)
 
-    def unframed_end(self, resume_after, last_id):
+    def unframed_end(self, resume_after, end):
         """Logs an end from which the end of the output is inferred."""
         self._shared.log.event(
             "item.unframed",
             item=self._item_id,
             engine=self._engine.id,
             resume_after=resume_after,
-            last_id=last_id,
+            end=end,
         )
 
     def may_ask_again(self):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
@@ -17,6 +17,8 @@
 # Deadline sent to the engine with a run; the longest outputs take less than
 # a fifth of it.
 RUN_TIMEOUT_S = 30.0
+# Answers without a length in one run; the item goes on in another run then.
+ANSWERS_PER_RUN_MAX = 6
 
 
 class CompletedRun(msgspec.Struct, frozen=True):
@@ -72,9 +74,16 @@
 class UnframedEnd(msgspec.Struct, frozen=True):
     """The answer ended with its connection, and had whole events until then.
 
-    An engine that is killed ends its answers in the same way.
+    An answer that its engine breaks off ends in the same way. `end` is the
+    number of its last event, counted from the first one of the output.
     """
 
+    end: int
+
+
+class RepeatContinues(msgspec.Struct, frozen=True):
+    """An answer that repeats events goes on after the output's last one."""
+
 
 def engine_outcome(outcome):
     """Returns what the outcome of a run shows about its engine."""
@@ -100,11 +109,11 @@
     def begun(self):
         """Called once the engine has begun to answer; maybe repeatedly."""
 
-    def unframed_end(self, resume_after, last_id):
+    def unframed_end(self, resume_after, end):
         """Called when an answer has ended with its connection.
 
-        It was asked for after the event `resume_after`, and `last_id` is the
-        last event of the output then.
+        It was asked for after the event `resume_after`, and ended with event
+        number `end` of the output.
         """
 
     def may_ask_again(self):
@@ -135,42 +144,91 @@
 def _run_until_certain(
     paths, run, record, item, engine, should_stop, observer
 ):
-    """Runs an item; asks again after an end that proves nothing.
+    """Runs an item; asks again after ends that prove nothing.
 
-    The engine is asked for what follows the last event. Its answer shows that
-    it was not killed in the answer before, and adds what that one lacked.
+    The engine is asked for what follows the last event, then for the last
+    events again: an answer that has none of them shows nothing.
     """
-    partial = run.partial
-    is_repeated = False
-    while True:
-        events_before = len(partial.texts)
-        last_id_before = partial.last_id
+    partial, ending = run.partial, run.partial.ending
+    for _ in range(ANSWERS_PER_RUN_MAX):
+        answer = _Answer(
+            partial, ending.next_start(engine.id, len(partial.texts))
+        )
         try:
             outcome = _send_and_collect(
-                paths, run, record, item, engine, should_stop, observer
+                paths, run, record, item, engine, answer, should_stop, observer
             )
         finally:
             run.call.close()
-        if not isinstance(outcome, UnframedEnd):
+        if isinstance(outcome, UnframedEnd):
+            ending.record_end(engine.id, answer.start, outcome.end)
+            observer.unframed_end(answer.resume_after, outcome.end)
+            if ending.is_certain:
+                observer.begun()
+                return CompletedRun(framed=False)
+        elif isinstance(outcome, RepeatContinues):
+            ending.refute()
+        else:
             return outcome
-        observer.unframed_end(last_id_before, partial.last_id)
-        is_known = is_repeated or partial.ended_id == partial.last_id
-        is_empty = len(partial.texts) == events_before
-        partial.ended_id = partial.last_id
-        may_ask_again = observer.may_ask_again()
-        if is_empty and is_known and (is_repeated or not may_ask_again):
-            observer.begun()
-            return CompletedRun(framed=False)
-        if not may_ask_again or should_stop():
-            return InterruptedRun("the end is not certain", False)
-        is_repeated = True
+        if should_stop() or not observer.may_ask_again():
+            break
         run.call = engineclient.Call()
+    return InterruptedRun("the end is not certain", False)
+
+
+class _Answer:
+    """The events of one answer to an item.
+
+    It was asked for after `start` events of the output; `end` is the number of
+    its last event. Events that the output has are only compared by their ids:
+    what two runs put out need not be equal.
+    """
+
+    __slots__ = ("_is_repeat", "_partial", "end", "resume_after", "start")
 
+    def __init__(self, partial, start):
+        self._partial = partial
+        self._is_repeat = start < len(partial.texts)
+        self.start = start
+        self.end = start
+        self.resume_after = partial.id_of(start)
 
-def _send_and_collect(paths, run, record, item, engine, should_stop, observer):
-    call, partial = run.call, run.partial
+    @property
+    def event_count(self):
+        """The number of its events so far."""
+        return self.end - self.start
+
+    @property
+    def is_short(self):
+        """Whether the output has events after its last one."""
+        return self.end < len(self._partial.texts)
+
+    def add(self, event):
+        """Adds the next event.
+
+        Returns None, or an InterruptedRun or RepeatContinues, which ends the
+        answer.
+        """
+        if not self._is_repeat:
+            is_next = self._partial.append_event(event.id, event.data)
+        elif self.is_short:
+            is_next = event.id == self._partial.id_of(self.end + 1)
+        else:
+            return RepeatContinues()
+        if not is_next:
+            return InterruptedRun("an event is out of order", True)
+        self.end += 1
+        return None
+
+
+def _send_and_collect(
+    paths, run, record, item, engine, answer, should_stop, observer
+):
+    call = run.call
     req = wire.item_request(record, item)
-    headers = wire.engine_headers(req, engine, RUN_TIMEOUT_S, partial.last_id)
+    headers = wire.engine_headers(
+        req, engine, RUN_TIMEOUT_S, answer.resume_after
+    )
     order = tunnel.RelayOrder(engine.id, RUN_TIMEOUT_S, item=True)
     request = (req.method, req.path, headers, req.body)
     failure = paths.open(call, engine, run.through, order, request)
@@ -193,41 +251,44 @@
         return InterruptedRun(f"status {head.status}", True)
     if not wire.is_complete_head(head):
         return InterruptedRun("the head has no seal", True, True, True)
-    return _collect_events(call, partial, should_stop, observer)
+    return _collect_events(call, answer, should_stop, observer)
 
 
-def _collect_events(call, partial, should_stop, observer):
-    events_before = len(partial.texts)
+def _collect_events(call, answer, should_stop, observer):
     has_begun = False
     parser = events.Parser()
     deadline_s = time.monotonic() + READ_TIMEOUT_S
     while True:
         part = _read_next(call, should_stop, deadline_s)
         if isinstance(part, engineclient.EndOfResponse):
-            if parser.incomplete or not partial.texts:
-                return InterruptedRun(
-                    "the stream ended early", True, True, True
-                )
-            if part.unframed:
-                return UnframedEnd()
-            observer.begun()
-            return CompletedRun(framed=True)
+            return _end_of_answer(part, answer, parser, observer)
         if not isinstance(part, engineclient.BodyData):
             return _interruption(part)
         found = parser.feed(part.data)
         if parser.is_overlong:
             return InterruptedRun("an event is too long", True)
         for event in found:
-            if not partial.append_event(event.id, event.data):
-                return InterruptedRun("an event is out of order", True)
+            ended = answer.add(event)
+            if ended is not None:
+                return ended
         if found:
             deadline_s = time.monotonic() + READ_TIMEOUT_S
-        run_events = len(partial.texts) - events_before
-        if run_events >= exchange.BEGUN_EVENTS and not has_begun:
+        if answer.event_count >= exchange.BEGUN_EVENTS and not has_begun:
             has_begun = True
             observer.begun()
 
 
+def _end_of_answer(part, answer, parser, observer):
+    if parser.incomplete or not answer.end:
+        return InterruptedRun("the stream ended early", True, True, True)
+    if part.unframed:
+        return UnframedEnd(answer.end)
+    if answer.is_short:
+        return InterruptedRun("the answer lacks events", True)
+    observer.begun()
+    return CompletedRun(framed=True)
+
+
 def _interruption(part, has_head=True):
     if isinstance(part, engineclient.CallFailure):
         return InterruptedRun(
--- a/packages/samphirepost/src/samphirepost/batchjob.py
+++ b/packages/samphirepost/src/samphirepost/batchjob.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from samphirepost import endings
 from samphirepost import hashing
 
 # Longest time between two progress writes of a holder (s), which serve as its
@@ -149,16 +150,15 @@
     It goes on at engines of software version `version` only; an item that
     starts again has another `output_id`. The first `durable_count` events are
     durable, in `checkpoint_count` checkpoints; `row_count` rows may be stored,
-    of former outputs too. `ended_id` is the last event of the newest answer
-    that ended with its connection, which proves no end of the output. The
-    thread that runs the item sets it and appends events; the holder's thread
-    does the rest.
+    of former outputs too. `ending` is the EndEvidence of answers without a
+    length. The thread that runs the item records there and appends events; the
+    holder's thread does the rest.
     """
 
     __slots__ = (
         "checkpoint_count",
         "durable_count",
-        "ended_id",
+        "ending",
         "first_id",
         "output_id",
         "row_count",
@@ -170,7 +170,7 @@
         self.output_id = output_id
         self.row_count = row_count
         self.version = None
-        self.ended_id = None
+        self.ending = endings.EndEvidence()
         self.first_id = None
         self.texts = []
         self.durable_count = 0
@@ -179,9 +179,16 @@
     @property
     def last_id(self):
         """The id of the last event, or None."""
-        if not self.texts:
+        return self.id_of(len(self.texts))
+
+    def id_of(self, number):
+        """Returns the id of an event of the output by its number, from 1.
+
+        Returns None for number 0, which stands for the beginning.
+        """
+        if not number:
             return None
-        return self.first_id + len(self.texts) - 1
+        return self.first_id + number - 1
 
     def append_event(self, event_id, data):
         """Appends an event; returns False if it is not the next one."""
--- a/tests/test_unframed.py
+++ b/tests/test_unframed.py
@@ -255,7 +255,8 @@
 class ShortServer(entryhelper.RawServer):
     """An engine that ends its answers after some events of an item.
 
-    `counts` has the number of events of each next answer; answers have no
+    `counts` has the number of events of each next answer, None for all that
+    follow up to ITEM_EVENTS; answers have no
     length if `unframed` has a true value for them, or is empty. Once `counts`
     is used up, the engine is gone. `resumed` lists the event after which each
     request asked.
@@ -274,6 +275,8 @@
         first = int(after[0].split(b":")[1]) + 1 if after else 1
         self.resumed.append(first - 1)
         count = self.counts.pop(0)
+        if count is None:
+            count = ITEM_EVENTS + 1 - first
         is_unframed = not self.unframed or self.unframed.pop(0)
         if not self.counts:
             self.stop()
@@ -328,9 +331,9 @@
     short_server,
 ):
     partial = batchjob.PartialOutput()
-    server = short_server([3, 2, 1, 0])
+    server = short_server([3, 2, 1, 0], [True, True, True, False])
     outcome = run_short_item(server, partial)
-    assert isinstance(outcome, items.CompletedRun)
+    assert outcome == items.CompletedRun(framed=True)
     assert partial.text == b"1\n2\n3\n4\n5\n6"
     assert server.resumed == [0, 3, 5, 6]
 
@@ -338,12 +341,41 @@
 def test_an_item_is_complete_once_its_engine_says_that_nothing_follows(
     short_server,
 ):
-    for unframed in ([True, False], [True, True]):
-        partial = batchjob.PartialOutput()
-        server = short_server([ITEM_EVENTS, 0], unframed)
-        outcome = run_short_item(server, partial)
-        assert isinstance(outcome, items.CompletedRun)
-        assert server.resumed == [0, ITEM_EVENTS]
+    partial = batchjob.PartialOutput()
+    server = short_server([ITEM_EVENTS, 0], [True, False])
+    outcome = run_short_item(server, partial)
+    assert outcome == items.CompletedRun(framed=True)
+    assert server.resumed == [0, ITEM_EVENTS]
+
+
+# Items of engines whose answers never have a length have to be done as well.
+def test_an_item_is_complete_once_answers_without_a_length_agree(short_server):
+    partial = batchjob.PartialOutput()
+    server = short_server([None] * 4)
+    outcome = run_short_item(server, partial)
+    assert outcome == items.CompletedRun(framed=False)
+    assert partial.text == b"1\n2\n3\n4\n5\n6"
+    assert server.resumed == [0, 6, 4, 2]
+
+
+# What an answer adds to the events that it was to repeat shows that the output
+# goes on; it is asked for after the last event.
+def test_an_item_goes_on_after_ends_that_prove_wrong(short_server):
+    partial = batchjob.PartialOutput()
+    server = short_server([3, 0, None, None, 0], [True] * 4 + [False])
+    outcome = run_short_item(server, partial)
+    assert outcome == items.CompletedRun(framed=True)
+    assert partial.text == b"1\n2\n3\n4\n5\n6"
+    assert server.resumed == [0, 3, 1, 3, 6]
+
+
+# An answer with a length that lacks events of the output states nothing.
+def test_a_repeat_that_lacks_events_completes_nothing(short_server):
+    partial = batchjob.PartialOutput()
+    server = short_server([3, 0, 1], [True, True, False])
+    outcome = run_short_item(server, partial)
+    assert isinstance(outcome, items.InterruptedRun)
+    assert server.resumed == [0, 3, 1]
 
 
 def test_an_answer_with_a_length_is_not_asked_for_again(short_server):
@@ -365,19 +397,20 @@
 
 
 # An engine that leaves, or that names a limit, gets no second request: the
-# item waits for its next run, and is not run without an end.
-def test_an_item_that_may_not_ask_again_is_complete_at_its_next_run(
+# item waits for its next runs, and is not run without an end.
+def test_an_item_that_may_not_ask_again_is_complete_at_its_next_runs(
     short_server,
 ):
     partial = batchjob.PartialOutput()
-    server = short_server([ITEM_EVENTS, 0])
+    server = short_server([None] * 4)
     outcomes = [
-        run_short_item(server, partial, OnceObserver()) for _ in range(2)
+        run_short_item(server, partial, OnceObserver()) for _ in range(4)
     ]
-    assert isinstance(outcomes[0], items.InterruptedRun)
-    assert not outcomes[0].is_engine_failure
-    assert isinstance(outcomes[1], items.CompletedRun)
-    assert server.resumed == [0, ITEM_EVENTS]
+    for outcome in outcomes[:3]:
+        assert isinstance(outcome, items.InterruptedRun)
+        assert not outcome.is_engine_failure
+    assert outcomes[3] == items.CompletedRun(framed=False)
+    assert server.resumed == [0, 6, 4, 2]
 
 
 class HeadsServer(entryhelper.RawServer):
