An output begins at its first event

What callers would see: a stream or an item's text, framed as whole, whose first events are missing. Cause: PartialOutput and OpenResponse took any first id for the first one. A checkpoint that begins later is not taken over. Whether engines ever begin late is not known.

--- a/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
@@ -591,4 +591,11 @@
         "            pass\n",
         "tests/test_endings.py",
     ),
+    Mutation(
+        "begin an output at any event",
+        f"{_CORE}/events.py",
+        "    return event_id in FIRST_IDS\n",
+        "    return True\n",
+        "tests/test_brokenanswers.py",
+    ),
 )
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineattempt.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineattempt.py
@@ -25,6 +25,7 @@
 )
 
 OVERLONG_EVENT = engineclient.CallFailure("an event is too long")
+NOT_THE_BEGINNING = engineclient.CallFailure("not the stream's beginning")
 NOT_THE_REST = engineclient.CallFailure("not the rest of the stream")
 
 
@@ -78,6 +79,8 @@
         if self.parser.is_overlong:
             return OVERLONG_EVENT
         if found and self.last_id is None and found[0].id is not None:
+            if not events.may_be_first(found[0].id):
+                return NOT_THE_BEGINNING
             self.last_id = found[0].id - 1
         if found and self.last_id is not None:
             if not events.follow(found, self.last_id):
--- a/packages/samphirepost/src/samphirepost/batchjob.py
+++ b/packages/samphirepost/src/samphirepost/batchjob.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from samphirepost import endings
+from samphirepost import events
 from samphirepost import hashing
 
 # Longest time between two progress writes of a holder (s), which serve as its
@@ -197,6 +198,8 @@
         if self.texts and event_id != self.last_id + 1:
             return False
         if not self.texts:
+            if not events.may_be_first(event_id):
+                return False
             self.first_id = event_id
         self.texts.append(data)
         return True
@@ -207,6 +210,8 @@
         if checkpoint.number != self.checkpoint_count:
             return False
         if not self.texts:
+            if not events.may_be_first(checkpoint.first_id):
+                return False
             self.first_id = checkpoint.first_id
             self.output_id = checkpoint.output_id
             self.version = checkpoint.version
--- a/packages/samphirepost/src/samphirepost/events.py
+++ b/packages/samphirepost/src/samphirepost/events.py
@@ -5,6 +5,8 @@
 EVENT_END = b"\n\n"
 # An event has a few tokens; a longer one is not a sound stream's.
 EVENT_BYTES_MAX = 1_048_576
+# Ids of the first event of an output: engines count from 1, some from 0.
+FIRST_IDS = (0, 1)
 ID_DIGITS_MAX = 18
 
 
@@ -16,6 +18,11 @@
     data: bytes
 
 
+def may_be_first(event_id):
+    """Whether an output may begin with the event of this id."""
+    return event_id in FIRST_IDS
+
+
 def follow(found, last_id):
     """Whether events follow the one with `last_id`, without a gap."""
     return all(
