Processes of the rigs reserve the ports that they choose

Cause: a port that one rig had chosen and not yet listened on was free for another. Each process now listens on the first port of each block of 50 that it chooses from, so no other one chooses from that block.

--- a/packages/samphirepost-bench/src/samphirepost_bench/fleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/fleet.py
@@ -23,9 +23,8 @@
 # Listener ports lie below the ephemeral ports of Linux (from 32,768).
 PORT_FIRST = 16_000
 PORT_COUNT = 16_000
-# The first port depends on the process id, so that concurrent runs rarely
-# try the same ports: those of ids up to 33 apart are over 300 apart.
-_PORT_NUMBERS = itertools.count(os.getpid() * 9_889)
+# Ports that a process reserves at a time.
+BLOCK_PORTS = 50
 POLL_INTERVAL_S = 0.05
 READY_WAIT_S = 30.0
 STOP_WAIT_S = 90.0
@@ -39,16 +38,54 @@
     """A process was not ready in time, or refused a request."""
 
 
+class PortReservation:
+    """Gives out ports that no other reservation on this machine gives out.
+
+    Ports are reserved in blocks, by listening on the first one of a block for
+    as long as the process lives. `start` is the number of the first block to
+    try. A process that is started again finds its ports unused.
+    """
+
+    __slots__ = ("_blocks", "_guards", "_ports")
+
+    def __init__(self, start):
+        self._blocks = itertools.count(start)
+        self._guards = []
+        self._ports = iter(())
+
+    def free_port(self):
+        """Returns an unused port."""
+        while True:
+            for port in self._ports:
+                if not _is_used(port):
+                    return port
+            self._reserve_block()
+
+    def _reserve_block(self):
+        block = next(self._blocks) % (PORT_COUNT // BLOCK_PORTS)
+        first = PORT_FIRST + block * BLOCK_PORTS
+        guard = socket.socket()
+        try:
+            guard.bind((HOST, first))
+            guard.listen()
+        except OSError:
+            guard.close()
+            return
+        self._guards.append(guard)
+        self._ports = iter(range(first + 1, first + BLOCK_PORTS))
+
+
+# Concurrent runs begin at different blocks.
+_RESERVATION = PortReservation(os.getpid())
+
+
 def free_port():
     """Returns an unused port outside the range of ephemeral ports.
 
     The kernel could assign an ephemeral port to an outgoing connection
     before the process listens on it, or while the process restarts.
     """
-    while True:
-        port = PORT_FIRST + next(_PORT_NUMBERS) % PORT_COUNT
-        if not _is_used(port):
-            return port
+    return _RESERVATION.free_port()
 
 
 def _is_used(port):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -17,3 +17,15 @@
     ports = [fleet.free_port() for _ in range(20)]
     assert not any(first <= port <= last for port in ports)
     assert len(set(ports)) == len(ports)
+
+
+# Two rigs side by side: one took a port that the other had chosen and not yet
+# listened on, so a daemon of the first did not start.
+def test_two_processes_never_choose_the_same_port():
+    reservations = [fleet.PortReservation(0) for _ in range(2)]
+    ports = [
+        one.free_port()
+        for _ in range(2 * fleet.BLOCK_PORTS)
+        for one in reservations
+    ]
+    assert len(set(ports)) == len(ports)
