A rig whose engines break answers off where that may pass for their end

The rig that kills engines did not show why, as its engines never break answers off alone. The new rig draws a plan for each answer: its place of the end (before, in and after the head, before, in and between events, after the last one), its framing (none, chunks, a length), the death of its process, a second answer or a status late on the connection. Engines start again under their id and address with other software, and event data name it; daemons are killed; items lose slots. A stream that may be resumed and that a living engine ends between two events is still passed on as whole: the test of online answers is red for it and listed. Streams that may not be resumed are counted apart: nothing tells them. kills.py passes the same hooks to both rigs; its own behaviour is unchanged.

--- a/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
@@ -323,6 +323,43 @@
         return 1 if failed else 0
 
 
+@cappa.command(
+    name="brokenanswers",
+    help="Engines break answers off, answer twice and die.",
+)
+@dataclasses.dataclass
+class BrokenAnswers:
+    """Engines end their answers where that may pass for their end."""
+
+    seed: _Seed = 0
+    runs: _Runs = 1
+    kills: typing.Annotated[
+        int, cappa.Arg(long=True, help="Processes that are killed in a run.")
+    ] = 15
+    build: typing.Annotated[
+        str, cappa.Arg(long=True, help="Commit of the daemons' build.")
+    ] = ""
+    beside: typing.Annotated[
+        str, cappa.Arg(long=True, help="Commit of one daemon's build.")
+    ] = ""
+
+    def __call__(self):
+        from samphirepost_bench import brokenanswers
+        from samphirepost_bench import entryfleet
+        from samphirepost_bench import upgrade
+
+        program = entryfleet.ENTRY_PROGRAM
+        if self.build:
+            program = upgrade.extract(self.build)
+        programs = [program] * 3
+        if self.beside:
+            programs[0] = upgrade.extract(self.beside)
+        found = brokenanswers.run(
+            _seeds(self.seed, self.runs), self.kills, programs
+        )
+        return 1 if any(one.violations for one in found) else 0
+
+
 Command = (
     Platform
     | Engine
@@ -339,6 +376,7 @@
     | Drains
     | Upgrade
     | Kills
+    | BrokenAnswers
 )
 
 
--- /dev/null
+++ b/packages/samphirepost-bench/src/samphirepost_bench/brokenengine.py
@@ -0,0 +1,160 @@
+"""A process of an engine that breaks answers off, answers twice or dies.
+
+Each answer is written after a Plan of answerfaults.py. What follows the last
+event that a request names is its events from there on; after the last one that
+is an answer without events.
+"""
+
+import collections
+import json
+import os
+import random
+import signal
+import sys
+import threading
+
+import msgspec
+
+from samphirepost_bench import answerfaults
+from samphirepost_bench import entryfleet
+from samphirepost_bench import streamengine
+
+ITEMS_PREFIX = "/evening/"
+
+
+class Settings(msgspec.Struct, frozen=True):
+    """What a process of an engine is started with.
+
+    It appends a line to the file `journal` for each answer that it ended.
+    """
+
+    name: str
+    port: int
+    born: int
+    version: str
+    seed: int
+    mix: answerfaults.Mix
+    journal: str
+    events: int
+    event_interval_s: float
+    slots: int
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """A line of the journal: how an engine ended an answer."""
+
+    request: str
+    engine: str
+    born: int
+    start: int
+    end: int
+    ends_plainly: bool
+    plan: answerfaults.Plan
+
+
+class Engine(streamengine.Engine):
+    """The engine of this process."""
+
+    def __init__(self, settings):
+        super().__init__(
+            settings.name,
+            settings.events,
+            settings.event_interval_s,
+            settings.version,
+            settings.slots,
+            settings.port,
+        )
+        self.RequestHandlerClass = Handler
+        self.born = settings.born
+        self._settings = settings
+        self._lock = threading.Lock()
+        self._counts = collections.Counter()
+        self._journal = open(settings.journal, "ab", buffering=0)
+
+    def next_plan(self, arrival):
+        """Returns the Plan of the answer to an arrival."""
+        with self._lock:
+            self._counts[arrival.id] += 1
+            count = self._counts[arrival.id]
+        one = self._settings
+        rng = random.Random(
+            f"{one.seed} {one.name} {one.born} {arrival.id} {count}"
+        )
+        return answerfaults.draw(
+            rng,
+            one.mix,
+            arrival.path.startswith(ITEMS_PREFIX),
+            max(0, one.events - arrival.resume_after),
+        )
+
+    def record_answer(self, arrival, plan, script):
+        """Appends an answer to the journal."""
+        answer = Answer(
+            arrival.id,
+            self.name,
+            self.born,
+            arrival.resume_after,
+            arrival.resume_after + script.events,
+            script.ends_plainly,
+            plan,
+        )
+        self._journal.write(msgspec.json.encode(answer) + b"\n")
+
+
+class Handler(streamengine.Handler):
+    """Writes each answer after its Plan."""
+
+    def send_stream(self, arrival, _fault):
+        """Answers one request."""
+        engine = self.server
+        plan = engine.next_plan(arrival)
+        numbers = range(arrival.resume_after + 1, engine.events + 1)
+        script = answerfaults.compose(
+            plan,
+            (
+                "HTTP/1.1 200 OK",
+                f"Request-Id: {arrival.id}",
+                f"Response-Seal: seal-{engine.name}",
+                "Content-Type: text/event-stream",
+            ),
+            [self._event(arrival, number) for number in numbers],
+        )
+        self.close_connection = True
+        pause = threading.Event()
+        for piece in script.pieces:
+            self.wfile.write(piece)
+            pause.wait(engine.event_interval_s)
+        if plan.place is answerfaults.Place.BEFORE_EVENTS:
+            pause.wait(engine.event_interval_s * engine.events)
+        engine.record_answer(arrival, plan, script)
+        if plan.is_killed:
+            os.kill(os.getpid(), signal.SIGKILL)
+        if script.extra:
+            pause.wait(plan.late_s)
+            self.wfile.write(script.extra)
+
+    def _event(self, arrival, number):
+        data = answerfaults.event_data(arrival.id, number, self.server.version)
+        return f"id: {number}\ndata: {data}\n\n".encode()
+
+
+def read_journal(path):
+    """Returns the Answers in a journal by request."""
+    found = collections.defaultdict(list)
+    for line in path.read_bytes().splitlines():
+        answer = msgspec.json.decode(line, type=Answer)
+        found[answer.request].append(answer)
+    return found
+
+
+def argv(settings):
+    """Returns the command that starts the process of an engine."""
+    data = json.dumps(msgspec.to_builtins(settings))
+    return [sys.executable, "-m", __spec__.name, data]
+
+
+if __name__ == "__main__":
+    streamengine.run(
+        Engine(msgspec.json.decode(sys.argv[1], type=Settings)),
+        entryfleet.POOL,
+    )
--- a/packages/samphirepost-bench/src/samphirepost_bench/kills.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/kills.py
@@ -32,34 +32,49 @@
 
 
 class EngineProcess:
-    """A process of an engine, with an id and an address of its own."""
+    """A process of an engine, which `argv` starts."""
 
-    def __init__(self, name, folder):
+    def __init__(self, name, folder, argv):
         self.name = name
-        argv = [sys.executable, "-m", "samphirepost_bench", "stream-engine"]
-        argv += ["--name", name, "--events", str(EVENTS)]
-        argv += ["--interval", str(EVENT_INTERVAL_S), "--slots", str(SLOTS)]
         with open(folder / f"{name}.log", "ab") as log:
             self._popen = subprocess.Popen(
                 argv, stdout=subprocess.PIPE, stderr=log
             )
         self.entry = json.loads(self._popen.stdout.readline())
 
+    @property
+    def is_alive(self):
+        """Whether the process runs."""
+        return self._popen.poll() is None
+
     def kill(self):
         """Kills the process; the system closes its connections."""
         self._popen.kill()
         self._popen.wait()
 
 
+def _argv(name):
+    argv = [sys.executable, "-m", "samphirepost_bench", "stream-engine"]
+    argv += ["--name", name, "--events", str(EVENTS)]
+    return argv + ["--interval", str(EVENT_INTERVAL_S), "--slots", str(SLOTS)]
+
+
 class Kills:
     """One run: callers and jobs while engines are killed.
 
-    `violations` lists the texts that are not whole.
+    `violations` lists the texts that are not whole. `finish_s` is the time
+    for the items to complete after the last kill.
     """
 
+    callers = CALLERS
+    engines = ENGINES
+    job_pause_s = JOB_PAUSE_S
+    finish_s = FINISH_S
+
     def __init__(self, fleet, seed):
         self._fleet = fleet
         self._seed = seed
+        self._rng = random.Random(f"{seed} kills")
         self._stop = threading.Event()
         self._engines = []
         self._started = 0
@@ -69,35 +84,42 @@
         self.done = 0
 
     def run(self, count):
-        """Kills `count` engines, one after the other."""
-        rng = random.Random(f"{self._seed} kills")
-        for _ in range(ENGINES):
+        """Kills `count` times, one after the other."""
+        for _ in range(self.engines):
             self._start_engine()
         self._fleet.wait_ready()
         threads = [
             threading.Thread(target=self._send_requests, args=(number,))
-            for number in range(CALLERS)
+            for number in range(self.callers)
         ]
         threads.append(threading.Thread(target=self._submit_jobs))
         for thread in threads:
             thread.start()
         for _ in range(count):
-            time.sleep(KILL_PAUSE_S * rng.uniform(0.5, 1.5))
-            killed = rng.choice(self._engines)
-            self._engines.remove(killed)
-            killed.kill()
-            self._fleet.store.remove_row("servers", killed.name)
-            self._start_engine()
+            time.sleep(KILL_PAUSE_S * self._rng.uniform(0.5, 1.5))
+            self._kill()
         self._stop.set()
         for thread in threads:
             thread.join()
         self._read_jobs()
+        self._stop_engines()
+
+    def _kill(self):
+        """Kills an engine; starts another one."""
+        killed = self._rng.choice(self._engines)
+        self._engines.remove(killed)
+        killed.kill()
+        self._fleet.store.remove_row("servers", killed.name)
+        self._start_engine()
+
+    def _stop_engines(self):
         for engine in self._engines:
             engine.kill()
 
     def _start_engine(self):
         self._started += 1
-        engine = EngineProcess(f"engine-{self._started}", self._fleet.folder)
+        name = f"engine-{self._started}"
+        engine = EngineProcess(name, self._fleet.folder, _argv(name))
         self._fleet.store.put_row("servers", engine.name, engine.entry)
         self._engines.append(engine)
 
@@ -108,17 +130,19 @@
             number += 1
             name = f"r{self._seed}-{caller}-{number}"
             headers = {"Request-Id": name, "Deadline-Ms": "5000"}
+            daemon = rng.choice(self._fleet.daemons)
+            path = rng.choice(("/notes/1", "/bills/1"))
             found = soak.send_request(
-                rng.choice(self._fleet.daemons),
-                "POST",
-                rng.choice(("/notes/1", "/bills/1")),
-                headers,
-                name.encode(),
+                daemon, "POST", path, headers, name.encode()
             )
             if found.status == 200 and found.is_complete:
                 self.answered += 1
-                self._check(name, found.text)
-            time.sleep(PAUSE_S * rng.random())
+                self._check_answer(name, path, found)
+            self._pause(rng)
+
+    def _pause(self, rng):
+        """Waits before a caller's next request."""
+        time.sleep(PAUSE_S * rng.random())
 
     def _submit_jobs(self):
         rng = random.Random(f"{self._seed} jobs")
@@ -143,22 +167,22 @@
             )
             if found.status == 202:
                 self.jobs.append(job)
-            time.sleep(JOB_PAUSE_S)
+            time.sleep(self.job_pause_s)
 
     def _read_jobs(self):
-        """Reads each job until it is complete, or FINISH_S have passed."""
-        deadline_s = time.monotonic() + FINISH_S
+        """Reads each job until it is complete, or `finish_s` have passed."""
+        deadline_s = time.monotonic() + self.finish_s
         for job in self.jobs:
             results = self._read_job(job)
             while len(results) < ITEMS_PER_JOB:
                 if time.monotonic() > deadline_s:
-                    self.violations.append(f"LOST {job}: {len(results)} done")
+                    self._record_lost(job, results)
                     break
                 time.sleep(POLL_S)
                 results = self._read_job(job)
             for result in results:
                 self.done += result["state"] == "done"
-                self._check(result["id"], result["text"])
+                self._check_result(result)
 
     def _read_job(self, job):
         found = soak.send_request(
@@ -168,6 +192,17 @@
             return []
         return json.loads(found.body)["results"]
 
+    def _record_lost(self, job, results):
+        self.violations.append(f"LOST {job}: {len(results)} done")
+
+    def _check_answer(self, name, _path, found):
+        """Checks a complete answer with status 200 to an online request."""
+        self._check(name, found.text)
+
+    def _check_result(self, result):
+        """Checks a result of a job."""
+        self._check(result["id"], result["text"])
+
     def _check(self, name, text):
         if text != streamengine.whole_text(name, EVENTS):
             count = len(text.splitlines())
--- a/packages/samphirepost-bench/src/samphirepost_bench/soak.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/soak.py
@@ -75,6 +75,12 @@
         self.body = body
         self.is_complete = is_complete
 
+    @property
+    def is_framed(self):
+        """Whether its end does not depend on that of the connection."""
+        names = {name.lower() for name in self.headers}
+        return bool(names & {"content-length", "transfer-encoding"})
+
     @property
     def text(self):
         """The data of a stream's complete events, one line an event."""
--- a/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
@@ -97,8 +97,9 @@
         event_interval_s=EVENT_INTERVAL_S,
         version="v1",
         slots=8,
+        port=0,
     ):
-        super().__init__(("127.0.0.1", 0), Handler)
+        super().__init__(("127.0.0.1", port), Handler)
         self.name = name
         self.slots = slots
         self.version = version
@@ -233,7 +234,7 @@
         if fault is Fault.IMPOSSIBLE:
             return self._send_status(422)
         try:
-            return self._send_stream(arrival, fault)
+            return self.send_stream(arrival, fault)
         except OSError:
             self.server.disconnected.set()
             return None
@@ -253,7 +254,8 @@
         if self.server.says_leaving:
             self.send_header("Server-Leaving", "1")
 
-    def _send_stream(self, arrival, fault):
+    def send_stream(self, arrival, fault):
+        """Answers with a stream of events, which a fault may end."""
         name = arrival.id if fault is not Fault.CROSS else "other"
         self.send_response(200)
         self.send_header("Request-Id", name)
