The rig judges all bytes of streams; engines may start again at once

A stream passed for whole if the data of its events were: bytes in front of the data, as the head of a second answer, were not seen.

--- a/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
@@ -342,6 +342,13 @@
     beside: typing.Annotated[
         str, cappa.Arg(long=True, help="Commit of one daemon's build.")
     ] = ""
+    swift: typing.Annotated[
+        bool,
+        cappa.Arg(
+            long=True,
+            help="Engines start again with other software at once.",
+        ),
+    ] = False
 
     def __call__(self):
         from samphirepost_bench import brokenanswers
@@ -355,7 +362,10 @@
         if self.beside:
             programs[0] = upgrade.extract(self.beside)
         found = brokenanswers.run(
-            _seeds(self.seed, self.runs), self.kills, programs
+            _seeds(self.seed, self.runs),
+            self.kills,
+            programs,
+            is_swift=self.swift,
         )
         return 1 if any(one.violations for one in found) else 0
 
--- a/packages/samphirepost-bench/src/samphirepost_bench/answerfaults.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/answerfaults.py
@@ -255,6 +255,20 @@
     return f"{request}:{number}@{version}"
 
 
+def judge_body(body, request, events):
+    """Returns the Verdict on a stream; bytes of no event make it WRONG."""
+    blocks = body.decode(errors="replace").split("\n\n")
+    lines = []
+    for number, block in enumerate(blocks[:-1], 1):
+        head = f"id: {number}\ndata: "
+        if not block.startswith(head):
+            return Verdict.WRONG
+        lines.append(block.removeprefix(head))
+    if blocks[-1]:
+        return Verdict.WRONG
+    return judge_text("\n".join(lines), request, events)
+
+
 def judge_text(text, request, events):
     """Returns the Verdict on a text that should have `events` lines."""
     lines = text.split("\n") if text else []
--- a/packages/samphirepost-bench/src/samphirepost_bench/brokenanswers.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/brokenanswers.py
@@ -8,12 +8,12 @@
 """
 
 import collections
+import json
 import random
+import select
 import threading
 import time
 
-import msgspec
-
 from samphirepost_bench import answerfaults
 from samphirepost_bench import brokenengine
 from samphirepost_bench import entryfleet
@@ -53,6 +53,17 @@
         super().__init__(settings.name, folder, brokenengine.argv(settings))
         self.settings = settings
 
+    def next_entry(self):
+        """Returns the entry of a program that has started again, or None."""
+        if not select.select([self._popen.stdout], [], [], 0)[0]:
+            return None
+        line = self._popen.stdout.readline()
+        if not line:
+            return None
+        self.settings = self.settings.later
+        self.entry = json.loads(line)
+        return self.entry
+
 
 class BrokenAnswers(kills.Kills):
     """One run.
@@ -60,7 +71,8 @@
     `counts` has the number of violations by their kind, `untold` that of
     online answers that nothing tells from whole ones: the engine lived, and
     ended an answer without a length between two events, and the route may not
-    be resumed.
+    be resumed. With `is_swift`, engines that a plan kills start again while
+    new connections to them wait, and are listed before they serve these.
     """
 
     callers = 4
@@ -68,12 +80,14 @@
     finish_s = FINISH_S
     job_pause_s = JOB_PAUSE_S
 
-    def __init__(self, fleet, seed):
+    def __init__(self, fleet, seed, is_swift):
         super().__init__(fleet, seed)
+        self._is_swift = is_swift
         self.mix = MIXES[seed % len(MIXES)]
         self.counts = collections.Counter()
         self.untold = 0
         self.daemons_killed = 0
+        self.swift_starts = 0
         self._suspects = []
         self._is_over = threading.Event()
         self._watcher = threading.Thread(target=self._watch_engines)
@@ -140,6 +154,8 @@
                 events=EVENTS,
                 event_interval_s=EVENT_INTERVAL_S,
                 slots=SLOTS,
+                is_swift=self._is_swift,
+                versions=VERSIONS,
             )
         )
 
@@ -150,15 +166,20 @@
         return engine
 
     def _watch_engines(self):
-        """Starts an engine for each one that has died."""
+        """Starts an engine for each one that has died; lists new starts."""
         rng = random.Random(f"{self._seed} watcher")
         while not self._is_over.is_set():
             for index, engine in enumerate(self._engines):
                 if not engine.is_alive:
                     self._engines[index] = self._replace(engine, rng)
+                elif (entry := engine.next_entry()) is not None:
+                    self.swift_starts += 1
+                    self._fleet.store.put_row("servers", engine.name, entry)
             time.sleep(WATCH_S)
 
     def _replace(self, engine, rng):
+        while engine.next_entry() is not None:
+            pass
         if rng.random() < REBORN_SHARE:
             return self._restart(engine)
         self._fleet.store.remove_row("servers", engine.name)
@@ -170,12 +191,12 @@
         It is listed with them before it accepts connections: an engine can
         not be asked for its software.
         """
-        born = engine.settings.born + 1
-        later = [one for one in VERSIONS if one != engine.settings.version]
-        settings = msgspec.structs.replace(
-            engine.settings, born=born, version=later[0]
-        )
-        entry = {**engine.entry, "born": born, "version": later[0]}
+        settings = engine.settings.later
+        entry = {
+            **engine.entry,
+            "born": settings.born,
+            "version": settings.version,
+        }
         self._fleet.store.put_row("servers", engine.name, entry)
         return self._run_engine(settings)
 
@@ -237,7 +258,7 @@
         self.violations.extend(map(_answer_line, journal[item]))
 
     def _check_answer(self, name, path, found):
-        verdict = answerfaults.judge_text(found.text, name, EVENTS)
+        verdict = answerfaults.judge_body(found.body, name, EVENTS)
         if found.is_framed and verdict is not answerfaults.Verdict.WHOLE:
             self._suspects.append((verdict, name, path, found.text))
 
@@ -283,11 +304,12 @@
     )
 
 
-def run(seeds, count, programs, report=print):
+def run(seeds, count, programs, report=print, is_swift=False):
     """Runs each seed; returns the BrokenAnswers of all.
 
-    `programs` are the entry programs of the daemons, one each. Passes one line
-    a seed to `report`, and each violation.
+    `programs` are the entry programs of the daemons, one each; see
+    BrokenAnswers for `is_swift`. Passes one line a seed to `report`, and each
+    violation.
     """
     found = []
     for seed in seeds:
@@ -295,13 +317,14 @@
         for daemon, program in zip(fleet.daemons, programs, strict=True):
             daemon.program = program
         with fleet:
-            one = BrokenAnswers(fleet, seed)
+            one = BrokenAnswers(fleet, seed, is_swift)
             one.run(count)
         found.append(one)
         kinds = ", ".join(f"{n} {kind}" for kind, n in one.counts.items())
         report(
             f"seed {seed}, without a length {one.mix.value}:"
             f" {one.engines_died} engines died,"
+            f" {one.swift_starts} started again at once,"
             f" {one.daemons_killed} daemons killed,"
             f" {one.slots_lost} slots lost; {one.answered} online answers,"
             f" {one.untold} of them not told apart; {one.done} items done;"
--- a/packages/samphirepost-bench/src/samphirepost_bench/brokenengine.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/brokenengine.py
@@ -10,8 +10,10 @@
 import os
 import random
 import signal
+import socket
 import sys
 import threading
+import time
 
 import msgspec
 
@@ -20,12 +22,18 @@
 from samphirepost_bench import streamengine
 
 ITEMS_PREFIX = "/evening/"
+# Time for which a program that starts again is listed before it serves (s).
+LISTED_S = 0.8
 
 
 class Settings(msgspec.Struct, frozen=True):
     """What a process of an engine is started with.
 
     It appends a line to the file `journal` for each answer that it ended.
+    With `is_swift` it does not end where a plan kills it: its program starts
+    again with the next of `versions`, and connections wait until it has been
+    listed for LISTED_S. Then `listener` is the open socket's descriptor, -1 at
+    the first start.
     """
 
     name: str
@@ -38,6 +46,19 @@
     events: int
     event_interval_s: float
     slots: int
+    is_swift: bool = False
+    versions: tuple[str, ...] = ()
+    listener: int = -1
+
+    @property
+    def later(self):
+        """The settings of the next start under its id and address."""
+        index = self.versions.index(self.version) + 1
+        return msgspec.structs.replace(
+            self,
+            born=self.born + 1,
+            version=self.versions[index % len(self.versions)],
+        )
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -62,8 +83,12 @@
             settings.event_interval_s,
             settings.version,
             settings.slots,
-            settings.port,
+            settings.port if settings.listener < 0 else 0,
         )
+        if settings.listener >= 0:
+            self.socket.close()
+            self.socket = socket.socket(fileno=settings.listener)
+            self.server_address = self.socket.getsockname()
         self.RequestHandlerClass = Handler
         self.born = settings.born
         self._settings = settings
@@ -100,6 +125,18 @@
         )
         self._journal.write(msgspec.json.encode(answer) + b"\n")
 
+    def die(self):
+        """Ends the program; the system closes its connections."""
+        if not self._settings.is_swift:
+            os.kill(os.getpid(), signal.SIGKILL)
+        listener = self.socket.fileno()
+        os.set_inheritable(listener, True)
+        later = msgspec.structs.replace(
+            self._settings.later, listener=listener
+        )
+        # Requests that arrive before it serves again wait in the socket.
+        os.execv(sys.executable, argv(later))
+
 
 class Handler(streamengine.Handler):
     """Writes each answer after its Plan."""
@@ -128,7 +165,7 @@
             pause.wait(engine.event_interval_s * engine.events)
         engine.record_answer(arrival, plan, script)
         if plan.is_killed:
-            os.kill(os.getpid(), signal.SIGKILL)
+            engine.die()
         if script.extra:
             pause.wait(plan.late_s)
             self.wfile.write(script.extra)
@@ -153,8 +190,14 @@
     return [sys.executable, "-m", __spec__.name, data]
 
 
+def run(settings):
+    """Serves until the process is killed; prints the engine's entry first."""
+    engine = Engine(settings)
+    print(json.dumps(engine.entry(entryfleet.POOL)), flush=True)
+    if settings.listener >= 0:
+        time.sleep(LISTED_S)
+    engine.serve_forever()
+
+
 if __name__ == "__main__":
-    streamengine.run(
-        Engine(msgspec.json.decode(sys.argv[1], type=Settings)),
-        entryfleet.POOL,
-    )
+    run(msgspec.json.decode(sys.argv[1], type=Settings))
--- a/tests/test_answerfaults.py
+++ b/tests/test_answerfaults.py
@@ -13,6 +13,7 @@
 Place = answerfaults.Place
 Framing = answerfaults.Framing
 Verdict = answerfaults.Verdict
+WITH_ALL_EVENTS = (Place.AFTER_LAST, Place.WHOLE)
 
 
 def written(count, first=1):
@@ -68,7 +69,9 @@
             assert is_whole == script.ends_plainly, plan
 
 
-@pytest.mark.parametrize("place", set(Place) - {Place.WHOLE, Place.AFTER_LAST})
+@pytest.mark.parametrize(
+    "place", [one for one in Place if one not in WITH_ALL_EVENTS]
+)
 def test_an_answer_is_cut_where_its_plan_says(place):
     for plan in all_plans():
         if plan.place is place:
@@ -148,3 +151,18 @@
 )
 def test_a_text_is_judged_by_the_whole_output(text, verdict):
     assert answerfaults.judge_text(text, "r1", 3) is verdict
+
+
+@pytest.mark.parametrize(
+    ("body", "verdict"),
+    [
+        (b"".join(written(3)), Verdict.WHOLE),
+        (b"".join(written(2)), Verdict.PART),
+        (b"", Verdict.PART),
+        (b"".join(written(3)) + b"id: 4", Verdict.WRONG),
+        (b"HTTP/1.1 200 OK\n" + b"".join(written(3)), Verdict.WRONG),
+        (b"".join(written(3, first=2)), Verdict.WRONG),
+    ],
+)
+def test_a_stream_is_judged_by_all_its_bytes(body, verdict):
+    assert answerfaults.judge_body(body, "r1", 3) is verdict
