What is no event is no part of a stream or an item's text

The users' report says that back ends may answer twice, the second time late. Cause: on a connection whose answer has no length nothing ends the first answer. If it was broken off inside an event, that part, the head of the second answer and its first event were one event, whose last id was in order. Fix: a block with a carriage return, with a line that is no field of an event, or with two ids is no event; it breaks the answer off, and the events before it hold. Ruled out by reading: an answer with chunks (its framing breaks). Still open: a second answer without a head.

--- a/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
@@ -580,8 +580,8 @@
     Mutation(
         "infer an end though no answer was asked for what follows it",
         f"{_CORE}/endings.py",
-        "        return self._asked_at_end and (\n",
-        "        return (\n",
+        "        if count != self._count or not self._asked_at_end:\n",
+        "        if count != self._count:\n",
         "tests/test_unframed.py tests/test_endings.py",
     ),
     Mutation(
@@ -598,4 +598,18 @@
         "    return True\n",
         "tests/test_brokenanswers.py",
     ),
+    Mutation(
+        "take the head of another answer for lines of an event",
+        f"{_CORE}/events.py",
+        '        if b"\\r" in line or not _FIELD_NAME.fullmatch(field):\n',
+        "        if False:\n",
+        "tests/test_gluedanswers.py tests/test_events.py",
+    ),
+    Mutation(
+        "take an event with two ids",
+        f"{_CORE}/events.py",
+        "    if len(ids) > 1:\n",
+        "    if False:\n",
+        "tests/test_events.py",
+    ),
 )
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineattempt.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineattempt.py
@@ -24,7 +24,7 @@
     attempts.AttemptFailure.SILENT,
 )
 
-OVERLONG_EVENT = engineclient.CallFailure("an event is too long")
+UNSOUND_EVENT = engineclient.CallFailure("bytes that are no event")
 NOT_THE_BEGINNING = engineclient.CallFailure("not the stream's beginning")
 NOT_THE_REST = engineclient.CallFailure("not the rest of the stream")
 
@@ -76,8 +76,8 @@
         The CallFailure tells that they are not sound.
         """
         found = self.parser.feed(data)
-        if self.parser.is_overlong:
-            return OVERLONG_EVENT
+        if self.parser.is_unsound:
+            return UNSOUND_EVENT
         if found and self.last_id is None and found[0].id is not None:
             if not events.may_be_first(found[0].id):
                 return NOT_THE_BEGINNING
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
@@ -265,12 +265,12 @@
         if not isinstance(part, engineclient.BodyData):
             return _interruption(part)
         found = parser.feed(part.data)
-        if parser.is_overlong:
-            return InterruptedRun("an event is too long", True)
         for event in found:
             ended = answer.add(event)
             if ended is not None:
                 return ended
+        if parser.is_unsound:
+            return InterruptedRun("bytes that are no event", True)
         if found:
             deadline_s = time.monotonic() + READ_TIMEOUT_S
         if answer.event_count >= exchange.BEGUN_EVENTS and not has_begun:
--- a/packages/samphirepost/src/samphirepost/endings.py
+++ b/packages/samphirepost/src/samphirepost/endings.py
@@ -18,8 +18,8 @@
 class EndEvidence:
     """What answers without a length showed of the end of one output.
 
-    `is_certain` once enough of them agree. Not safe for use by several
-    threads.
+    What follows the last event is asked for first, so that an output that
+    goes on does so. Not safe for use by several threads.
     """
 
     __slots__ = ("_asked_at_end", "_count", "_repeats", "_witnesses")
@@ -73,7 +73,7 @@
     @property
     def is_certain(self):
         """Whether the output ends after the events known so far."""
-        return self._asked_at_end and (
+        return (
             len(self._witnesses) >= WITNESSES_MIN
             or self._repeats >= REPEATS_MAX
         )
--- a/packages/samphirepost/src/samphirepost/events.py
+++ b/packages/samphirepost/src/samphirepost/events.py
@@ -1,5 +1,7 @@
 """Parses a server-sent event stream into complete events."""
 
+import re
+
 import msgspec
 
 EVENT_END = b"\n\n"
@@ -8,6 +10,10 @@
 # Ids of the first event of an output: engines count from 1, some from 0.
 FIRST_IDS = (0, 1)
 ID_DIGITS_MAX = 18
+# A field's name, empty for a comment. The lines of a head have none of them.
+_FIELD_NAME = re.compile(rb"(?:[a-z][a-z0-9-]*)?")
+# Fields that may stand without a colon.
+_BARE_FIELDS = (b"", b"id", b"data", b"event", b"retry")
 
 
 class Event(msgspec.Struct, frozen=True):
@@ -34,10 +40,11 @@
 class Parser:
     """Returns complete events from a stream read in arbitrary chunks."""
 
-    __slots__ = ("_buffer",)
+    __slots__ = ("_buffer", "is_malformed")
 
     def __init__(self):
         self._buffer = b""
+        self.is_malformed = False
 
     @property
     def incomplete(self):
@@ -45,27 +52,46 @@
         return self._buffer
 
     @property
-    def is_overlong(self):
-        """Whether the incomplete event exceeds EVENT_BYTES_MAX."""
-        return len(self._buffer) > EVENT_BYTES_MAX
+    def is_unsound(self):
+        """Whether bytes were no event, or one exceeds EVENT_BYTES_MAX."""
+        return self.is_malformed or len(self._buffer) > EVENT_BYTES_MAX
 
     def feed(self, data):
-        """Returns the events that these bytes complete."""
+        """Returns the events that these bytes complete.
+
+        Sets `is_malformed` at the first block that is no event, such as one
+        that was broken off before another answer; none follows it.
+        """
         blocks = (self._buffer + data).split(EVENT_END)
         self._buffer = blocks.pop()
-        return [_parse_event(block) for block in blocks]
+        found = []
+        for block in blocks:
+            event = None if self.is_malformed else _parse_event(block)
+            if event is None:
+                self.is_malformed = True
+                break
+            found.append(event)
+        return found
 
 
 def _parse_event(block):
-    event_id = None
+    """Returns the Event, or None if a line is none of an event's."""
+    ids = []
     data = []
     for line in block.split(b"\n"):
-        field, _, value = line.partition(b":")
+        field, colon, value = line.partition(b":")
+        if b"\r" in line or not _FIELD_NAME.fullmatch(field):
+            return None
+        if not colon and field not in _BARE_FIELDS:
+            return None
         value = value.removeprefix(b" ")
-        if field == b"id" and _is_number(value):
-            event_id = int(value)
+        if field == b"id":
+            ids.append(int(value) if _is_number(value) else None)
         elif field == b"data":
             data.append(value)
+    if len(ids) > 1:
+        return None
+    event_id = ids[0] if ids else None
     return Event(block + EVENT_END, event_id, b"\n".join(data))
 
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -95,3 +95,27 @@
         asks += 1
     assert output.ending.is_certain
     assert output.count == total
+
+
+def ended_at(count, *answers):
+    """Returns the EndEvidence of answers, each an engine, start and end."""
+    ending = endings.EndEvidence()
+    for engine, start, end in (("e1", 0, count), *answers):
+        ending.record_end(engine, start, end)
+    return ending
+
+
+def test_an_answer_that_ends_sooner_refutes_the_others():
+    agreeing = ended_at(9, ("e1", 9, 9), ("e1", 7, 9), ("e1", 5, 9))
+    assert agreeing.is_certain
+    refuted = ended_at(
+        9, ("e1", 9, 9), ("e1", 7, 9), ("e2", 7, 8), ("e1", 5, 9)
+    )
+    assert not refuted.is_certain
+
+
+def test_an_answer_counts_once():
+    ending = ended_at(9, ("e1", 9, 9), ("e1", 7, 9), ("e1", 7, 9))
+    assert not ending.is_certain
+    ending.record_end("e2", 7, 9)
+    assert ending.is_certain
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -2,6 +2,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from samphirepost import events
 
@@ -49,3 +50,29 @@
     parser = events.Parser()
     assert parser.feed(b"id: 1\ndata: a\n\nid: 2\nda")[0].id == 1
     assert parser.incomplete == b"id: 2\nda"
+
+
+# A second answer behind an event that was broken off completed that event.
+@pytest.mark.parametrize(
+    "block",
+    [
+        b"id: 1\ndata: aHTTP/1.1 200 OK\r\nRequest-Id: r\r\n\r\nid: 1",
+        b"id: 1\ndata: aHTTP/1.1 200 OK\nRequest-Id: r",
+        b"HTTP/1.1 200 OK",
+        b"id: 1\ndata: a\nid: 2\ndata: b",
+        b"id: 1\ndata: a\r",
+        b"broken",
+    ],
+)
+def test_what_is_no_event_ends_the_stream(block):
+    parser = events.Parser()
+    found = parser.feed(b"id: 1\ndata: a\n\n" + block + b"\n\nid: 2\n\n")
+    assert [event.id for event in found] == [1]
+    assert parser.is_unsound
+    assert parser.feed(b"id: 2\ndata: b\n\n") == []
+
+
+def test_comments_and_other_fields_are_parts_of_events():
+    raw = b": comment\nevent: token\nretry\nid: 3\ndata: lily\ndata\n\n"
+    (event,) = events.Parser().feed(raw)
+    assert (event.id, event.data) == (3, b"lily\n")
--- a/tests/test_unframed.py
+++ b/tests/test_unframed.py
@@ -230,9 +230,14 @@
 class HeadServer(entryhelper.RawServer):
     """An engine that closes each connection after the head of an answer."""
 
+    def __init__(self):
+        super().__init__()
+        self.requests = 0
+
     def serve(self, conn):
         """Sends a head without a length."""
         conn.recv(65_536)
+        self.requests += 1
         conn.sendall(b"HTTP/1.1 200 OK\r\nRequest-Id: i1\r\n\r\n")
 
 
@@ -247,6 +252,7 @@
     server.stop()
     assert isinstance(outcome, items.InterruptedRun)
     assert (outcome.lost, outcome.has_head) == (True, True)
+    assert server.requests == 1
 
 
 ITEM_EVENTS = 6
