The fleet reports daemons that ended by themselves, with signal and output

Only two of the tests looked at the exit status, only after a freeze, and showed the last 2,000 bytes; a daemon that ended elsewhere showed as a refused port or "no such process" in a later test, and the signal was lost.

Now Process knows whether the run ended it (kill, terminate), and Fleet's end raises FleetError with the status or the signal's name and the whole output of each process that ended by itself, so that no such end passes unseen. The daemons run with faulthandler already; a fault of native code leaves its trace in that output. The end of a daemon during the tests is an error from now on even if no test meets it: that is stricter than before.

--- a/packages/samphirepost-bench/src/samphirepost_bench/fleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/fleet.py
@@ -29,14 +29,12 @@
 POLL_INTERVAL_S = 0.05
 READY_WAIT_S = 30.0
 STOP_WAIT_S = 90.0
-# Output of a process that is shown when it has exited unexpectedly.
-EXIT_REPORT_BYTES = 2000
 CALLER_TOKENS = {"nurseries": "lily-token", "umoja": "notice-token"}
 OPERATOR_TOKEN = "operator-token"
 
 
 class FleetError(Exception):
-    """A process was not ready in time, or refused a request."""
+    """A process was not ready in time, refused a request or has ended."""
 
 
 def free_port():
@@ -65,6 +63,7 @@
 
     def __init__(self, name, argv, log_path):
         self.name = name
+        self._is_ended_here = False
         self._log = open(log_path, "ab")
         self.popen = subprocess.Popen(
             argv, stdout=self._log, stderr=self._log, stdin=subprocess.DEVNULL
@@ -75,21 +74,27 @@
         """Whether the process is running."""
         return self.popen.poll() is None
 
-    def exit_report(self):
-        """Returns the exit status and the last output, for a test's message.
+    @property
+    def has_failed(self):
+        """Whether the process has ended without kill() or terminate()."""
+        return not self.alive and not self._is_ended_here
 
-        The status is None while the process runs.
-        """
+    def exit_report(self):
+        """Returns how the process has ended and all its output."""
         with open(self._log.name, "rb") as log:
-            tail = log.read()[-EXIT_REPORT_BYTES:]
-        output = tail.decode(errors="replace")
-        return f"{self.name}: exit status {self.popen.poll()}, {output}"
+            output = log.read().decode(errors="replace")
+        return f"{self.name}: {_describe_exit(self.popen.poll())}, {output}"
 
     def kill(self):
         """Kills the process with SIGKILL, as the failure of a VM would."""
-        self.popen.kill()
+        self._end(self.popen.kill)
         self.popen.wait()
 
+    def _end(self, send_signal):
+        """Sends a signal that ends the process, unless it has ended."""
+        self._is_ended_here |= self.alive
+        send_signal()
+
     def freeze(self):
         """Suspends the process; its connections stay open."""
         os.kill(self.popen.pid, signal.SIGSTOP)
@@ -100,13 +105,22 @@
 
     def terminate(self):
         """Sends SIGTERM, on which a daemon drains."""
-        self.popen.terminate()
+        self._end(self.popen.terminate)
 
     def wait(self, wait_s=STOP_WAIT_S):
         """Waits until the process exits; returns the exit status."""
         return self.popen.wait(wait_s)
 
 
+def _describe_exit(status):
+    """Returns in words how a process has ended; None if it runs."""
+    if status is None:
+        return "running"
+    if status < 0:
+        return f"ended by {signal.Signals(-status).name}"
+    return f"exit status {status}"
+
+
 class Daemon(Process):
     """A daemon process and the addresses of its listeners."""
 
@@ -150,7 +164,10 @@
 
 
 class Fleet:
-    """All processes of one run; a context manager that kills them."""
+    """All processes of one run; a context manager that kills them.
+
+    Raises FleetError at its end if one of them had ended by itself.
+    """
 
     def __init__(self, folder=None):
         self.folder = pathlib.Path(folder or tempfile.mkdtemp("-fleet"))
@@ -166,10 +183,14 @@
         return self
 
     def __exit__(self, *exc):
+        failed = [one for one in self.processes if one.has_failed]
         for process in self.processes:
             if process.alive:
                 process.thaw()
                 process.kill()
+        if failed:
+            reports = "\n".join(one.exit_report() for one in failed)
+            raise FleetError(f"{reports}\nlogs are in {self.folder}")
 
     def _log(self, name):
         return self.folder / f"{name}.log"
@@ -264,7 +285,7 @@
         while time.monotonic() < deadline_s:
             if not process.alive:
                 raise FleetError(
-                    f"{process.name} exited; logs are in {self.folder}"
+                    f"{process.exit_report()}\nlogs are in {self.folder}"
                 )
             try:
                 if self.http.json("GET", url)[0] == 200:
