A silent peer may have sent a request: the stranded test tells 502 from 503

Cause: a relay order carries the request's data, and the peer sends it as soon as it reaches the engine. A peer that says nothing for PEER_TIMEOUT_S may have done so, and the daemon cannot know: 503 promises that the request has not run (PROTOCOL, Answers), so 502 is the true answer. The daemon does that: a failure of Call.send_relayed() without a refusal counts as an execution. The test's expectation of 503 was wrong in this case only.

Replaced by something as strict: the fleet notes each request that a peer was asked to send and gave no answer about. Such a one must get 502 (504 at its deadline) and no Retry-After, any other one 503 with Retry-After; none may have run. Before, an untrue 503 after a silent peer passed. The case itself is made certain by a stand-in for a peer, which is silent at will and, in half of the cases, does send the request (it runs, and 503 would be untrue), or refuses with 502 or 503 (then the answer must be 503).

--- a/tests/test_stranded.py
+++ b/tests/test_stranded.py
@@ -8,9 +8,13 @@
 import concurrent.futures
 import time
 
+import h11
 import pytest
 
+from samphirepost import codec
 from samphirepost_bench import streamengine
+from samphirepost_daemon.entry import engineclient
+from samphirepost_daemon.entry import tunnel
 from tests import cutnetwork
 from tests import entryhelper
 
@@ -25,16 +29,30 @@
 class StrandedFleet(entryhelper.Fleet):
     """A fleet whose daemons reach the engines through networks of their own.
 
-    `networks` has a cutnetwork.Network for each daemon.
+    `networks` has a cutnetwork.Network for each daemon. `maybe_sent` has the
+    ids of requests that a peer was asked to send and gave no answer about.
     """
 
     def __init__(self, engines=3, daemons=DAEMONS):
         super().__init__(engines=engines, daemons=daemons)
         self.networks = []
+        self.maybe_sent = []
         for daemon in self.daemons:
             network = cutnetwork.Network()
             daemon.parts.dialer = network.dial
             self.networks.append(network)
+            daemon.paths.open = self._recorded(daemon.paths.open)
+
+    def _recorded(self, open_call):
+        """Returns a PathMonitor.open() that fills `maybe_sent`."""
+
+        def open_and_record(call, engine, through, order, request):
+            failure = open_call(call, engine, through, order, request)
+            if through and request and failure is not None and failure.sent:
+                self.maybe_sent.append(dict(request[2])["Request-Id"])
+            return failure
+
+        return open_and_record
 
     def hub(self):
         """Returns the number of the daemon that all take for the hub."""
@@ -198,6 +216,20 @@
     )
 
 
+def assert_refused_truthfully(fleet, reply, request):
+    """Checks the answer to a request that reached no engine.
+
+    It is 503 unless a peer may have sent the request.
+    """
+    assert fleet.ran(request) == 0
+    if request in fleet.maybe_sent:
+        assert reply.status in (502, 504)
+        assert "Retry-After" not in reply.headers
+    else:
+        assert reply.status == 503
+        assert float(reply.headers["Retry-After"]) > 0
+
+
 # What cannot be served is refused at once, and truthfully.
 def test_with_all_daemons_stranded_nothing_is_sent_until_a_path_is_back(
     fleet,
@@ -208,9 +240,7 @@
     wait_until_contact()
     for number in everyone:
         reply = fleet.send_online(f"late-{number}", daemon=number)
-        assert reply.status == 503
-        assert float(reply.headers["Retry-After"]) > 0
-        assert fleet.ran(f"late-{number}") == 0
+        assert_refused_truthfully(fleet, reply, f"late-{number}")
     fleet.networks[0].heal()
     entryhelper.wait_until(
         lambda: not fleet.daemons[0].paths.is_doubtful, "a path is back"
@@ -227,6 +257,95 @@
         )
 
 
+class Peer(entryhelper.RawServer):
+    """A peer that answers relay orders with `answer`, or is silent without.
+
+    It sends the orders' requests to those of `engines`, by id, before.
+    """
+
+    def __init__(self, engines=(), answer=b""):
+        self._engines = {engine.name: engine for engine in engines}
+        self._answer = answer
+        super().__init__()
+
+    def serve(self, conn):
+        """Serves one order until the daemon closes the connection."""
+        order = self._read_order(conn)
+        engine = self._engines.get(order.engine)
+        sock = None
+        if engine is not None and order.data:
+            sock = engineclient.dial(engine.address, 1.0)
+            sock.sendall(order.data)
+        if self._answer:
+            conn.sendall(self._answer)
+        while conn.recv(cutnetwork.READ_BYTES):
+            pass
+        if sock is not None:
+            sock.close()
+
+    def _read_order(self, conn):
+        parser = h11.Connection(h11.SERVER)
+        body = b""
+        while True:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                parser.receive_data(conn.recv(cutnetwork.READ_BYTES))
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                return codec.unpack(body, tunnel.RelayOrder)
+
+
+@pytest.fixture
+def lone_fleet():
+    """One daemon that reaches no engine itself and knows no hub."""
+    new_fleet = StrandedFleet(daemons=1)
+    slots = new_fleet.daemons[0].slots
+    slots._select_hub = lambda _: None
+    slots._hub.address = None
+    new_fleet.strand([0], "refuse")
+    yield new_fleet
+    new_fleet.stop()
+
+
+def send_beside(fleet, peer, path):
+    """Sends r1 to the daemon, whose only peer is `peer`; returns the Reply."""
+    host, port = peer.address.split(":")
+    daemon = fleet.daemons[0]
+    daemon.paths._peer_addresses = lambda: {"peer": (host, int(port))}
+    return fleet.send_online("r1", path)
+
+
+# A peer that is silent for its time may have sent the request: that it has
+# not run would be untrue, and so a request may run once more than allowed.
+@pytest.mark.parametrize("path", ["/notes/1", "/bills/1"])
+@pytest.mark.parametrize("sends", [False, True])
+def test_a_request_that_a_silent_peer_may_have_sent_is_not_called_not_run(
+    lone_fleet, sends, path
+):
+    peer = Peer(lone_fleet.engines if sends else ())
+    reply = send_beside(lone_fleet, peer, path)
+    assert reply.status == 502
+    assert "Retry-After" not in reply.headers
+    assert lone_fleet.ran("r1") == sends
+    assert lone_fleet.maybe_sent == ["r1"]
+    peer.stop()
+
+
+# A peer that says that it has sent nothing is believed.
+@pytest.mark.parametrize("path", ["/notes/1", "/bills/1"])
+@pytest.mark.parametrize("status", [502, 503])
+def test_a_request_that_the_peer_refused_is_called_not_run(
+    lone_fleet, status, path
+):
+    answer = b"HTTP/1.1 %d No\r\nContent-Length: 0\r\n\r\n" % status
+    peer = Peer(answer=answer)
+    reply = send_beside(lone_fleet, peer, path)
+    assert lone_fleet.maybe_sent == []
+    assert_refused_truthfully(lone_fleet, reply, "r1")
+    peer.stop()
+
+
 # The peer that helps is stranded next.
 def test_another_peer_helps_when_the_first_is_stranded_too(fleet):
     stranded, others = choose(fleet, 2, False)
