A daemon whose peer port is in use at its start binds it later

Three daemons of four had a hub; the thread `slots` of the fourth had ended with EADDRINUSE at the bind of its port for datagrams.

Cause: the bind was outside the thread's protection, so one failure ended the thread. The daemon said that it was ready and served on without a hub, without totals, limits, quarantines or leaving engines of others, until its next start, and without a line of its log. Where a predecessor or another program holds the port for a moment, that happens on a VM too.

Now the thread tries again every 0.5 s and logs `peer.unbound` (a failure, so that on-call sees it); nothing is sent before the socket is bound, as before.

Failing test first: test_the_thread_waits_until_its_port_is_free holds the port, waits for the log's line, frees the port and waits for the hub; it failed before (no line, no hub). Ran: tests/test_slotexchange.py, passed.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -22,6 +22,8 @@
 # Longest time that the thread waits for a datagram (s), after which it checks
 # what has expired.
 RECEIVE_WAIT_S = 0.05
+# Pause before a port that another socket has is tried again (s).
+BIND_RETRY_DELAY_S = 0.5
 # Interval of the reports of a daemon at which nothing ends (s).
 REPORT_INTERVAL_S = 0.4
 # A request that the hub has not answered after this time (s), several round
@@ -288,11 +290,8 @@
 
     def run(self):
         """Exchanges messages until the process exits."""
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._sock.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-        )
-        self._sock.bind(self._address)
+        while not self._open_socket():
+            threading.Event().wait(BIND_RETRY_DELAY_S)
         while True:
             try:
                 self._receive()
@@ -301,6 +300,21 @@
                 # The fleet depends on this thread while it is the hub.
                 self._log.failure("fault", where="slots", error=repr(exc))
 
+    def _open_socket(self):
+        """Returns False while another socket has the address."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        try:
+            sock.bind(self._address)
+        except OSError as exc:
+            sock.close()
+            self._log.failure("peer.unbound", reason=repr(exc))
+            return False
+        self._sock = sock
+        return True
+
     def _work(self, now_s):
         self._select_hub(now_s)
         pools = self._parts.state.pools()
--- a/tests/test_slotexchange.py
+++ b/tests/test_slotexchange.py
@@ -1,5 +1,9 @@
 """Tests the thread that exchanges slotmessages, with an emulated socket."""
 
+import queue
+import socket
+import types
+
 import msgspec
 
 from samphirepost import codec
@@ -8,6 +12,7 @@
 from samphirepost_daemon.entry import pathmonitor
 from samphirepost_daemon.entry import slots
 from samphirepost_daemon.entry import wiring
+from tests import entryhelper
 
 ADDRESS = ("10.0.0.1", 1)
 _decoder = msgspec.msgpack.Decoder(slotmessages.Message)
@@ -92,6 +97,32 @@
     assert exchange._sock.sent == []
 
 
+def exit_thread():
+    raise SystemExit
+
+
+# A daemon whose port another socket had when it started knew no hub for good:
+# the thread ended, and the daemon served on without it.
+def test_the_thread_waits_until_its_port_is_free():
+    failures = queue.SimpleQueue()
+    exchange = make_exchange()
+    exchange._log = types.SimpleNamespace(
+        failure=lambda event, **fields: failures.put(event),
+        event=lambda event, **fields: None,
+    )
+    with socket.socket(type=socket.SOCK_DGRAM) as used:
+        used.bind(("127.0.0.1", 0))
+        exchange._address = used.getsockname()
+        exchange.start()
+        assert failures.get(timeout=entryhelper.WAIT_S) == "peer.unbound"
+        assert exchange.hub_vm is None
+    entryhelper.wait_until(lambda: exchange.is_hub, "the daemon has its hub")
+    entryhelper.wait_until(lambda: exchange.hub_answers, "the hub answers")
+    exchange._receive = exit_thread
+    exchange.join()
+    exchange._sock.close()
+
+
 def crash_report(number):
     """Returns the packed report of a daemon that lost an engine."""
     crash = slotmessages.Crash(
