Fleets assign no port that a socket for datagrams has

The fleets of entry daemons use the peer port for datagrams too, and a stopped fleet closed its listeners but left the sockets of the daemons' threads open until the process ended: the port looked free, to this run and to others on the machine, and was not.

Now both kinds are looked for, and a stopped daemon's socket is closed once its thread has ended. Failing test first: test_ports_in_use_are_not_assigned for datagrams (it failed before, for connections it passed).

Ran: tests/test_fleet.py, test_slotexchange.py and test_stranded.py, all passed (22 in test_stranded.py, load average 24).

--- a/packages/samphirepost-bench/src/samphirepost_bench/fleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/fleet.py
@@ -50,7 +50,15 @@
 
 
 def _is_used(port):
-    with socket.socket() as probe:
+    """Whether a socket has the port, for connections or for datagrams."""
+    return any(
+        _is_used_by(kind, port)
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM)
+    )
+
+
+def _is_used_by(kind, port):
+    with socket.socket(type=kind) as probe:
         try:
             probe.bind((HOST, port))
         except OSError:
--- a/tests/entryhelper.py
+++ b/tests/entryhelper.py
@@ -136,6 +136,10 @@
     """Makes a daemon's threads exit that would run until the process ends."""
     daemon.actor.stop()
     daemon.slots._receive = _exit_thread
+    # Its port is free for another daemon once the socket is closed.
+    daemon.slots.join(WAIT_S)
+    if daemon.slots._sock is not None:
+        daemon.slots._sock.close()
     daemon.paths.work = _exit_thread
     daemon.paths.report_lost(pathmonitor.WAKE_UP)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,7 +1,9 @@
 """Tests the fleet's ports, and its reports of processes that end."""
 
+import itertools
 import pathlib
 import signal
+import socket
 import sys
 
 import pytest
@@ -23,6 +25,17 @@
     assert len(set(ports)) == len(ports)
 
 
+# A daemon got a port that a socket for datagrams had, and so knew no hub.
+@pytest.mark.parametrize("kind", [socket.SOCK_STREAM, socket.SOCK_DGRAM])
+def test_ports_in_use_are_not_assigned(monkeypatch, kind):
+    port = fleet.free_port()
+    numbers = itertools.count(port - fleet.PORT_FIRST)
+    monkeypatch.setattr(fleet, "_PORT_NUMBERS", numbers)
+    with socket.socket(type=kind) as used:
+        used.bind((fleet.HOST, port))
+        assert fleet.free_port() != port
+
+
 def run_code(fleet_here, code, name="one"):
     """Starts a process of the fleet that runs Python code; returns it."""
     path = fleet_here.folder / f"{name}.log"
