Tests of peers: only the server's time decides what the server says

Cause: the test let two clocks of one process race. The server replies "uncertain" after wait_s, the client gives up REPLY_GRACE_S (0.4 s) later, and both run in the test's process. Where that process stands still for longer than the grace, both times are over when it goes on, and the client's may be looked at first. The client is right: a peer that says nothing for longer than it may is given up, and both failures say that the outcome is unknown; no caller is told anything untrue. The test's expectation was wrong for such a process.

Ruled out: the first connection's time (the test connected before).

Replaced by three tests that are as strict together and race nothing: a caller without a short limit of its own gets platform-uncertain over a real connection, and its next request is answered (before, the server's context was not used again); a Failure that the server replies is returned as it is, and the connection is kept; the client allows itself REPLY_GRACE_S more than it allows the server, read from what it sends.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,11 +3,15 @@
 import concurrent.futures
 import threading
 
+import pynng
+
+from samphirepost import codec
 from samphirepost import errors
 from samphirepost import messages
 from samphirepost_bench import fleet
 from samphirepost_daemon import metrics
 from samphirepost_daemon import peers
+from tests import entryhelper
 
 SHORT_S = 0.05
 LONG_S = 5.0
@@ -30,20 +34,80 @@
     server.stop()
 
 
+class Caller:
+    """A peer whose own time limit is far off: the server's time decides."""
+
+    def __init__(self, server_address):
+        self._socket = pynng.Req0(
+            resend_time=peers.RESEND_NEVER_MS,
+            recv_timeout=int(entryhelper.WAIT_S * 1000),
+        )
+        self._socket.dial(server_address, block=True)
+
+    def request(self, wait_s):
+        """Returns the server's reply to a request that allows `wait_s`."""
+        request = messages.Request("r1", messages.TablesRequest())
+        self._socket.send(codec.pack(peers.TimedRequest(request, wait_s)))
+        response = codec.unpack(self._socket.recv(), messages.Response)
+        assert response.id == "r1"
+        return response.reply
+
+    def close(self):
+        """Closes the connection."""
+        self._socket.close()
+
+
+# A server that does not reply in the time allowed looks dead to its peers.
 def test_command_that_is_not_durable_in_time_is_unknown():
-    """The first request connects, which may take longer than SHORT_S."""
     server_address = address()
-    replies = [concurrent.futures.Future(), messages.Acknowledgement()]
+    replies = [messages.Acknowledgement(), concurrent.futures.Future()]
     server = peers.Server(server_address, lambda command: replies.pop())
     server.start()
-    client = peers.Client()
-    client.request(server_address, messages.TablesRequest(), LONG_S)
-    reply = client.request(server_address, messages.TablesRequest(), SHORT_S)
+    caller = Caller(server_address)
+    reply = caller.request(SHORT_S)
     assert reply.kind is errors.Kind.PLATFORM_UNCERTAIN
     assert reply.outcome is errors.Outcome.UNKNOWN
+    assert caller.request(SHORT_S) == messages.Acknowledgement()
+    caller.close()
     server.stop()
 
 
+# What a server says of a command is passed on, and its connection is kept.
+def test_failure_that_the_server_replies_is_returned():
+    server_address = address()
+    failure = errors.Failure(
+        errors.Kind.PLATFORM_UNCERTAIN,
+        "the command is not durable yet",
+        errors.Outcome.UNKNOWN,
+    )
+    server = peers.Server(server_address, lambda command: failure)
+    server.start()
+    client = peers.Client()
+    reply = client.request(server_address, messages.TablesRequest(), LONG_S)
+    assert reply == failure
+    assert client.count_connections(server_address) == 1
+    server.stop()
+
+
+# A client that gave up before the server's time is over would take it for
+# dead, and so hear of no command that is not durable in time.
+def test_client_waits_longer_than_it_allows_the_server(monkeypatch):
+    waits = []
+
+    async def record(self, address, request_id, data, timeout_s):
+        timed = codec.unpack(data, peers.TimedRequest)
+        waits.append((timed.wait_s, timeout_s))
+
+    monkeypatch.setattr(peers.Client, "_send_request", record)
+    for wait_s in (SHORT_S, LONG_S):
+        peers.Client().request(address(), messages.TablesRequest(), wait_s)
+    assert waits == [
+        (SHORT_S, SHORT_S + peers.REPLY_GRACE_S),
+        (LONG_S, LONG_S + peers.REPLY_GRACE_S),
+    ]
+    assert peers.REPLY_GRACE_S > 0
+
+
 def test_command_that_raises_does_not_end_its_context(monkeypatch):
     """Each of the few contexts would be gone for good after one fault."""
     monkeypatch.setattr(peers, "CONTEXTS", 2)
