The rig cuts short answers at no place more often than at others

The number is drawn among those that an answer has. Violations name the daemon by whose log an item is done, as builds may run side by side.

--- a/packages/samphirepost-bench/src/samphirepost_bench/answerfaults.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/answerfaults.py
@@ -123,12 +123,11 @@
         and place not in _BEFORE_BODY
         and rng.random() < EXTRA_SHARE
     )
-    few = rng.random() < 0.5
     return Plan(
         framing=Framing.NONE if unframed else _choose(rng, _FRAMING_WEIGHTS),
         place=place,
         cut=rng.random(),
-        events=rng.choice(_FEW_EVENTS if few else range(1, events + 2)),
+        events=_draw_count(rng, events),
         is_killed=is_killed,
         extra=rng.choice(list(Extra)[1:]) if has_extra else Extra.NOTHING,
         late_s=rng.choice(LATE_S),
@@ -137,6 +136,16 @@
     )
 
 
+def _draw_count(rng, events):
+    """Returns a number of whole events before a cut, less than `events`.
+
+    One draw in two is of few events; all numbers of a draw are as likely.
+    """
+    counts = range(1, max(2, events))
+    few = [one for one in _FEW_EVENTS if one in counts]
+    return rng.choice(few if rng.random() < 0.5 else counts)
+
+
 def _choose(rng, weights):
     return rng.choices(list(weights), weights.values())[0]
 
--- a/packages/samphirepost-bench/src/samphirepost_bench/brokenanswers.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/brokenanswers.py
@@ -244,9 +244,18 @@
                 return
             count = len(result["text"].splitlines())
             detail = f"{item}: {count} of {EVENTS} events"
-            self._record(f"ITEM {verdict.value}", detail)
+            self._record(
+                f"ITEM {verdict.value}", f"{detail}, {self._by(item)}"
+            )
         self._trace(item)
 
+    def _by(self, item):
+        """Returns the daemon by whose log an item is done."""
+        for line in self._log_lines():
+            if f'"item":"{item}"' in line and '"item.done"' in line:
+                return f"done by {line.partition(' ')[0]}"
+        return "done by a daemon that does not log it"
+
     def _trace(self, item):
         """Adds what daemons and engines wrote of an item."""
         self.violations.extend(
--- a/tests/test_answerfaults.py
+++ b/tests/test_answerfaults.py
@@ -1,5 +1,6 @@
 """Plans of faulty answers are drawn by a seed and written as they say."""
 
+import collections
 import itertools
 import random
 
@@ -121,6 +122,19 @@
     assert {one.is_killed for one in drawn[0]} == {False, True}
 
 
+# A number above that of the events stood for the last place of a cut, so that
+# answers of few events nearly all ended there.
+@pytest.mark.parametrize("events", [1, 2, 3, 5, 24])
+def test_no_place_between_events_is_preferred_to_its_neighbours(events):
+    rng = random.Random(1)
+    counts = collections.Counter(
+        answerfaults.draw(rng, answerfaults.Mix.ANY, True, events).events
+        for _ in range(2000)
+    )
+    assert set(counts) == set(range(1, max(2, events)))
+    assert counts[max(counts)] <= 1.2 * counts[1]
+
+
 def test_a_mix_names_the_answers_without_a_length():
     rng = random.Random(1)
     for mix, is_item, is_unframed in (
