An output that begins anew has an id of its own

What callers could see: a result is done, and its text is joined from two outputs of the item. Cause: if no checkpoint of an item could be taken over (its first one begins late, or cannot be read), the output that began anew had no id, as the checkpoints of older builds have none: the next holder took the rest of the former output for the continuation of the new one. Fix: the id is drawn as the checkpoints are read.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -6,7 +6,6 @@
 """
 
 import concurrent.futures
-import secrets
 import time
 
 import pykka
@@ -362,7 +361,9 @@
             }
             if not versions:
                 continue
-            for index in held_job.restart_items(versions, _new_output_id):
+            for index in held_job.restart_items(
+                versions, jobstore.new_output_id
+            ):
                 self._parts.log.event(
                     "item.restarted",
                     job=held_job.record.id,
@@ -458,7 +459,7 @@
             return False
         partial = held_job.partial_outputs.get(index)
         if partial is None:
-            partial = batchjob.PartialOutput(_new_output_id())
+            partial = batchjob.PartialOutput(jobstore.new_output_id())
             held_job.partial_outputs[index] = partial
         if not partial.can_go_on(engine.version):
             return False
@@ -790,11 +791,6 @@
             self._commit_if_due(key, held_job, time.monotonic())
 
 
-def _new_output_id():
-    """Returns an id that tells the outputs of an item apart."""
-    return secrets.token_hex(4)
-
-
 def _may_have_crashed_engine(run, outcome):
     """Whether a run lost its engine before the item's answer had begun."""
     return (
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/jobstore.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/jobstore.py
@@ -17,6 +17,7 @@
 
 import collections
 import hashlib
+import secrets
 import threading
 
 import msgspec
@@ -307,9 +308,11 @@
             if checkpoint is None:
                 # Those that follow it are not restored either.
                 continue
-            partial = partials.setdefault(
-                checkpoint.index, batchjob.PartialOutput()
-            )
+            partial = partials.get(checkpoint.index)
+            if partial is None:
+                # If none is restored, a new output begins under this id.
+                partial = batchjob.PartialOutput(new_output_id())
+                partials[checkpoint.index] = partial
             partial.restore(checkpoint)
         return partials
 
@@ -483,6 +486,11 @@
         return None
 
 
+def new_output_id():
+    """Returns an id that tells the outputs of an item apart."""
+    return secrets.token_hex(4)
+
+
 def _result_key(job_id, position):
     return f"{job_id}/{position:06d}"
 
