All rows of an item's former outputs are deleted with its result

Nothing that callers see: rows of checkpoints stayed in the store for good. If an item that had begun anew ended while a checkpoint of its output was being written, that checkpoint's number replaced the count of rows to delete. Evidence: the new test, red before. A listed item's rows are read at a takeover and not used, so no text was joined from them.

--- a/packages/samphirepost/src/samphirepost/batchjob.py
+++ b/packages/samphirepost/src/samphirepost/batchjob.py
@@ -530,7 +530,8 @@
                 return
         if partial is None:
             if checkpoint.index in self.unlisted_results:
-                self.stale_checkpoints[checkpoint.index] = count
+                known = self.stale_checkpoints.get(checkpoint.index, 0)
+                self.stale_checkpoints[checkpoint.index] = max(known, count)
             return
         partial.durable_count += len(checkpoint.texts)
         partial.checkpoint_count += 1
--- a/tests/test_batchjob.py
+++ b/tests/test_batchjob.py
@@ -637,6 +637,22 @@
         assert (partial.checkpoint_count, partial.durable_count) == (0, 0)
         assert partial.row_count == 1
 
+    # The rows of a former output were left in the store for good.
+    def test_a_late_checkpoint_does_not_hide_those_of_a_former_output(
+        self, rows
+    ):
+        store = jobstore.JobStore(rows, "vm1", ROW_BYTES)
+        record = make_record(count=1)
+        accepted = store.submit(record, make_route(retention_s=60.0))
+        held_job = make_held_job(record, accepted)
+        held_job.partial_outputs[0] = self.output("b", "v2", 1, 3)
+        held_job.partial_outputs[0].row_count = 5
+        commit = held_job.next_commit(10, 1000, 0.0)
+        assert len(commit.checkpoints) == 1
+        finish_item(held_job, 0)
+        held_job.apply_commit(2)
+        assert held_job.stale_checkpoints == {0: 5}
+
 
 def test_a_change_between_two_pages_of_a_read_is_not_missed(rows):
     """A long table is read in pages; it is followed from the first one on."""
