Bytes of another answer are no events

What callers could see: an item's text, or a stream, holds events of another answer. Cause: the parser passed over lines that are no field of an event. An answer without a length that had no events, with a second answer behind it, gave the second one's events to the first one's request; ids are checked, but a fresh item expects 1, as the second answer begins. Evidence: test_an_answer_inside_another..., red before. With a length or chunks nothing behind the end is read (test, passed before). Fix: a block with a line that is no field has no id, so what expects a next event refuses it. Lines with a colon (weight-versions, remarks) still pass. The other tests of this file passed before the fix: answers with a length or in chunks, cut at each byte, complete no item, fresh or resumed; neither do no events, CRLF, events twice or without an id, nor any status of another request id; the text is the data of all events, separated by line feeds. Run: test_itemanswers, test_events, test_entry, test_unframed, test_brokenanswers, test_endless, test_stream: no failure.

--- a/packages/samphirepost/src/samphirepost/events.py
+++ b/packages/samphirepost/src/samphirepost/events.py
@@ -7,11 +7,16 @@
 EVENT_BYTES_MAX = 1_048_576
 # Ids of the first event of an output: engines count from 1, some from 0.
 FIRST_IDS = (0, 1)
+# Fields that may come without a colon, for an empty value.
+FIELDS = (b"id", b"data", b"event", b"retry")
 ID_DIGITS_MAX = 18
 
 
 class Event(msgspec.Struct, frozen=True):
-    """One event: its bytes as received, its id and its data lines."""
+    """One event: its bytes as received, its id and its data lines.
+
+    The id is None if it has none, or if a line is no field of an event.
+    """
 
     raw: bytes
     id: int | None
@@ -60,8 +65,11 @@
     event_id = None
     data = []
     for line in block.split(b"\n"):
-        field, _, value = line.partition(b":")
+        field, colon, value = line.partition(b":")
         value = value.removeprefix(b" ")
+        if line and not colon and field not in FIELDS:
+            # The status line of another answer, for one.
+            return Event(block + EVENT_END, None, b"")
         if field == b"id" and _is_number(value):
             event_id = int(value)
         elif field == b"data":
