An item's output goes on only in the pool that began it

What callers could see: a result is done, and its text is joined from engines of two services. Cause: an output was kept with its software version, but not with its pool, though versions are those of one service (streams are recorded with both): after a move of the route, or on a split one, it went on at engines of the other service whose version has the same name. Fix: outputs and checkpoints name the pool; a slot is wanted in it as long as the route has it; without an engine there of the version the item starts again. Checkpoints of older builds name no pool and go on at their version alone, as before; older builds pass over the new field. can_go_on and restart_items take version and pool: the existing tests pass the same pool and ask in addition that another pool is refused.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -349,13 +349,16 @@
         self._blocked_items = blocked_items
 
     def _restart_items(self):
-        """Starts items again whose software version has no engine left."""
+        """Starts items again whose version has no engine in their pool.
+
+        Pools are those of the route; a new configuration may name others.
+        """
         for held_job in self._held_jobs.values():
             if not held_job.partial_outputs:
                 continue
             route = self._find_route(held_job)
             versions = {
-                engine.version
+                (engine.version, pool)
                 for pool in (route.pools if route else ())
                 for engine in self._parts.state.engines(pool)
             }
@@ -382,9 +385,12 @@
             return None
         found = self._check_quarantine(held_job.record.items[index], now_s)
         partial = held_job.partial_outputs.get(index)
+        pool = routing.pick_pool(route)
+        if partial and partial.texts and partial.pool in route.pools:
+            pool = partial.pool
         return slotmessages.WantedSlot(
             run_id,
-            routing.pick_pool(route),
+            pool,
             self._is_late(held_job, index, now_s),
             round(held_job.deadline_s - now_s, 2),
             "" if found is None else found.cause,
@@ -461,10 +467,11 @@
         if partial is None:
             partial = batchjob.PartialOutput(jobstore.new_output_id())
             held_job.partial_outputs[index] = partial
-        if not partial.can_go_on(engine.version):
+        if not partial.can_go_on(engine.version, engine.pool):
             return False
         if not partial.texts:
             partial.version = engine.version
+            partial.pool = engine.pool
         del self._wanted[key, index]
         held_job.running.add(index)
         late = self._is_late(held_job, index, now_s)
--- a/packages/samphirepost/src/samphirepost/batchjob.py
+++ b/packages/samphirepost/src/samphirepost/batchjob.py
@@ -134,7 +134,7 @@
 
     `first_id` is the id of its first event; `number` counts the checkpoints of
     its output, which is `output_id` and was begun at software version
-    `version`, from 0.
+    `version` in `pool`, from 0. Older builds name no pool.
     """
 
     index: int
@@ -143,17 +143,19 @@
     texts: tuple[bytes, ...]
     output_id: str = ""
     version: str | None = None
+    pool: str | None = None
 
 
 class PartialOutput:
     """The output of an unfinished item so far, over all its attempts.
 
-    It goes on at engines of software version `version` only; an item that
-    starts again has another `output_id`. The first `durable_count` events are
-    durable, in `checkpoint_count` checkpoints; `row_count` rows may be stored,
-    of former outputs too. `ending` is the EndEvidence of answers without a
-    length. The thread that runs the item records there and appends events; the
-    holder's thread does the rest.
+    It goes on at engines of software version `version` in `pool` only, in any
+    pool if that is None; an item that starts again has another `output_id`.
+    The first `durable_count` events are durable, in `checkpoint_count`
+    checkpoints; `row_count` rows may be stored, of former outputs too.
+    `ending` is the EndEvidence of answers without a length. The thread that
+    runs the item records there and appends events; the holder's thread does
+    the rest.
     """
 
     __slots__ = (
@@ -162,6 +164,7 @@
         "ending",
         "first_id",
         "output_id",
+        "pool",
         "row_count",
         "texts",
         "version",
@@ -170,6 +173,7 @@
     def __init__(self, output_id="", row_count=0):
         self.output_id = output_id
         self.row_count = row_count
+        self.pool = None
         self.version = None
         self.ending = endings.EndEvidence()
         self.first_id = None
@@ -215,6 +219,7 @@
             self.first_id = checkpoint.first_id
             self.output_id = checkpoint.output_id
             self.version = checkpoint.version
+            self.pool = checkpoint.pool
         elif (
             checkpoint.output_id != self.output_id
             or checkpoint.first_id != self.last_id + 1
@@ -246,11 +251,14 @@
             tuple(texts),
             self.output_id,
             self.version,
+            self.pool,
         )
 
-    def can_go_on(self, version):
-        """Whether an engine of a software version can continue the output."""
-        return not self.texts or version == self.version
+    def can_go_on(self, version, pool):
+        """Whether an engine of a version in a pool can continue the output."""
+        if not self.texts:
+            return True
+        return version == self.version and self.pool in (None, pool)
 
     @property
     def text(self):
@@ -371,16 +379,16 @@
     def restart_items(self, versions, new_id):
         """Starts items again whose output no engine can continue.
 
-        `versions` are the software versions of the engines, `new_id()` returns
-        the id of a new output. Returns the indexes.
+        `versions` has the software version and the pool of each engine,
+        `new_id()` returns the id of a new output. Returns the indexes.
         """
         found = [
             index
             for index in self.queued_indexes()
             if index in self.partial_outputs
             and not any(
-                self.partial_outputs[index].can_go_on(version)
-                for version in versions
+                self.partial_outputs[index].can_go_on(version, pool)
+                for version, pool in versions
             )
         ]
         for index in found:
--- a/tests/test_batchjob.py
+++ b/tests/test_batchjob.py
@@ -584,15 +584,32 @@
         """Returns an output with events from `first` to `last`."""
         partial = batchjob.PartialOutput(output_id)
         partial.version = version
+        partial.pool = "plants"
         for number in range(first, last + 1):
             assert partial.append_event(number, b"%d" % number)
         return partial
 
     def test_an_output_goes_on_at_its_version(self):
         partial = self.output("a", "v1", 1, 2)
-        assert partial.can_go_on("v1")
-        assert not partial.can_go_on("v2")
-        assert batchjob.PartialOutput("b").can_go_on("v2")
+        assert partial.can_go_on("v1", "plants")
+        assert not partial.can_go_on("v2", "plants")
+        assert not partial.can_go_on("v1", "meadows")
+        assert batchjob.PartialOutput("b").can_go_on("v2", "meadows")
+
+    def test_a_checkpoint_names_its_pool(self):
+        first = self.output("a", "v1", 1, 2).next_checkpoint(0, 10)
+        restored = batchjob.PartialOutput()
+        assert restored.restore(first)
+        assert not restored.can_go_on("v1", "meadows")
+
+    # A daemon of an older build may have written it.
+    def test_a_checkpoint_without_a_pool_goes_on_at_its_version(self):
+        restored = batchjob.PartialOutput()
+        assert restored.restore(
+            batchjob.Checkpoint(0, 0, 1, (b"1",), "a", "v1")
+        )
+        assert restored.can_go_on("v1", "plants")
+        assert not restored.can_go_on("v2", "plants")
 
     # The second checkpoint of the old output would follow the first one of
     # the new output.
@@ -614,8 +631,10 @@
         held_job = make_held_job(record, accepted)
         held_job.partial_outputs[0] = self.output("a", "v1", 1, 3)
         held_job.partial_outputs[0].row_count = 2
-        assert held_job.restart_items({"v1", "v2"}, lambda: "b") == []
-        assert held_job.restart_items({"v2"}, lambda: "b") == [0]
+        both = {("v1", "plants"), ("v2", "plants")}
+        assert held_job.restart_items(both, lambda: "b") == []
+        only = {("v2", "plants"), ("v1", "meadows")}
+        assert held_job.restart_items(only, lambda: "b") == [0]
         assert held_job.partial_outputs[0].texts == []
         held_job.finish_item(
             0, batchjob.Result("i", batchjob.FinalStatus.DONE, b"x")
@@ -631,7 +650,7 @@
         held_job.partial_outputs[0] = self.output("a", "v1", 1, 3)
         commit = held_job.next_commit(10, 1000, 0.0)
         assert commit.checkpoints
-        held_job.restart_items({"v2"}, lambda: "b")
+        held_job.restart_items({("v2", "plants")}, lambda: "b")
         held_job.apply_commit(2)
         partial = held_job.partial_outputs[0]
         assert (partial.checkpoint_count, partial.durable_count) == (0, 0)
--- a/tests/test_outputs.py
+++ b/tests/test_outputs.py
@@ -150,10 +150,11 @@
         if partial is None:
             partial = batchjob.PartialOutput(self.new_id())
             held_job.partial_outputs[index] = partial
-        if not partial.can_go_on(version):
+        if not partial.can_go_on(version, "plants"):
             return
         if not partial.texts:
             partial.version = version
+            partial.pool = "plants"
         held_job.running.add(index)
         self.run_count += 1
         self.runs.append((held_job, index, partial, version, self.run_count))
@@ -199,7 +200,7 @@
         held_job = self.held_jobs.get(self.holder())
         if held_job is not None:
             version = self.random.choice(VERSIONS)
-            held_job.restart_items({version}, self.new_id)
+            held_job.restart_items({(version, "plants")}, self.new_id)
 
     def write(self):
         """A daemon commits, or repeats the same commit."""
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -278,3 +278,43 @@
     for one in sorted(arrivals, key=lambda one: one.at_s):
         first.setdefault(one.id, one.resume_after)
     assert set(first.values()) <= {0}
+
+
+def arrivals(engine):
+    """Returns the events after which an engine was asked, by item."""
+    return [one.resume_after for one in list(engine.arrivals)]
+
+
+# An output went on at engines of the service that its route was moved to, if
+# their version had the same name.
+def test_an_item_is_not_joined_from_two_services(fleet):
+    old = fleet.engines[0]
+    for engine in fleet.engines:
+        engine.faults.extend([streamengine.Fault.CUT] * 40)
+    fleet.submit("job", 4)
+    entryhelper.wait_until(
+        lambda: any(arrivals(old)), "an output goes on at the old service"
+    )
+    new = streamengine.Engine("engine-meadows", version=old.version)
+    new.start()
+    fleet.engines.append(new)
+    document = entryfleet.tables(
+        2,
+        [
+            {**route, "service": "meadows"}
+            if "evening" in route["name"]
+            else route
+            for route in entryfleet.ROUTES
+        ],
+    )
+    document["services"].append({"name": "meadows", "healthPath": "/health"})
+    fleet.store.put_row("servers", new.name, new.entry("meadows"))
+    fleet.store.put_row("op", "config", document)
+    results = entryhelper.wait_until(
+        lambda: fleet.complete_results("job"), "the job is complete"
+    )
+    assert [one["text"] for one in results] == [
+        old.text(one["id"]) for one in results
+    ]
+    assert arrivals(new)
+    assert not any(arrivals(new))
