--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -6,7 +6,6 @@
 """
 
 import concurrent.futures
-import secrets
 import time
 
 import pykka
@@ -350,19 +349,24 @@
         self._blocked_items = blocked_items
 
     def _restart_items(self):
-        """Starts items again whose software version has no engine left."""
+        """Starts items again whose version has no engine in their pool.
+
+        Pools are those of the route; a new configuration may name others.
+        """
         for held_job in self._held_jobs.values():
             if not held_job.partial_outputs:
                 continue
             route = self._find_route(held_job)
             versions = {
-                engine.version
+                (engine.version, pool)
                 for pool in (route.pools if route else ())
                 for engine in self._parts.state.engines(pool)
             }
             if not versions:
                 continue
-            for index in held_job.restart_items(versions, _new_output_id):
+            for index in held_job.restart_items(
+                versions, jobstore.new_output_id
+            ):
                 self._parts.log.event(
                     "item.restarted",
                     job=held_job.record.id,
@@ -381,9 +385,12 @@
             return None
         found = self._check_quarantine(held_job.record.items[index], now_s)
         partial = held_job.partial_outputs.get(index)
+        pool = routing.pick_pool(route)
+        if partial and partial.texts and partial.pool in route.pools:
+            pool = partial.pool
         return slotmessages.WantedSlot(
             run_id,
-            routing.pick_pool(route),
+            pool,
             self._is_late(held_job, index, now_s),
             round(held_job.deadline_s - now_s, 2),
             "" if found is None else found.cause,
@@ -458,12 +465,13 @@
             return False
         partial = held_job.partial_outputs.get(index)
         if partial is None:
-            partial = batchjob.PartialOutput(_new_output_id())
+            partial = batchjob.PartialOutput(jobstore.new_output_id())
             held_job.partial_outputs[index] = partial
-        if not partial.can_go_on(engine.version):
+        if not partial.can_go_on(engine.version, engine.pool):
             return False
         if not partial.texts:
             partial.version = engine.version
+            partial.pool = engine.pool
         del self._wanted[key, index]
         held_job.running.add(index)
         late = self._is_late(held_job, index, now_s)
@@ -790,11 +798,6 @@
             self._commit_if_due(key, held_job, time.monotonic())
 
 
-def _new_output_id():
-    """Returns an id that tells the outputs of an item apart."""
-    return secrets.token_hex(4)
-
-
 def _may_have_crashed_engine(run, outcome):
     """Whether a run lost its engine before the item's answer had begun."""
     return (
