--- a/packages/samphirepost/src/samphirepost/endings.py
+++ b/packages/samphirepost/src/samphirepost/endings.py
@@ -11,8 +11,9 @@
 WITNESSES_MIN = 3
 # The same for ends of which there are not as many ways to ask.
 REPEATS_MAX = 12
-# Events before the end after which is asked again, in turn.
-OVERLAPS = (2, 4, 1, 3)
+# Events before the end after which is asked again, in turn. An answer that is
+# to repeat more of them has more places at which to break off before the end.
+OVERLAPS = (4, 8, 16, 2, 1, 3)
 
 
 class EndEvidence:
