A run that is stopped between two answers asks no more

What engines saw: an item that lost its slot between two answers of one run still sent its next request, and dropped it up to 0.1 s later. Cause: stop() ends the call that the run has then; the run put a new one in its place. No text was wrong: the run is interrupted whatever that answer brings. Evidence: the new test, red before. Fix: a run hands the stop on to each later call, and a call that was aborted neither connects nor sends.

--- a/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
@@ -612,4 +612,32 @@
         "    if False:\n",
         "tests/test_events.py",
     ),
+    Mutation(
+        "begin outputs anew without an id",
+        f"{_DAEMON}/entry/jobstore.py",
+        "batchjob.PartialOutput(new_output_id())",
+        "batchjob.PartialOutput()",
+        "tests/test_outputs.py",
+    ),
+    Mutation(
+        "continue outputs in any pool",
+        f"{_CORE}/batchjob.py",
+        "version == self.version and self.pool in (None, pool)",
+        "version == self.version",
+        "tests/test_batchjob.py",
+    ),
+    Mutation(
+        "continue outputs at any version",
+        f"{_CORE}/batchjob.py",
+        "version == self.version and self.pool in (None, pool)",
+        "self.pool in (None, pool)",
+        "tests/test_outputs.py",
+    ),
+    Mutation(
+        "take an engine's reset for its end in a relay",
+        f"{_DAEMON}/entry/enginerelay.py",
+        'raise RelayCut(f"receive: {exc}") from exc',
+        'return b""',
+        "tests/test_relayedends.py",
+    ),
 )
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineclient.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineclient.py
@@ -68,6 +68,9 @@
     at_peer: bool = False
 
 
+ABORTED = CallFailure("aborted", sent=False)
+
+
 def dial(address, timeout_s):
     """Returns a socket connected to `address` (IP:PORT); raises OSError."""
     host, _, port = address.rpartition(":")
@@ -117,6 +120,8 @@
 
         `dialer(engine)` returns a connected socket or raises OSError.
         """
+        if self._is_aborted:
+            return ABORTED
         try:
             self._sock = dialer(engine)
         except OSError as exc:
@@ -129,6 +134,8 @@
         Returns None, or CallFailure.
         """
         self._tunnel = tunnel.Tunnel(address)
+        if self._is_aborted:
+            return ABORTED
         try:
             self._sock = dial(address, timeout_s)
         except OSError as exc:
@@ -183,6 +190,8 @@
         return data
 
     def _send_bytes(self, data):
+        if self._is_aborted:
+            return ABORTED
         try:
             self._sock.settimeout(SEND_TIMEOUT_S)
             self._sock.sendall(data)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holdermessages.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holdermessages.py
@@ -54,8 +54,8 @@
     """
 
     __slots__ = (
+        "_call",
         "began_s",
-        "call",
         "engine",
         "events_before",
         "id",
@@ -77,13 +77,25 @@
         self.version = engine.version
         self.partial = partial
         self.through = through
-        self.call = engineclient.Call()
         self.stop_requested = False
+        self._call = engineclient.Call()
+
+    @property
+    def call(self):
+        """The connection of its present request."""
+        return self._call
+
+    @call.setter
+    def call(self, call):
+        self._call = call
+        if self.stop_requested:
+            # stop() may have ended the call before.
+            call.abort()
 
     def stop(self):
         """Interrupts the run; the engine drops it at once."""
         self.stop_requested = True
-        self.call.abort()
+        self._call.abort()
 
     @property
     def pace_s(self):
--- a/tests/test_unframed.py
+++ b/tests/test_unframed.py
@@ -419,6 +419,57 @@
     assert server.resumed == [0, 6, 4, 2]
 
 
+class LateStopObserver(items.RunObserver):
+    """Stops a run once it is clear that it may ask again."""
+
+    __slots__ = ("_run",)
+
+    def __init__(self, run):
+        self._run = run
+
+    def may_ask_again(self):
+        """Stops the run and returns True."""
+        self._run.stop()
+        return True
+
+
+class RecordingPaths(entryhelper.DirectPaths):
+    """Records what became of each request: None, or CallFailure."""
+
+    def __init__(self):
+        self.opened = []
+
+    def open(self, *args):
+        """Sends a request; see PathMonitor.open()."""
+        self.opened.append(super().open(*args))
+        return self.opened[-1]
+
+
+# A run that lost its slot between two answers still sent its next request.
+def test_a_run_that_is_stopped_between_two_answers_asks_no_more(short_server):
+    server = short_server([3, None, None])
+    item = batchjob.Item("i1", "/evening/1", {}, b"body", 10)
+    record = batchjob.Record("job", "h", "r", item.path, (item,))
+    engine = roster.Engine("e1", "plants", server.address, "a", 8)
+    partial = batchjob.PartialOutput()
+    run = holdermessages.ItemRun(1, ("h", "job"), 0, engine, partial)
+    paths = RecordingPaths()
+    outcome = items.run_item(
+        paths,
+        record,
+        item,
+        engine,
+        run,
+        lambda: run.stop_requested,
+        LateStopObserver(run),
+    )
+    assert outcome == items.InterruptedRun("stopped", False)
+    first, second = paths.opened
+    assert first is None
+    assert not second.sent
+    assert partial.text == b"1\n2\n3"
+
+
 class HeadsServer(entryhelper.RawServer):
     """An engine that lives on and ends each answer after a sealed head."""
 
