A peer's connection is closed after a reply to another request

Cause: Client._send_request() retired the connection of a mismatched reply after it had counted the request as over, so that nobody closed the socket. pynng's socket and its handle refer to each other; Python's collector frees them later and closes the socket in whichever thread it happens to run, pynng's own included. By reading, closing there may wait for that thread itself; no run showed that.

Now the reply is checked while the request still counts as in flight, and the connection is closed with it. Failing test first: the socket still opened contexts after such a reply.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/peers.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/peers.py
@@ -180,17 +180,17 @@
             reply = await asyncio.wait_for(
                 _exchange(connection.socket, data), timeout_s
             )
+            response = codec.unpack(reply, messages.Response)
+            if response.id != request_id:
+                self._retire(address, connection)
+                return _mismatched_reply(address)
+            return response.reply
         except (TimeoutError, pynng.NNGException) as exc:
             self._retire(address, connection)
             return _unreachable(address, exc)
         finally:
             connection.requests_in_flight -= 1
             connection.close_if_unused()
-        response = codec.unpack(reply, messages.Response)
-        if response.id != request_id:
-            self._retire(address, connection)
-            return _mismatched_reply(address)
-        return response.reply
 
     def count_connections(self, address):
         """Returns the number of usable connections to the peer (0 or 1)."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,6 +4,7 @@
 import threading
 
 import pynng
+import pytest
 
 from samphirepost import codec
 from samphirepost import errors
@@ -134,6 +135,28 @@
     server.stop()
 
 
+# The connection was left open until Python freed it, in whichever thread.
+def test_connection_with_a_reply_to_another_request_is_closed():
+    server_address = address()
+    server = pynng.Rep0(listen=server_address)
+    client = peers.Client()
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        fut = pool.submit(
+            client.request, server_address, messages.TablesRequest(), LONG_S
+        )
+        server.recv()
+        (connection,) = client._connections.values()
+        other = messages.Response("other", messages.Acknowledgement())
+        server.send(codec.pack(other))
+        reply = fut.result()
+    assert reply.kind is errors.Kind.STREAM_CROSSED
+    assert reply.outcome is errors.Outcome.UNKNOWN
+    assert client.count_connections(server_address) == 0
+    with pytest.raises(pynng.Closed):
+        connection.socket.new_context()
+    server.close()
+
+
 def test_dead_peer_is_given_up_and_unknown():
     reply = peers.Client().request(
         address(), messages.TablesRequest(), SHORT_S
