An entry at whose address another engine answers gets no new work

Change: the daemon marks the entry (id, address, start) and tells the hub, by the way of Server-Leaving: one set of marks with a reason (leaving.py), one report, one announcement. A mark ends after 4 s at all daemons, or with the entry: 3.6 s are what an entry without heartbeats lasts. A 421 to a request with Expect-Version, or of another request, marks nothing. stale_entries has a default, and is a field of its own, as an older hub would keep it for 600 s as leaving.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -464,6 +464,8 @@
             return engineattempt.FailedAttempt(
                 attempts.AttemptFailure.BROKEN, "another request's answer"
             )
+        if wire.is_stale_target(head, self._req):
+            self._slots.record_stale(slot.engine)
         if wire.is_rejected(head):
             return engineattempt.FailedAttempt(
                 attempts.AttemptFailure.REFUSED, f"status {head.status}"
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -81,6 +81,10 @@
         """Records the limit that the engine names."""
         self._slots.record_head(self._engine, head)
 
+    def stale_target(self):
+        """Records that another engine has the engine's address."""
+        self._slots.record_stale(self._engine)
+
     def begun(self):
         """Records that the prompt's parts are answered."""
         self._slots.record_begun(self._parts, self._item)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
@@ -24,8 +24,8 @@
 # Interval at which the hub looks for what crashes engines (s).
 JUDGE_INTERVAL_S = 0.05
 # Shortest interval at which it announces news to all daemons (s): causes of
-# crashes, versions, engines that leave. More for each daemon, as many report
-# crashes at once.
+# crashes, versions, engines that get no new work. More for each daemon, as
+# many report crashes at once.
 CAUSES_ANNOUNCEMENT_INTERVAL_S = 0.1
 CAUSES_ANNOUNCEMENT_PER_DAEMON_S = 0.0002
 # Interval at which the hub looks at the versions that the daemons reported.
@@ -61,8 +61,9 @@
         self._next_judgement_s = 0.0
         self._next_causes_s = 0.0
         self._has_news = False
-        self._leaving = leaving.ReportedLeaving()
+        self._marks = leaving.ReportedMarks()
         self._leaving_engines = ()
+        self._stale_entries = ()
         self._next_leaving_s = 0.0
         self._versions = otherversions.ReportedVersions()
         self._other_versions = None
@@ -77,7 +78,9 @@
         self._apply_evidence(report, now_s)
         self._apply_limits(report, now_s)
         self._versions.apply(report.vm, report.other_versions)
-        if self._leaving.apply(report.leaving_engines, now_s):
+        if self._marks.apply(
+            report.leaving_engines, now_s, report.stale_entries
+        ):
             self._has_news = True
             self._next_leaving_s = now_s
         report = self._without_probes(report, now_s)
@@ -158,7 +161,7 @@
         self._log.event("hub.versions", other_versions=found)
 
     def collect_leaving(self, now_s):
-        """Collects the incarnations that leave, as any daemon was told.
+        """Collects who leaves or is stale, as any daemon was told.
 
         Once for all totals: there are many engines, and many daemons.
         """
@@ -167,7 +170,8 @@
         self._next_leaving_s = now_s + LEAVING_INTERVAL_S
         listed = self._state.roster.left_engines(now_s)
         left = {leaving.incarnation(engine) for engine in listed}
-        self._leaving_engines = (*self._leaving.known(now_s), *left)
+        self._leaving_engines = (*self._marks.known(now_s), *left)
+        self._stale_entries = self._marks.known_stale(now_s)
 
     def _announce_news(self, now_s):
         if self._has_news and now_s >= self._next_causes_s:
@@ -281,6 +285,7 @@
             tuple(self._judge.on_probation),
             self._other_versions,
             self._leaving_engines,
+            self._stale_entries,
         )
         self._send(address, totals)
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
@@ -106,6 +106,9 @@
     def head_received(self, head):
         """Called with each ResponseHead of the engine."""
 
+    def stale_target(self):
+        """Called when another engine answered at the engine's address."""
+
     def begun(self):
         """Called once the engine has begun to answer; maybe repeatedly."""
 
@@ -241,6 +244,8 @@
     observer.head_received(head)
     if not wire.is_response_to(head, req):
         return InterruptedRun("another request's answer", True)
+    if wire.is_stale_target(head, req):
+        observer.stale_target()
     if wire.is_rejected(head):
         return InterruptedRun(f"refused with {head.status}", False)
     if head.status == 422:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -13,6 +13,7 @@
 
 from samphirepost import codec
 from samphirepost import crashes
+from samphirepost import leaving
 from samphirepost import loadshare
 from samphirepost import otherversions
 from samphirepost import slotmessages
@@ -200,17 +201,26 @@
         if wire.is_from_another_engine(head):
             return
         if wire.is_leaving(head):
-            self._record_leaving(engine)
+            self._record_told(engine, leaving.Reason.LEAVING)
         per_s = wire.named_limit(head)
         if self._limits.record_answer(engine, per_s, time.monotonic()):
             self._log.event("engine.limit", engine=engine.id, per_s=per_s)
             self._send_report()
 
-    def _record_leaving(self, engine):
+    def record_stale(self, engine):
+        """Records that another engine answered at an engine's address."""
+        self._record_told(engine, leaving.Reason.STALE)
+
+    def _record_told(self, engine, reason):
         """Takes an engine out of use, and tells the others through the hub."""
-        state = self._parts.state
-        if state.leaving.record_told(engine, time.monotonic()):
-            self._log.event("engine.leaving", engine=engine.id)
+        marks = self._parts.state.marks
+        if marks.record_told(engine, time.monotonic(), reason):
+            self._log.event(
+                f"engine.{reason.value}",
+                engine=engine.id,
+                address=engine.address,
+                started_ms=engine.started_ms,
+            )
             self._send_report()
 
     def record_crash(self, engine, request, parts, has_head):
@@ -340,6 +350,7 @@
                 return
             ended, self._ended = self._ended, []
             failed, self._failed_engines = self._failed_engines, []
+            marks = self._parts.state.marks
             report = slotmessages.Report(
                 self._me,
                 next(self._sequence),
@@ -352,7 +363,8 @@
                 self._own_paths(),
                 tuple(failed[:FAILED_MAX]),
                 self._known_versions.pools,
-                self._parts.state.leaving.to_report(now_s),
+                marks.to_report(now_s),
+                marks.stale_to_report(now_s),
             )
             self._send(address, report)
 
@@ -407,8 +419,9 @@
             if message.vm == self._hub.vm:
                 self._load_tracker.record_others(message.counts, now_s)
                 self._limits.announce(message.limits)
-                known = self._parts.state.leaving
-                known.announce(message.leaving_engines, now_s)
+                self._parts.state.marks.announce(
+                    message.leaving_engines, now_s, message.stale_entries
+                )
                 self._announced_versions.record(
                     message.other_versions, _boottime_s()
                 )
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/state.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/state.py
@@ -18,7 +18,7 @@
     __slots__ = (
         "exit_s",
         "held_jobs",
-        "leaving",
+        "marks",
         "quarantine_read",
         "roster",
         "stop_began_s",
@@ -30,7 +30,7 @@
         self.table = None
         self.table_read_s = None
         self.roster = roster.Roster()
-        self.leaving = leaving.LeavingEngines()
+        self.marks = leaving.EngineMarks()
         self.stop_began_s = None
         self.exit_s = None
         self.held_jobs = 0
@@ -66,7 +66,7 @@
         return [
             engine
             for engine in self.roster.usable_engines(pool, now_s)
-            if not self.leaving.is_leaving(engine, now_s)
+            if not self.marks.is_marked(engine, now_s)
         ]
 
     def is_usable(self, engine):
@@ -76,7 +76,7 @@
         return (
             listed is not None
             and listed.started_ms == engine.started_ms
-            and not self.leaving.is_leaving(engine, now_s)
+            and not self.marks.is_marked(engine, now_s)
         )
 
     def pools(self):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
@@ -19,6 +19,7 @@
 REQUEST_ID_HEADER = "Request-Id"
 DEADLINE_HEADER = "Deadline-Ms"
 TARGET_ID_HEADER = "Target-Instance"
+WEIGHTS_HEADER = "Expect-Version"
 RESUME_AFTER_HEADER = "Last-Event-Id"
 RESUMES_HEADER = "Resumes"
 NOT_EXECUTED_HEADER = "not-executed"
@@ -262,6 +263,18 @@
     return head.status == 421
 
 
+def is_stale_target(head, req):
+    """Whether an answer says that its engine is not the one that was named.
+
+    Engines refuse a request for other weights than theirs in the same way:
+    then the answer says nothing of the engine.
+    """
+    names_weights = any(
+        name.lower() == WEIGHTS_HEADER.lower() for name, _ in req.headers
+    )
+    return is_from_another_engine(head) and not names_weights
+
+
 def is_rejected(head):
     """Whether an engine reports that it has not run the request."""
     return NOT_EXECUTED_HEADER in head.headers or head.status == 421
--- a/packages/samphirepost/src/samphirepost/slotmessages.py
+++ b/packages/samphirepost/src/samphirepost/slotmessages.py
@@ -124,7 +124,8 @@
     engines that turned out to be at fault for runs that ended before, one for
     each run. `other_versions` are the pools in which the daemon knows of
     engines of a version other than the base, or None. `leaving_engines` told
-    the daemon that they leave.
+    the daemon that they leave; at the addresses of `stale_entries`, other
+    engines answered it.
     """
 
     vm: str
@@ -139,6 +140,7 @@
     failed: tuple[str, ...] = ()
     other_versions: tuple[str, ...] | None = None
     leaving_engines: tuple[leaving.Incarnation, ...] = ()
+    stale_entries: tuple[leaving.StaleEntry, ...] = ()
 
 
 class SlotRequest(msgspec.Struct, frozen=True, array_like=True, tag=12):
@@ -224,7 +226,8 @@
     causes for which the hub asks whether answers have begun. `limits` are the
     rates (requests a second) that engines named. `other_versions` are the
     pools that any daemon named in a Report, or None if some daemon named none.
-    `leaving_engines` leave by any daemon's word or by the hub's registry.
+    `leaving_engines` leave by any daemon's word or by the hub's registry,
+    `stale_entries` are stale by any daemon's word.
     """
 
     vm: str
@@ -235,6 +238,7 @@
     on_probation: tuple[str, ...] = ()
     other_versions: tuple[str, ...] | None = None
     leaving_engines: tuple[leaving.Incarnation, ...] = ()
+    stale_entries: tuple[leaving.StaleEntry, ...] = ()
 
 
 Message = Report | SlotRequest | Grant | Queued | Denial | Preemption | Totals
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -9,6 +9,7 @@
 from samphirepost import codec
 from samphirepost import leaving
 from samphirepost import otherversions
+from samphirepost import roster
 from samphirepost import slotmessages
 
 ADDRESS = ("10.0.0.1", 1)
@@ -29,6 +30,13 @@
     failed: tuple[str, ...] = ()
 
 
+class LeavingReport(OldReport, frozen=True, array_like=True, tag=11):
+    """A Report without stale entries, of a build after that."""
+
+    other_versions: tuple[str, ...] | None = None
+    leaving_engines: tuple[leaving.Incarnation, ...] = ()
+
+
 class OldTotals(msgspec.Struct, frozen=True, array_like=True, tag=17):
     """Totals without versions and engines that leave."""
 
@@ -40,7 +48,16 @@
     on_probation: tuple[str, ...] = ()
 
 
+class LeavingTotals(OldTotals, frozen=True, array_like=True, tag=17):
+    """Totals without stale entries, of a build after that."""
+
+    other_versions: tuple[str, ...] | None = None
+    leaving_engines: tuple[leaving.Incarnation, ...] = ()
+
+
 ONE = leaving.Incarnation("e1", 5)
+ENGINE = roster.Engine("e2", "p", "10.0.0.2:1", "a", 8, started_ms=6)
+STALE = leaving.StaleEntry(leaving.entry(ENGINE), 3.5)
 
 
 def test_an_older_daemon_reads_a_report():
@@ -83,3 +100,48 @@
     announced = otherversions.AnnouncedVersions()
     announced.record(found.other_versions, 0.0)
     assert not announced.has_one_version("p", 0.0)
+
+
+def test_a_daemon_that_knows_no_stale_entries_reads_a_report():
+    """It keeps what it knows; a stale entry must not count as leaving."""
+    report = slotmessages.Report(
+        "vm1",
+        3,
+        other_versions=(),
+        leaving_engines=(ONE,),
+        stale_entries=(STALE,),
+    )
+    found = codec.unpack(codec.pack(report), LeavingReport)
+    assert (found.other_versions, found.leaving_engines) == ((), (ONE,))
+    assert codec.unpack(codec.pack(report), slotmessages.Message) == report
+
+
+def test_a_daemon_that_knows_no_stale_entries_reads_totals():
+    """The same of what a hub announces."""
+    totals = slotmessages.Totals(
+        "hub", {}, leaving_engines=(ONE,), stale_entries=(STALE,)
+    )
+    found = codec.unpack(codec.pack(totals), LeavingTotals)
+    assert (found.vm, found.leaving_engines) == ("hub", (ONE,))
+    assert codec.unpack(codec.pack(totals), slotmessages.Message) == totals
+
+
+def test_a_report_of_such_a_daemon_names_no_stale_entries():
+    """The hub marks none, and knows who leaves."""
+    data = codec.pack(LeavingReport("vm1", 3, leaving_engines=(ONE,)))
+    found = codec.unpack(data, slotmessages.Message)
+    hub = leaving.ReportedMarks()
+    assert hub.apply(found.leaving_engines, 0.0, found.stale_entries)
+    assert (hub.known(0.0), hub.known_stale(0.0)) == ((ONE,), ())
+
+
+def test_totals_of_such_a_hub_leave_a_daemons_own_marks():
+    """What it was told itself holds beside them."""
+    data = codec.pack(LeavingTotals("hub", {}, leaving_engines=(ONE,)))
+    found = codec.unpack(data, slotmessages.Message)
+    known = leaving.EngineMarks()
+    known.record_told(ENGINE, 0.0, leaving.Reason.STALE)
+    known.announce(found.leaving_engines, 0.0, found.stale_entries)
+    assert known.is_marked(ENGINE, 0.0)
+    leaving_one = roster.Engine("e1", "p", "10.0.0.1:1", "a", 8, started_ms=5)
+    assert known.is_marked(leaving_one, 0.0)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -137,7 +137,7 @@
     )
     engine = tell(stranded, daemon=cut_off)
     told = entryhelper.wait_until(
-        lambda: daemon.state.leaving.to_report(0.0), "the daemon was told"
+        lambda: daemon.state.marks.to_report(0.0), "the daemon was told"
     )
     assert [one.engine for one in told] == [engine.name]
 
@@ -170,29 +170,29 @@
     assert stalled.state.roster.get(engine.name) == listed
 
 
-class TestLeavingEngines:
+class TestEnginesThatLeave:
     """What a daemon remembers of engines that leave."""
 
     ENGINE = roster.Engine("e1", "plants", "127.0.0.1:1", "a", 8, started_ms=5)
 
     def test_its_own_word_holds_whatever_the_registry_says(self):
         """Also while the list still names it ready, and for long."""
-        known = leaving.LeavingEngines()
-        assert not known.is_leaving(self.ENGINE, 0.0)
+        known = leaving.EngineMarks()
+        assert not known.is_marked(self.ENGINE, 0.0)
         assert known.record_told(self.ENGINE, 0.0)
         assert not known.record_told(self.ENGINE, 1.0)
         for now_s in (0.0, 60.0, leaving.TOLD_KEPT_S):
-            assert known.is_leaving(self.ENGINE, now_s)
+            assert known.is_marked(self.ENGINE, now_s)
 
     def test_an_announcement_replaces_the_last_one(self):
         """And ends by itself, if no other follows."""
-        known = leaving.LeavingEngines()
+        known = leaving.EngineMarks()
         known.announce([leaving.incarnation(self.ENGINE)], 0.0)
-        assert known.is_leaving(self.ENGINE, 1.0)
+        assert known.is_marked(self.ENGINE, 1.0)
         late_s = leaving.ANNOUNCEMENT_VALID_S + 0.1
-        assert not known.is_leaving(self.ENGINE, late_s)
+        assert not known.is_marked(self.ENGINE, late_s)
         known.announce([], 1.0)
-        assert not known.is_leaving(self.ENGINE, 1.0)
+        assert not known.is_marked(self.ENGINE, 1.0)
 
 
 @hypothesis.given(
@@ -203,7 +203,7 @@
 )
 def test_the_hub_knows_what_any_daemon_was_told(told):
     """Whichever daemon reports, and how often."""
-    hub = leaving.ReportedLeaving()
+    hub = leaving.ReportedMarks()
     now_s, expected = 0.0, set()
     for engine, started_ms, pause_s in told:
         now_s += pause_s
