The end of a stream that may be resumed is stated by its engine, or agreed on

Cause: an engine that lives on ended an answer without a length between two events; its report, which only shows that it was not killed, was believed. Fix: for streams that may be resumed and whose events have ids, after the report (it still finds the way to the engine, through a peer or not, and compares its start) the engine is asked for what follows the last event. Events go on to the caller; an answer with a length or chunks that adds nothing states the end; an empty one without a length proves nothing, so it is asked again from two, then four events before, and three agreeing answers are believed. A question that fails, is refused or silent for 1.5 s, or more than eight of them: broken off there, resumed elsewhere where allowed. An engine that leaves or names a limit is not asked (only the report counts, and only if nothing was asked before). Pure decisions: samphirepost/streamends.py; questions: entry/streamend.py, with Exchange.is_whole moved there. Why it works: an engine that breaks off has no reason to end answers that began after different events at the same one (endings.py); of outputs of one or two events three equal answers have to do. Ruled out: asking other engines first (they count towards maxAttempts); believing empty answers (they are one cause). Tests changed: test_an_answer_whose_engine_is_still_there_is_whole counted one request for all routes and had an engine that repeated its events whatever it was asked; it heeds Last-Event-Id now and the test names each request. test_a_stream_whose_engine_is_gone_goes_on_elsewhere counted two runs; it now asks for one at the killed engine, and the questions at the other one by their events. test_streams_that_live_on_are_left_to_end has one more case (questions through a peer).

--- a/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
@@ -69,10 +69,16 @@
 def unframed_engine(name):
     """Returns an engine whose answers have no length, with few slots.
 
-    Its answers last, so that items lose their slots to online requests.
+    Its answers last, so that items lose their slots to online requests. They
+    may end early between two events if they can be asked for again.
     """
     engine = streamengine.Engine(name, 12, 0.015, slots=3)
     engine.unframed = True
+    engine.cut_paths = tuple(
+        one["pathPrefix"]
+        for one in ROUTES
+        if one["kind"] == "batch" or one.get("resumable")
+    )
     return engine
 
 
--- a/packages/samphirepost-bench/src/samphirepost_bench/soakfaults.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/soakfaults.py
@@ -253,17 +253,9 @@
     """An engine refuses, truncates, mixes up or stalls its next requests."""
 
     def begin(self):
-        """Queues a fault for each of the next four requests.
-
-        An answer without a length is broken off inside an event: an engine
-        that lives on has ended one that ends between two.
-        """
-        incarnation = self.engine.newest_incarnation
-        for _ in range(4):
-            fault = self.rng.choice(_ENGINE_FAULTS)
-            if incarnation.unframed and fault is streamengine.Fault.CUT:
-                fault = streamengine.Fault.CUT_EVENT
-            incarnation.faults.append(fault)
+        """Queues a fault for each of the next four requests."""
+        faults = self.engine.newest_incarnation.faults
+        faults.extend(self.rng.choice(_ENGINE_FAULTS) for _ in range(4))
 
     def end(self):
         """Removes the unused faults."""
--- a/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
@@ -84,8 +84,10 @@
     requests: the engine crashes when it begins to answer a request that has
     one of them. It then calls `on_crash(engine)`. With `limit_per_s`, its
     answers name that rate of requests as its limit. If `unframed`, its streams
-    have no length and end with the connection. If `says_leaving`, its answers
-    say that it leaves. `born` tells incarnations of an engine apart.
+    have no length and end with the connection; a CUT ends them between two
+    events only below `cut_paths`, and inside an event elsewhere. If
+    `says_leaving`, its answers say that it leaves. `born` tells incarnations
+    of an engine apart.
     """
 
     daemon_threads = True
@@ -113,6 +115,7 @@
         self.limit_per_s = None
         self.says_leaving = False
         self.unframed = False
+        self.cut_paths = ("/",)
         self.born = 0
         self.has_crashed = False
         self._connections = set()
@@ -225,6 +228,8 @@
             return self._send_status(421)
         faults = self.server.faults
         fault = faults.popleft() if faults else None
+        if self._is_cut_inside(fault):
+            fault = Fault.CUT_EVENT
         if fault is Fault.REFUSE:
             return self._send_status(503, ("Not-Executed", "1"))
         arrival.has_run = True
@@ -238,6 +243,13 @@
             self.server.disconnected.set()
             return None
 
+    def _is_cut_inside(self, fault):
+        return (
+            fault is Fault.CUT
+            and self.server.unframed
+            and not self.path.startswith(self.server.cut_paths)
+        )
+
     def _send_status(self, status, *headers):
         self.send_response(status)
         self.send_header("Request-Id", self.headers["Request-Id"])
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineattempt.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineattempt.py
@@ -51,6 +51,9 @@
     is the monotonic time of a stream's first events, `event_count` the number
     of events so far. `last_id` is the id of the event that the next one has to
     follow; None before the first event of a stream that was not resumed.
+    `after_id` is what it was before the first event of the present answer.
+    `asking_s` is the time since `began_s` that went by with questions about
+    its end.
     """
 
     call: engineclient.Call
@@ -64,6 +67,8 @@
     began_s: float = 0.0
     event_count: int = 0
     last_id: int | None = None
+    after_id: int | None = None
+    asking_s: float = 0.0
 
     @property
     def engine(self):
@@ -81,7 +86,7 @@
         if found and self.last_id is None and found[0].id is not None:
             if not events.may_be_first(found[0].id):
                 return NOT_THE_BEGINNING
-            self.last_id = found[0].id - 1
+            self.last_id = self.after_id = found[0].id - 1
         if found and self.last_id is not None:
             if not events.follow(found, self.last_id):
                 return NOT_THE_REST
@@ -89,12 +94,25 @@
         self.events = found
         return None
 
+    def go_on(self, answer):
+        """Goes on with another answer of the engine, an OpenResponse.
+
+        The answer's events follow the last one.
+        """
+        self.call.close()
+        self.call = answer.call
+        self.parser = answer.parser
+        self.events = answer.events
+        self.last_id = answer.last_id
+        self.after_id = answer.after_id
+
     @property
     def pace_s(self):
         """The mean time between two events; 0 after too few of them."""
         if self.event_count < PACE_EVENTS_MIN:
             return 0.0
-        return (time.monotonic() - self.began_s) / (self.event_count - 1)
+        taken_s = time.monotonic() - self.began_s - self.asking_s
+        return taken_s / (self.event_count - 1)
 
 
 class FailedAttempt(msgspec.Struct, frozen=True):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/enginestatus.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/enginestatus.py
@@ -18,12 +18,13 @@
 REPORT_BYTES_MAX = 1_048_576
 
 
-def still_runs(paths, engine, through, timeout_s):
-    """Whether an incarnation of an engine runs, as far as can be seen.
+def find_way(paths, engine, through, timeout_s):
+    """Returns the way on which an incarnation of an engine gave its report.
 
-    Asks the engine for its report; through peers if this daemon does not reach
-    it, at first through the one at the address `through` unless empty. Waits
-    for a report for `timeout_s` and for REPORT_TIMEOUT_S at most.
+    That is the address of a peer, or "" without one; None if the incarnation
+    does not run, as far as can be seen. Peers are asked if this daemon does
+    not reach the engine, at first the one at the address `through` unless
+    empty. Waits for a report for `timeout_s` and for REPORT_TIMEOUT_S at most.
     """
     deadline_s = time.monotonic() + min(timeout_s, REPORT_TIMEOUT_S)
     asked = {through}
@@ -37,8 +38,9 @@
         if not address:
             break
         asked.add(address)
-        sight = _ask(paths, engine, address, deadline_s)
-    return sight is enginepaths.Sight.REACHED
+        through = address
+        sight = _ask(paths, engine, through, deadline_s)
+    return through if sight is enginepaths.Sight.REACHED else None
 
 
 def _ask(paths, engine, through, deadline_s):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -1,5 +1,6 @@
 """Sends one online request to engines until a response can be passed on."""
 
+import math
 import time
 
 import msgspec
@@ -11,8 +12,8 @@
 from samphirepost import slotmessages
 from samphirepost_daemon.entry import engineattempt
 from samphirepost_daemon.entry import engineclient
-from samphirepost_daemon.entry import enginestatus
 from samphirepost_daemon.entry import pathmonitor
+from samphirepost_daemon.entry import streamend
 from samphirepost_daemon.entry import streamversion
 from samphirepost_daemon.entry import tunnel
 from samphirepost_daemon.platform import wire
@@ -73,6 +74,7 @@
         self.stream_version = streamversion.StreamVersion(
             parts, req, route, pool
         )
+        self.ends = streamend.EndFinder(parts, req, route, self)
         self._probed_cause = ""
         self._progress_s = time.monotonic()
 
@@ -206,8 +208,7 @@
             # the request.
             if reply.wait_s is not None and not self._is_under_way():
                 return self._busy_error(reply.wait_s)
-        if self._is_disconnected():
-            raise CallerDisconnected
+        self.check_caller()
         return self._choose_engine(list(engines.values()))
 
     def _use_grant(self, grant, engines):
@@ -471,15 +472,21 @@
         if not wire.is_complete_head(head):
             return self._failed_attempt(CUT_HEAD)
         response = engineattempt.OpenResponse(
-            call, slot, head, [], events.Parser(), last_id=resume_after
+            call,
+            slot,
+            head,
+            [],
+            events.Parser(),
+            last_id=resume_after,
+            after_id=resume_after,
         )
         if self._route.kind is routing.Kind.STREAM and head.status == 200:
             if resume_after is not None and not wire.is_event_stream(head):
                 return self._failed_attempt(engineattempt.NOT_THE_REST)
-            return self._read_first_events(response)
+            return self._read_first_events(response, resume_after)
         return self._read_body(response)
 
-    def _read_first_events(self, response):
+    def _read_first_events(self, response, resume_after):
         while not response.events and not response.done:
             part = self.receive(response.call)
             if isinstance(part, engineclient.BodyData):
@@ -487,13 +494,19 @@
                 if failure is not None:
                     return self._failed_attempt(failure)
             elif isinstance(part, engineclient.EndOfResponse):
-                if response.parser.incomplete or part.unframed:
+                if response.parser.incomplete:
+                    return self._failed_attempt(part)
+                end = self.ends.find(response, part, is_empty=True)
+                response.done = end.is_whole
+                if not end.is_whole and end is not streamend.End.WENT_ON:
                     return self._failed_attempt(part)
-                response.done = True
             else:
                 return self._failed_attempt(part)
+        if resume_after is None:
+            self.ends.begin(response)
         self._load_tracker.record_success(response.engine.id)
         if not self.stream_version.may_begin(response.engine):
+            response.call.close()
             return engineattempt.FailedAttempt(
                 attempts.AttemptFailure.UNRECORDED,
                 "where the stream begins could not be recorded",
@@ -501,6 +514,7 @@
             )
         self.record_progress()
         response.began_s = time.monotonic()
+        response.asking_s = 0.0
         return response
 
     def _read_body(self, response):
@@ -515,7 +529,7 @@
                 # The engine may have ended after its head.
                 is_cut = part.unframed and not chunks
                 if is_success and (
-                    is_cut or not self.is_whole(response, part)
+                    is_cut or not self.ends.find(response, part).is_whole
                 ):
                     return self._failed_attempt(part)
                 break
@@ -535,25 +549,6 @@
             )
         return response
 
-    def is_whole(self, response, end):
-        """Whether a response whose events are complete is whole at its end.
-
-        One that has no length ends with the connection, as it does when the
-        engine is killed; it is whole if the engine still runs afterwards.
-        """
-        if not end.unframed:
-            return True
-        is_running = enginestatus.still_runs(
-            self._paths,
-            response.engine,
-            response.slot.through,
-            self.left_s(),
-        )
-        self._metrics.unframed.labels(
-            "running" if is_running else "gone"
-        ).inc()
-        return is_running
-
     def record_progress(self):
         """Records that a head or an event has arrived, or is now due.
 
@@ -561,16 +556,22 @@
         """
         self._progress_s = time.monotonic()
 
-    def receive(self, call):
+    def check_caller(self):
+        """Raises CallerDisconnected if the caller has disconnected."""
+        if self._is_disconnected():
+            raise CallerDisconnected
+
+    def receive(self, call, silence_max_s=math.inf):
         """Returns the next part of an engine's response.
 
         Returns None at the request's deadline, or after a time without
-        progress unless this is the last attempt allowed. Raises
-        CallerDisconnected.
+        progress: `silence_max_s`, or less unless this is the last attempt
+        allowed. Raises CallerDisconnected.
         """
         while True:
-            if self._is_disconnected():
-                raise CallerDisconnected
+            self.check_caller()
+            if time.monotonic() > self._progress_s + silence_max_s:
+                return None
             left_s = self.left_s()
             if left_s <= 0:
                 return None
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/metrics.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/metrics.py
@@ -46,7 +46,7 @@
         self.unframed = self._counter(
             "unframed_answers",
             "Online answers that ended with the engine's connection",
-            ["engine"],
+            ["result"],
         )
         self.item_ends = self._counter(
             "item_ends",
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
@@ -5,6 +5,7 @@
 from samphirepost import attempts
 from samphirepost_daemon.entry import engineclient
 from samphirepost_daemon.entry import exchange
+from samphirepost_daemon.entry import streamend
 from samphirepost_daemon.entry import web
 from samphirepost_daemon.platform import wire
 
@@ -114,7 +115,7 @@
 
         Returns the attempt that now carries the stream: another one if the
         stream was interrupted and resumed. Raises StreamCut if it cannot be
-        resumed.
+        resumed, and CallerDisconnected.
         """
         part = self._exchange.receive(response.call)
         if isinstance(part, engineclient.BodyData):
@@ -127,9 +128,16 @@
         if (
             isinstance(part, engineclient.EndOfResponse)
             and not response.parser.incomplete
-            and self._exchange.is_whole(response, part)
         ):
-            response.events = []
+            return self._end_or_go_on(response, part)
+        return self._resume(response, part)
+
+    def _end_or_go_on(self, response, part):
+        response.events = []
+        end = self._exchange.ends.find(response, part)
+        if end is streamend.End.WENT_ON:
+            return response
+        if end.is_whole:
             response.done = True
             return response
         return self._resume(response, part)
--- a/packages/samphirepost/src/samphirepost/endings.py
+++ b/packages/samphirepost/src/samphirepost/endings.py
@@ -18,13 +18,21 @@
 class EndEvidence:
     """What answers without a length showed of the end of one output.
 
-    `is_certain` once enough of them agree. Not safe for use by several
-    threads.
+    `is_certain` once enough of them agree: WITNESSES_MIN that began after
+    different events, or `repeats_max` whatever they began after. Not safe for
+    use by several threads.
     """
 
-    __slots__ = ("_asked_at_end", "_count", "_repeats", "_witnesses")
+    __slots__ = (
+        "_asked_at_end",
+        "_count",
+        "_repeats",
+        "_repeats_max",
+        "_witnesses",
+    )
 
-    def __init__(self):
+    def __init__(self, repeats_max=REPEATS_MAX):
+        self._repeats_max = repeats_max
         self._restart(0)
 
     def _restart(self, count):
@@ -75,5 +83,5 @@
         """Whether the output ends after the events known so far."""
         return self._asked_at_end and (
             len(self._witnesses) >= WITNESSES_MIN
-            or self._repeats >= REPEATS_MAX
+            or self._repeats >= self._repeats_max
         )
--- a/tests/entryhelper.py
+++ b/tests/entryhelper.py
@@ -339,8 +339,11 @@
         }
         return self.call("POST", path, request_headers, body, daemon)
 
-    def send_and_leave(self, request, daemon=0):
-        """Sends a request, and leaves once it runs at an engine."""
+    def send_and_leave(self, request, daemon=0, path="/bills/1", until=None):
+        """Sends a request, and leaves once `until()` is true.
+
+        By default, once the request runs at an engine.
+        """
         address = self.daemons[daemon].cfg.listen.callers
         conn = http.client.HTTPConnection(address)
         headers = {
@@ -348,8 +351,8 @@
             "Request-Id": request,
             "Deadline-Ms": "60000",
         }
-        conn.request("POST", "/bills/1", b"prompt", headers)
-        wait_until(lambda: self.ran(request), "the request runs")
+        conn.request("POST", path, b"prompt", headers)
+        wait_until(until or (lambda: self.ran(request)), "the request runs")
         conn.close()
 
     def submit(self, job, count, daemon=0, prompt="own:9"):
--- a/tests/test_stranded.py
+++ b/tests/test_stranded.py
@@ -142,19 +142,23 @@
 
 
 # Connections that live on while new ones are refused are left to end. Peers
-# tell whether the engine still runs if an answer has no length.
-@pytest.mark.parametrize("unframed", [False, True])
-def test_streams_that_live_on_are_left_to_end(fleet, unframed):
+# tell whether the engine still runs if an answer has no length, and relay the
+# questions about the end of one that may be resumed.
+@pytest.mark.parametrize(
+    ("path", "unframed", "runs"),
+    [("/bills/1", False, 1), ("/bills/1", True, 1), ("/drafts/1", True, 4)],
+)
+def test_streams_that_live_on_are_left_to_end(fleet, path, unframed, runs):
     for engine in fleet.engines:
         engine.events, engine.event_interval_s = 20, 0.05
         engine.unframed = unframed
     stranded, _ = choose(fleet, 2, False)
     names = [f"r{number}" for number in range(6)]
-    futures = send_all(fleet, stranded, names, "/bills/1")
+    futures = send_all(fleet, stranded, names, path)
     fleet.strand(stranded, "refuse", "live")
     for name, fut in futures.items():
         assert fut.result().complete
-        assert fleet.ran(name) == 1
+        assert fleet.ran(name) == runs
 
 
 # A request that runs at most once must not run again, nor be called not run.
--- a/tests/test_unframed.py
+++ b/tests/test_unframed.py
@@ -94,28 +94,39 @@
     """An engine that ends between two events of its answer, if it is told to.
 
     Its answers have no length. `report` is what it answers if it is asked for
-    its report; None to close the connection.
+    its report; None to close the connection. `resumed` has the id of the event
+    after which each request asked, 0 for none.
     """
 
     def __init__(self, dies, report=NO_REPORT):
         super().__init__()
         self._dies = dies
         self._report = report
-        self.requests = 0
+        self.resumed = []
 
     def serve(self, conn):
-        """Sends two events, then refuses connections and closes this one."""
+        """Sends what follows of two events and closes the connection.
+
+        If it dies, it refuses connections from then on.
+        """
         data = conn.recv(65_536)
         if data.startswith(b"GET /report "):
             if self._report is not None:
                 conn.sendall(self._report)
             return
+        if not data:
+            # A test of the path.
+            return
         request = data.partition(b"Request-Id: ")[2].partition(b"\r\n")[0]
-        self.requests += 1
+        after = data.partition(b"Last-Event-Id: ")[2].partition(b"\r\n")[0]
+        self.resumed.append(int(after or 0))
+        body = b"".join(
+            b"id: %d\ndata: %d\n\n" % (number, number)
+            for number in range(self.resumed[-1] + 1, 3)
+        )
         conn.sendall(
             b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\n"
-            b"Content-Type: text/event-stream\r\n\r\n"
-            b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n" % request
+            b"Content-Type: text/event-stream\r\n\r\n" % request + body
         )
         if self._dies:
             self.stop()
@@ -151,7 +162,7 @@
     engine = DyingServer(dies=True)
     lone_fleet.list_address("e1", engine.address)
     found = lone_fleet.send_online("r1", path)
-    assert engine.requests == 1
+    assert engine.resumed == [0]
     if path in ("/slips/1", "/prints/1"):
         assert found.status == 502
         assert "Response-Seal" not in found.headers
@@ -165,7 +176,8 @@
     lone_fleet.list_address("e1", engine.address)
     found = lone_fleet.send_online("r1", path)
     engine.stop()
-    assert engine.requests == 1
+    # A stream that may be resumed is asked for again until its end is known.
+    assert engine.resumed == ([0, 2, 1, 0] if path == "/notes/1" else [0])
     assert (found.status, found.complete) == (200, True)
     assert found.text == "1\n2"
 
@@ -224,7 +236,11 @@
         found = fut.result()
     assert (found.status, found.complete) == (200, True)
     assert found.text == fleet.engines[0].text("r1")
-    assert fleet.ran("r1") == 2
+    assert engine.ran("r1") == 1
+    (other,) = (one for one in fleet.engines if one is not engine)
+    # It goes on there, and there are three questions about the end.
+    asked = [one.resume_after for one in other.arrivals if one.has_run]
+    assert asked[1:] == [20, 18, 16]
 
 
 class HeadServer(entryhelper.RawServer):
