--- a/packages/samphirepost/src/samphirepost/endings.py
+++ b/packages/samphirepost/src/samphirepost/endings.py
@@ -19,13 +19,25 @@
 class EndEvidence:
     """What answers without a length showed of the end of one output.
 
-    What follows the last event is asked for first, so that an output that
-    goes on does so. Not safe for use by several threads.
+    Certain once WITNESSES_MIN answers that began after different events
+    agree, or `repeats_max` whatever they began after. What follows the last
+    event is asked for first, so that an output that goes on does so; then for
+    the last events again, as many as `overlaps` has in turn. Not safe for use
+    by several threads.
     """
 
-    __slots__ = ("_asked_at_end", "_count", "_repeats", "_witnesses")
+    __slots__ = (
+        "_asked_at_end",
+        "_count",
+        "_overlaps",
+        "_repeats",
+        "_repeats_max",
+        "_witnesses",
+    )
 
-    def __init__(self):
+    def __init__(self, repeats_max=REPEATS_MAX, overlaps=OVERLAPS):
+        self._repeats_max = repeats_max
+        self._overlaps = overlaps
         self._restart(0)
 
     def _restart(self, count):
@@ -65,16 +77,16 @@
         """
         if count != self._count or not self._asked_at_end:
             return count
-        for overlap in OVERLAPS:
+        for overlap in self._overlaps:
             start = count - overlap
             if start >= 0 and (engine_id, start) not in self._witnesses:
                 return start
-        return max(0, count - OVERLAPS[0])
+        return max(0, count - self._overlaps[0])
 
     @property
     def is_certain(self):
         """Whether the output ends after the events known so far."""
         return (
             len(self._witnesses) >= WITNESSES_MIN
-            or self._repeats >= REPEATS_MAX
+            or self._repeats >= self._repeats_max
         )
