A plain body with a second answer to the request in it is no answer

Fix: a body that holds the head of an answer with the request's own id is broken off. What has no head can't be told.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -37,6 +37,7 @@
 
 
 CUT_HEAD = engineclient.CallFailure("the head has no seal")
+ANOTHER_ANSWER = engineclient.CallFailure("another answer is in the body")
 
 
 class CallerDisconnected(Exception):
@@ -538,6 +539,10 @@
             else:
                 return self._failed_attempt(part)
         response.body = b"".join(chunks)
+        if response.head.status == 200 and wire.holds_another_answer(
+            response.body, self._req
+        ):
+            return self._failed_attempt(ANOTHER_ANSWER)
         response.done = True
         if response.head.status == 200:
             self._record_begun()
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
@@ -2,6 +2,7 @@
 
 import base64
 import math
+import re
 import urllib.parse
 
 import msgspec
@@ -59,6 +60,7 @@
         RESUME_AFTER_HEADER.lower(),
     )
 )
+_STATUS_LINE = rb"HTTP/1\.\d \d{3}[^\r\n]*\r\n"
 _RESULT_STATES = {
     batchjob.FinalStatus.DONE: "done",
     batchjob.FinalStatus.GIVEN_UP: "dead_letter",
@@ -231,6 +233,22 @@
     return not is_success or bool(head.get(SEAL_HEADER))
 
 
+def holds_another_answer(body, req):
+    """Whether a body has the head of an answer to the same request in it.
+
+    An engine that answers twice on a connection puts it there, if its first
+    answer has no length or lacks bytes of it.
+    """
+    header = rf"{REQUEST_ID_HEADER}: *{re.escape(req.id)}\r\n".encode()
+    pattern = _STATUS_LINE + rb"(?:[^\r\n]+\r\n)*?" + header
+    return re.search(pattern, body, re.IGNORECASE) is not None
+
+
+def is_other_content(head):
+    """Whether a response says that it is no series of events."""
+    return bool(head.get("content-type")) and not is_event_stream(head)
+
+
 def is_event_stream(head):
     """Whether a response is a series of events."""
     content_type = head.get("content-type") or ""
