Ends of items: pages, engines that answer twice, comments, pace

Not tested: the pace of an engine no longer counts the questions about an end; an engine that can't be reached for such a question counts as lost; no datagram is sent before the port is bound.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineattempt.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineattempt.py
@@ -83,6 +83,8 @@
         found = self.parser.feed(data)
         if self.parser.is_unsound:
             return UNSOUND_EVENT
+        self.events = found
+        found = [event for event in found if not event.is_remark]
         if found and self.last_id is None and found[0].id is not None:
             if not events.may_be_first(found[0].id):
                 return NOT_THE_BEGINNING
@@ -91,7 +93,6 @@
             if not events.follow(found, self.last_id):
                 return NOT_THE_REST
             self.last_id = found[-1].id
-        self.events = found
         return None
 
     def go_on(self, answer):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineclient.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineclient.py
@@ -31,6 +31,13 @@
         values = self.headers.get(name)
         return values[-1] if values else None
 
+    @property
+    def is_unframed(self):
+        """Whether the body has no length and ends with the connection."""
+        return not (
+            self.get("content-length") or self.get("transfer-encoding")
+        )
+
     def all(self, name):
         """Returns all values of a header."""
         return self.headers.get(name, ())
@@ -233,9 +240,7 @@
             return self._next_event()
         if isinstance(event, h11.Response):
             head = _response_head(event)
-            self._is_unframed = not (
-                head.get("content-length") or head.get("transfer-encoding")
-            )
+            self._is_unframed = head.is_unframed
             return head
         if isinstance(event, h11.Data):
             return BodyData(bytes(event.data))
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -613,7 +613,7 @@
         now_s = time.monotonic()
         if isinstance(outcome, items.CompletedRun):
             self._parts.load_tracker.record_success(run.engine)
-            duration_s = now_s - run.began_s
+            duration_s = run.last_event_s - run.began_s
             events = len(run.partial.texts) - run.events_before
             if not run.events_before:
                 self._duration_estimator.add_sample(
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holdermessages.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holdermessages.py
@@ -50,7 +50,8 @@
     """One run of an item on an engine; stop() interrupts it.
 
     `call` is its connection to the engine, through a peer at the address
-    `through` unless empty. The run occupies a slot under `id`.
+    `through` unless empty. The run occupies a slot under `id`. `last_event_s`
+    is when the output's last event came.
     """
 
     __slots__ = (
@@ -61,6 +62,7 @@
         "id",
         "index",
         "key",
+        "last_event_s",
         "partial",
         "stop_requested",
         "through",
@@ -70,6 +72,7 @@
     def __init__(self, run_id, key, index, engine, partial, through=""):
         self.id = run_id
         self.began_s = time.monotonic()
+        self.last_event_s = self.began_s
         self.events_before = len(partial.texts)
         self.key = key
         self.index = index
@@ -103,7 +106,7 @@
         count = len(self.partial.texts) - self.events_before
         if count < engineattempt.PACE_EVENTS_MIN:
             return 0.0
-        return (time.monotonic() - self.began_s) / count
+        return (self.last_event_s - self.began_s) / count
 
 
 class ItemRunFinished(msgspec.Struct, frozen=True):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
@@ -153,10 +153,9 @@
     events again: an answer that has none of them shows nothing.
     """
     partial, ending = run.partial, run.partial.ending
+    has_ended = False
     for _ in range(ANSWERS_PER_RUN_MAX):
-        answer = _Answer(
-            partial, ending.next_start(engine.id, len(partial.texts))
-        )
+        answer = _Answer(run, ending.next_start(engine.id, len(partial.texts)))
         try:
             outcome = _send_and_collect(
                 paths, run, record, item, engine, answer, should_stop, observer
@@ -164,6 +163,7 @@
         finally:
             run.call.close()
         if isinstance(outcome, UnframedEnd):
+            has_ended = True
             ending.record_end(engine.id, answer.start, outcome.end)
             observer.unframed_end(answer.resume_after, outcome.end)
             if ending.is_certain:
@@ -171,6 +171,11 @@
                 return CompletedRun(framed=False)
         elif isinstance(outcome, RepeatContinues):
             ending.refute()
+        elif has_ended and _is_unreached(outcome):
+            # The engine ended with its answer before.
+            return msgspec.structs.replace(
+                outcome, lost=True, has_head=True, unreached=False
+            )
         else:
             return outcome
         if should_stop() or not observer.may_ask_again():
@@ -179,6 +184,10 @@
     return InterruptedRun("the end is not certain", False)
 
 
+def _is_unreached(outcome):
+    return isinstance(outcome, InterruptedRun) and outcome.unreached
+
+
 class _Answer:
     """The events of one answer to an item.
 
@@ -187,14 +196,22 @@
     what two runs put out need not be equal.
     """
 
-    __slots__ = ("_is_repeat", "_partial", "end", "resume_after", "start")
+    __slots__ = (
+        "_is_repeat",
+        "_partial",
+        "_run",
+        "end",
+        "resume_after",
+        "start",
+    )
 
-    def __init__(self, partial, start):
-        self._partial = partial
-        self._is_repeat = start < len(partial.texts)
+    def __init__(self, run, start):
+        self._run = run
+        self._partial = run.partial
+        self._is_repeat = start < len(run.partial.texts)
         self.start = start
         self.end = start
-        self.resume_after = partial.id_of(start)
+        self.resume_after = run.partial.id_of(start)
 
     @property
     def event_count(self):
@@ -212,8 +229,11 @@
         Returns None, or an InterruptedRun or RepeatContinues, which ends the
         answer.
         """
+        if event.is_remark:
+            return None
         if not self._is_repeat:
             is_next = self._partial.append_event(event.id, event.data)
+            self._run.last_event_s = time.monotonic()
         elif self.is_short:
             is_next = event.id == self._partial.id_of(self.end + 1)
         else:
@@ -256,10 +276,12 @@
         return InterruptedRun(f"status {head.status}", True)
     if not wire.is_complete_head(head):
         return InterruptedRun("the head has no seal", True, True, True)
-    return _collect_events(call, answer, should_stop, observer)
+    if answer.resume_after is not None and wire.is_other_content(head):
+        return InterruptedRun("not the rest of the output", True)
+    return _collect_events(call, head, answer, should_stop, observer)
 
 
-def _collect_events(call, answer, should_stop, observer):
+def _collect_events(call, head, answer, should_stop, observer):
     has_begun = False
     parser = events.Parser()
     deadline_s = time.monotonic() + READ_TIMEOUT_S
@@ -274,6 +296,9 @@
             ended = answer.add(event)
             if ended is not None:
                 return ended
+        if head.is_unframed and parser.is_at_next_head and answer.end:
+            # The engine answers twice; the first answer ends here.
+            return UnframedEnd(answer.end)
         if parser.is_unsound:
             return InterruptedRun("bytes that are no event", True)
         if found:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -383,6 +383,9 @@
             self._send(address, report)
 
     def _send(self, address, message):
+        if self._sock is None:
+            # The port is not bound yet.
+            return
         try:
             self._sock.sendto(codec.pack(message), address)
         except OSError as exc:
--- a/packages/samphirepost/src/samphirepost/events.py
+++ b/packages/samphirepost/src/samphirepost/events.py
@@ -23,6 +23,11 @@
     id: int | None
     data: bytes
 
+    @property
+    def is_remark(self):
+        """Whether it is none of the output, as a comment between events."""
+        return self.id is None and not self.data
+
 
 def may_be_first(event_id):
     """Whether an output may begin with the event of this id."""
@@ -51,6 +56,11 @@
         """The bytes of an event that is not complete yet."""
         return self._buffer
 
+    @property
+    def is_at_next_head(self):
+        """Whether another answer's head begins after the last event."""
+        return self._buffer.startswith(b"HTTP/1.")
+
     @property
     def is_unsound(self):
         """Whether bytes were no event, or one exceeds EVENT_BYTES_MAX."""
@@ -62,13 +72,16 @@
         Sets `is_malformed` at the first block that is no event, such as one
         that was broken off before another answer; none follows it.
         """
+        if self.is_malformed:
+            return []
         blocks = (self._buffer + data).split(EVENT_END)
         self._buffer = blocks.pop()
         found = []
         for block in blocks:
-            event = None if self.is_malformed else _parse_event(block)
+            event = _parse_event(block)
             if event is None:
                 self.is_malformed = True
+                self._buffer = block
                 break
             found.append(event)
         return found
