--- a/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
@@ -559,8 +559,8 @@
     Mutation(
         "believe the first end of an item's answer without a length",
         f"{_DAEMON}/entry/items.py",
-        "        return UnframedEnd(answer.end)\n",
-        "        return CompletedRun(framed=False)\n",
+        "    if part.unframed:\n        return UnframedEnd(answer.end)\n",
+        "    if part.unframed:\n        return CompletedRun(framed=False)\n",
         "tests/test_unframed.py",
     ),
     Mutation(
@@ -630,7 +630,7 @@
     Mutation(
         "follow the ids of resumed streams only",
         f"{_DAEMON}/entry/engineattempt.py",
-        "            self.last_id = found[0].id - 1\n",
+        "            self.last_id = self.after_id = found[0].id - 1\n",
         "            pass\n",
         "tests/test_brokenanswers.py",
     ),
@@ -704,4 +704,25 @@
         'return b""',
         "tests/test_relayedends.py",
     ),
+    Mutation(
+        "pass a second answer on in a plain body",
+        f"{_DAEMON}/entry/exchange.py",
+        "response.head.status == 200 and wire.holds_another_answer(\n",
+        "False and wire.holds_another_answer(\n",
+        "tests/test_brokenanswers.py",
+    ),
+    Mutation(
+        "end a resumed item at any page",
+        f"{_DAEMON}/entry/items.py",
+        "answer.resume_after is not None and wire.is_other_content(head):\n",
+        "False:\n",
+        "tests/test_itemanswers.py",
+    ),
+    Mutation(
+        "take no second head for the end of an item's answer",
+        f"{_DAEMON}/entry/items.py",
+        "head.is_unframed and parser.is_at_next_head and answer.end:\n",
+        "False:\n",
+        "tests/test_itemanswers.py",
+    ),
 )
