--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -56,7 +56,13 @@
 
 
 def raise_signal(name):
-    return f"import os, signal; os.kill(os.getpid(), signal.{name})"
+    """Returns code that ends by a signal, also if the caller ignores it."""
+    return (
+        f"import os, signal; number = signal.{name}\n"
+        "if number != signal.SIGKILL:\n"
+        "    signal.signal(number, signal.SIG_DFL)\n"
+        "os.kill(os.getpid(), number)"
+    )
 
 
 # A daemon was gone without a line, and how it had ended was not kept.
