Organisations: keys of callers, and jobs by organisation

Where the tables declare organisations, a request needs a known key (401, or 503 while newer tables may exist), engines get the organisation's name and never the key, a job is visible to its organisation only, and the job limit counts by organisation. Messages about slots carry the organisation, the parts of the prompt and the largest output; the hub announces the newest tables.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/batch.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/batch.py
@@ -47,13 +47,33 @@
         """
         job_id = wire.parse_job_path(path)
         host = req.host.partition(":")[0].lower()
-        if job_id and req.method == "GET":
+        job_id = job_id or wire.parse_item_path(path)
+        unseen = self._check_visible(req, host, job_id)
+        if unseen is not None:
+            return self._send_read_error(start_response, job_id, unseen)
+        if wire.parse_item_path(path):
+            item_id = wire.parse_item_id(environ)
+            return self._read_item(start_response, host, job_id, item_id)
+        if req.method == "GET":
             return self._read_results(environ, start_response, host, job_id)
-        if job_id:
-            return self._close_job(start_response, host, job_id)
-        job_id = wire.parse_item_path(path)
-        item_id = wire.parse_item_id(environ)
-        return self._read_item(start_response, host, job_id, item_id)
+        return self._close_job(start_response, host, job_id)
+
+    def _check_visible(self, req, host, job_id):
+        """Returns None if the caller may see a job, else why it may not.
+
+        To other organisations than its own, a job does not exist. A job
+        without one was accepted from a caller without a key, or by an older
+        build.
+        """
+        table = self._parts.state.table
+        if table.directory.is_empty:
+            return None
+        head = self._job_store.read_head(host, job_id)
+        if not isinstance(head, batchjob.Head):
+            return head
+        if head.organisation in ("", req.organisation):
+            return None
+        return jobstore.JobNotFound()
 
     def submit(self, start_response, req, host, route):
         """Submits a job; answers 202 once the job is durable.
@@ -76,9 +96,17 @@
                 f"{found.queued_tokens} of {found.limit_tokens} tokens wait"
             )
             error = attempts.ErrorResponse(429, reason, QUOTA_RETRY_AFTER_S)
+        elif isinstance(found, jobstore.JobNotFound):
+            error = attempts.ErrorResponse(409, "the job's id is in use")
         else:
             error = _store_error(found)
-        self._report_error("job.refused", record.id, error)
+        self._report_error(
+            "job.refused",
+            record.id,
+            error,
+            organisation=record.organisation,
+            route=route.name,
+        )
         return web.send_error_response(start_response, error)
 
     def _report_accepted(self, record, route, found):
@@ -150,13 +178,14 @@
         self._parts.log.event("job.ended", job=job_id)
         return web.send_response(start_response, 200, b"{}")
 
-    def _report_error(self, event, job_id, error):
+    def _report_error(self, event, job_id, error, **fields):
         self._parts.metrics.jobs.labels(event).inc()
         self._parts.log.failure(
             event,
             job=job_id,
             status=error.status,
             reason=error.reason,
+            **fields,
             **self._parts.state.age_fields(),
         )
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -77,6 +77,7 @@
         )
         self.ends = streamend.EndFinder(parts, req, route, self)
         self._probed_cause = ""
+        self._is_charged = False
         self._progress_s = time.monotonic()
 
     @property
@@ -257,7 +258,7 @@
         req = self._slots.slot_request(
             run_id,
             self._pool,
-            self._route.priority,
+            self._priority(),
             wait_max_s,
             excluded=tuple(excluded),
             never_deny=self._is_under_way(),
@@ -268,9 +269,19 @@
             ),
             relay=self._paths.is_doubtful,
             not_through=tuple(self._peers_failed),
+            organisation=self._req.organisation,
+            is_charged=self._is_charged,
+            prompt=self._req.prompt if self._route.sticky else (),
+            output_tokens=self._req.output_tokens,
         )
         return self._slots.request(req, self._is_disconnected)
 
+    def _priority(self):
+        """Returns that of the organisation, or else of the route."""
+        if self._req.priority is None:
+            return self._route.priority
+        return self._req.priority
+
     def _is_under_way(self):
         """Whether the request was attempted before or resumes a stream.
 
@@ -408,7 +419,12 @@
         self.engines_tried.append(slot.engine.id)
         self.versions_tried.append(slot.engine.version)
         call = engineclient.Call()
-        self._slots.start_run(slot.run_id, slot.engine.id, slot.granted)
+        self._slots.start_run(
+            slot.run_id,
+            slot.engine.id,
+            slot.granted,
+            organisation=self._req.organisation,
+        )
         result = None
         try:
             result = self._send(call, slot, resume_after)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -387,7 +387,8 @@
         route = self._find_route(held_job)
         if route is None:
             return None
-        found = self._check_quarantine(held_job.record.items[index], now_s)
+        item = held_job.record.items[index]
+        found = self._check_quarantine(item, now_s)
         partial = held_job.partial_outputs.get(index)
         pool = routing.pick_pool(route)
         if partial and partial.texts and partial.pool in route.pools:
@@ -399,6 +400,9 @@
             round(held_job.deadline_s - now_s, 2),
             "" if found is None else found.cause,
             partial.version if partial and partial.texts else None,
+            held_job.record.organisation,
+            wire.prompt_of(item) if route.sticky else (),
+            wire.output_tokens_of(item),
         )
 
     def _start_without_hub(self, wanted, now_s):
@@ -490,6 +494,7 @@
             batch=True,
             late=late,
             deadline_s=held_job.deadline_s,
+            organisation=held_job.record.organisation,
         )
         self._item_executor.submit(
             self._call_logged, self._run_item, run, held_job, engine
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
@@ -11,7 +11,9 @@
 from samphirepost import leaving
 from samphirepost import otherversions
 from samphirepost import quarantine
+from samphirepost import reportedtables
 from samphirepost import slotmessages
+from samphirepost_daemon.entry import state as state_module
 
 # Shortest time between two totals for one daemon (s). They are the loads by
 # which it chooses engines while the hub does not answer.
@@ -68,6 +70,7 @@
         self._versions = otherversions.ReportedVersions()
         self._other_versions = None
         self._next_versions_s = 0.0
+        self._tables = reportedtables.ReportedTables()
         self._logged_suspects = set()
         self._next_suspects_log_s = 0.0
         self.decided = None
@@ -78,6 +81,7 @@
         self._apply_evidence(report, now_s)
         self._apply_limits(report, now_s)
         self._versions.apply(report.vm, report.other_versions)
+        self._tables.apply(report.tables, state_module.boottime_s())
         if self._marks.apply(
             report.leaving_engines, now_s, report.stale_entries
         ):
@@ -286,6 +290,7 @@
             self._other_versions,
             self._leaving_engines,
             self._stale_entries,
+            self._tables.newest(state_module.boottime_s()),
         )
         self._send(address, totals)
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/jobstore.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/jobstore.py
@@ -12,7 +12,8 @@
 - `results/ID/POSITION/N`: the results, in chunks.
 
 The row `admissions/ROUTE` is rewritten with each accepted job, so that two
-daemons cannot both admit a job into the same free tokens.
+daemons cannot both admit a job into the same free tokens. Each organisation
+has a row of its own, `admissions/ROUTE/NAME`, as each has its own limit.
 """
 
 import collections
@@ -121,7 +122,8 @@
         """Writes a new job if its route's token limit admits it.
 
         Returns AcceptedJob, QuotaExceeded or a Failure; the job may exist if
-        the failure's outcome is UNKNOWN.
+        the failure's outcome is UNKNOWN. Returns JobNotFound if another
+        organisation's job has its id.
         """
         data = codec.pack(record)
         name = _object_name(record.host, record.id, data)
@@ -144,11 +146,13 @@
     def _try_admission(self, record, route, rows, name):
         """Makes one attempt at submit(); returns None after a conflict."""
         host = record.host
-        admission_key = store.Key("admissions", host, route.name)
+        admission_key = store.Key(
+            "admissions", host, _admission_name(route, record.organisation)
+        )
         row = store.read_one(self._store, admission_key)
         if isinstance(row, errors.Failure):
             return row.as_not_run()
-        queued = self._queued_tokens(host, route)
+        queued = self._queued_tokens(host, route, record.organisation)
         if isinstance(queued, errors.Failure):
             return queued.as_not_run()
         store_ms, queued_tokens = queued
@@ -159,7 +163,12 @@
                 record, QuotaExceeded(queued_tokens, limit)
             )
         head = batchjob.Head(
-            len(record.items), route.name, len(rows), name, store_ms
+            len(record.items),
+            route.name,
+            len(rows),
+            name,
+            store_ms,
+            record.organisation,
         )
         progress = batchjob.Progress(
             route=route.name,
@@ -168,6 +177,7 @@
             waiting_tokens=job_tokens,
             due_ms=store_ms + int(route.completion_s * 1000),
             give_up_ms=store_ms + int(route.retention_s * 1000),
+            organisation=record.organisation,
         )
         return self._commit_admission(
             record, admission_key, row, head, progress, rows
@@ -195,7 +205,7 @@
             )
         if isinstance(found, store.Conflict):
             if found.get(job_key) is not None:
-                return AcceptedJob(False)
+                return self._accepted_or(record, None)
             return None
         if found.outcome is errors.Outcome.NOT_RUN:
             return found
@@ -203,16 +213,22 @@
         return outcome
 
     def _accepted_or(self, record, otherwise):
-        """Returns AcceptedJob if the job exists, else `otherwise`."""
+        """Returns AcceptedJob if the job exists, else `otherwise`.
+
+        Returns JobNotFound if it is another organisation's.
+        """
         head = self.read_head(record.host, record.id)
-        if isinstance(head, batchjob.Head):
-            return AcceptedJob(False)
-        return otherwise
+        if not isinstance(head, batchjob.Head):
+            return otherwise
+        if head.organisation != record.organisation:
+            return JobNotFound()
+        return AcceptedJob(False)
 
-    def _queued_tokens(self, host, route):
+    def _queued_tokens(self, host, route, organisation):
         """Returns the store's time (ms) and the queued tokens of a route.
 
-        Returns a Failure if they cannot be read.
+        Those of one organisation are counted. Returns a Failure if they
+        cannot be read.
         """
         page = store.read_all(self._store, "open", host)
         if isinstance(page, errors.Failure):
@@ -220,7 +236,11 @@
         tokens = 0
         for row in page.rows:
             progress = self._read_row(row, batchjob.Progress)
-            if progress is not None and progress.route == route.name:
+            if (
+                progress is not None
+                and progress.route == route.name
+                and progress.organisation == organisation
+            ):
                 tokens += progress.waiting_tokens
         return page.store_ms, tokens
 
@@ -491,6 +511,10 @@
     return secrets.token_hex(4)
 
 
+def _admission_name(route, organisation):
+    return f"{route.name}/{organisation}" if organisation else route.name
+
+
 def _result_key(job_id, position):
     return f"{job_id}/{position:06d}"
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/metrics.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/metrics.py
@@ -38,6 +38,11 @@
             "Streams not taken up as their version is not known",
             registry=self.registry,
         )
+        self.key_refusals = self._counter(
+            "key_refusals",
+            "Requests refused for their key: 401 unknown, 503 not certain",
+            ["status"],
+        )
         self.relayed = self._counter(
             "relayed_runs",
             "Runs sent through a peer, or relayed for one",
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/settings.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/settings.py
@@ -1,5 +1,7 @@
 """Settings of the entry daemon, read from JSON with comments."""
 
+import math
+
 import msgspec
 
 from samphirepost import addresses
@@ -26,12 +28,38 @@
     row_bytes_max: int = 65536
 
 
+class RevocationSettings(
+    msgspec.Struct, forbid_unknown_fields=True, frozen=True
+):
+    """How soon a withdrawn key of an organisation must be out of use.
+
+    With `is_strict`, keys are refused once the tables were not confirmed for
+    `bound_s`; else not during an outage of the store.
+    """
+
+    bound_s: float = 5.0
+    is_strict: bool = False
+
+
+class QuotaSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """How exactly the quotas of organisations are kept.
+
+    In each `window_s`, all daemons together send at most (rate x window +
+    burst) x (1 + `overshoot`) + `slack` requests of an organisation.
+    """
+
+    window_s: float = 5.0
+    overshoot: float = 0.1
+    slack: float = 20.0
+
+
 class EntrySettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """All settings of one entry daemon.
 
     Peers send load reports by UDP, and relayed store requests by HTTP, to
     `peer_address` at `peer_port`. `stop_s` is the time from SIGTERM to
     SIGKILL; callers may still send requests for `unready_s` after SIGTERM.
+    `memory_mb` is the memory that the VM gives the process; 0 if unknown.
     """
 
     id: str
@@ -42,6 +70,9 @@
     peer_port: int
     stop_s: float = 8.0
     unready_s: float = 3.0
+    memory_mb: float = 0.0
+    quota: QuotaSettings = QuotaSettings()
+    revocation: RevocationSettings = RevocationSettings()
 
 
 def read(path):
@@ -63,4 +94,17 @@
                 errors.Kind.BAD_SETTINGS,
                 f"{path}: must be IP:PORT, not {address!r} - at `$.{field}`",
             )
+    numbers_by_field = {
+        "memory_mb": cfg.memory_mb,
+        "quota.window_s": cfg.quota.window_s,
+        "quota.overshoot": cfg.quota.overshoot,
+        "quota.slack": cfg.quota.slack,
+        "revocation.bound_s": cfg.revocation.bound_s,
+    }
+    for field, number in numbers_by_field.items():
+        if not math.isfinite(number) or number < 0:
+            return errors.Failure(
+                errors.Kind.BAD_SETTINGS,
+                f"{path}: must be a number from 0 on - at `$.{field}`",
+            )
     return cfg
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -18,6 +18,7 @@
 from samphirepost import otherversions
 from samphirepost import slotmessages
 from samphirepost_daemon.entry import hub
+from samphirepost_daemon.entry import state
 from samphirepost_daemon.platform import wire
 
 # Longest time that the thread waits for a datagram (s), after which it checks
@@ -243,7 +244,9 @@
 
     def has_one_version(self, pool):
         """Whether no daemon knows another version than the pool's base."""
-        return self._announced_versions.has_one_version(pool, _boottime_s())
+        return self._announced_versions.has_one_version(
+            pool, state.boottime_s()
+        )
 
     def report(self):
         """Sends a report now, before the next one is due."""
@@ -379,6 +382,7 @@
                 self._known_versions.pools,
                 marks.to_report(now_s),
                 marks.stale_to_report(now_s),
+                self._parts.state.tables_age(),
             )
             self._send(address, report)
 
@@ -440,8 +444,9 @@
                     message.leaving_engines, now_s, message.stale_entries
                 )
                 self._announced_versions.record(
-                    message.other_versions, _boottime_s()
+                    message.other_versions, state.boottime_s()
                 )
+                self._parts.state.record_peer_tables(message.tables)
                 self._apply_suspects(message, now_s)
         elif isinstance(message, slotmessages.Preemption):
             self._metrics.preemptions.inc(len(message.ids))
@@ -476,8 +481,3 @@
         elif not self._load_tracker.is_running(reply.id):
             # Its request went elsewhere, or its caller left.
             self.end_run(reply.id, slotmessages.Outcome.UNKNOWN)
-
-
-def _boottime_s():
-    """Returns the time of a clock that runs while the VM is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/state.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/state.py
@@ -5,6 +5,13 @@
 from samphirepost import leaving
 from samphirepost import roster
 from samphirepost import routing
+from samphirepost import slotmessages
+from samphirepost_daemon.entry import settings
+
+# Tables that were confirmed within this time (s) are taken for the newest:
+# changes are read within one wait of a feed, and a feed that stalls is retried
+# after 1.4 s.
+TABLE_FRESH_S = 2.5
 
 
 class State:
@@ -13,20 +20,33 @@
     The tables and all times are None until known; times are monotonic (s).
     `quarantine_read` once the quarantined causes have been read. From the
     beginning of a stop on, all responses must be complete at `exit_s`.
+
+    `newest_revision` is that of the newest tables known to exist, and
+    `table_confirmed_s` when this daemon's were last known to be the newest, on
+    the clock that also runs while the VM is suspended. `is_store_lost` while
+    the store does not answer this daemon's reads of the tables.
     """
 
     __slots__ = (
         "exit_s",
+        "_revocation",
         "held_jobs",
+        "is_store_lost",
         "marks",
+        "newest_revision",
         "quarantine_read",
         "roster",
         "stop_began_s",
         "table",
+        "table_confirmed_s",
         "table_read_s",
     )
 
-    def __init__(self):
+    def __init__(self, revocation=None):
+        self._revocation = revocation or settings.RevocationSettings()
+        self.newest_revision = 0
+        self.table_confirmed_s = None
+        self.is_store_lost = False
         self.table = None
         self.table_read_s = None
         self.roster = roster.Roster()
@@ -41,8 +61,74 @@
         newest = routing.newer_table(self.table, table)
         is_newer = newest is not self.table
         self.table = newest
+        self.newest_revision = max(self.newest_revision, newest.revision)
         return is_newer
 
+    def record_table_read(self):
+        """Records that the store answered with all changes of the tables."""
+        self.table_read_s = time.monotonic()
+        self.table_confirmed_s = boottime_s()
+        self.is_store_lost = False
+
+    def record_table_failure(self):
+        """Records that the store did not answer a read of the tables."""
+        self.is_store_lost = True
+
+    def record_peer_tables(self, tables):
+        """Records the newest tables of any daemon, by the hub's word.
+
+        `tables` is a slotmessages.TablesAge.
+        """
+        self.newest_revision = max(self.newest_revision, tables.revision)
+        own = self.table
+        if own is None or own.revision != tables.revision:
+            return
+        if tables.age_s is None or self.is_behind:
+            return
+        confirmed_s = boottime_s() - tables.age_s
+        if confirmed_s > (self.table_confirmed_s or 0.0):
+            self.table_confirmed_s = confirmed_s
+
+    def table_age_s(self):
+        """Returns how long ago the tables were known to be the newest (s).
+
+        Returns None if they never were.
+        """
+        if self.table_confirmed_s is None:
+            return None
+        return boottime_s() - self.table_confirmed_s
+
+    def tables_age(self):
+        """Returns the slotmessages.TablesAge of this daemon."""
+        if self.table is None:
+            return slotmessages.UNKNOWN_TABLES
+        age_s = None if self.is_behind else self.table_age_s()
+        return slotmessages.TablesAge(self.table.revision, age_s)
+
+    @property
+    def is_behind(self):
+        """Whether tables are known to exist that are newer than these."""
+        return self.table is None or (
+            self.table.revision < self.newest_revision
+        )
+
+    def may_be_outdated(self):
+        """Whether newer tables than these may exist."""
+        age_s = self.table_age_s()
+        return self.is_behind or age_s is None or age_s > TABLE_FRESH_S
+
+    def may_have_lost_keys(self):
+        """Whether a key may have been withdrawn for too long to accept it.
+
+        While the store does not answer, the keys that are known stay in use,
+        unless the settings are strict: most likely no operator can withdraw
+        one then. Without an outage, this VM was suspended.
+        """
+        age_s = self.table_age_s()
+        if age_s is not None and age_s <= self._revocation.bound_s:
+            return False
+        return self._revocation.is_strict or not self.is_store_lost
+
     @property
     def ready(self):
         """Whether the load balancer may send callers to this daemon."""
@@ -101,5 +187,10 @@
         }
 
 
+def boottime_s():
+    """Returns the time of a clock that runs while the VM is suspended (s)."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def _age_s(now_s, read_s):
     return None if read_s is None else round(now_s - read_s, 3)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/watch.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/watch.py
@@ -101,16 +101,17 @@
 
     def apply_changes(self, rows, _store_ms):
         """Applies the tables in the changed rows; logs invalid ones."""
-        self._state.table_read_s = time.monotonic()
         for row in rows:
             table = registry.decode_routing_table(row)
             if isinstance(table, errors.Failure):
                 self._log.failure("tables.refused", reason=table.reason)
             elif table is not None:
                 self._apply(table)
+        self._state.record_table_read()
 
     def handle_failure(self):
-        """Does nothing: the active tables stay in use during an outage."""
+        """Records the failure: the active tables stay in use in an outage."""
+        self._state.record_table_failure()
 
     def _apply(self, table):
         if self._state.apply_table(table):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/web.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/web.py
@@ -11,6 +11,7 @@
 from samphirepost import attempts
 from samphirepost import hashing
 from samphirepost import routing
+from samphirepost_daemon.entry import authentication
 from samphirepost_daemon.platform import wire
 
 # Retry-After of a daemon that is about to exit (s): others may be free.
@@ -79,6 +80,9 @@
 
     def __init__(self, parts, online, batch):
         self._parts = parts
+        self._authenticator = authentication.Authenticator(
+            parts.state, parts.metrics, parts.log
+        )
         self._online = online
         self._batch = batch
 
@@ -110,10 +114,15 @@
         if self._batch.is_job_request(req, path):
             if not self._is_admitted(JOB_REQUEST_MAX_S):
                 return self._refuse_at_exit(start_response, req)
+            req = self._authenticator.check_job_request(
+                req, table, _host_name(req)
+            )
+            if isinstance(req, attempts.ErrorResponse):
+                return send_error_response(start_response, req)
             return self._batch.read_or_close(
                 environ, start_response, req, path
             )
-        host = req.host.partition(":")[0].lower()
+        host = _host_name(req)
         path_only = req.path.partition("?")[0]
         route = table.find_route(host, path_only)
         if route is None:
@@ -128,6 +137,9 @@
                 404, "no route has this host and path"
             )
             return send_error_response(start_response, error)
+        req = self._authenticator.check_request(req, table, route)
+        if isinstance(req, attempts.ErrorResponse):
+            return send_error_response(start_response, req)
         is_batch = route.kind is routing.Kind.BATCH
         needed_s = JOB_REQUEST_MAX_S
         if not is_batch:
@@ -153,6 +165,11 @@
         return send_error_response(start_response, error)
 
 
+def _host_name(req):
+    """Returns the name of a request's host, without its port."""
+    return req.host.partition(":")[0].lower()
+
+
 class ReadinessApp:
     """Answers readiness checks of the load balancer and serves metrics."""
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -79,12 +79,12 @@
         "zone",
     )
 
-    def __init__(self, me, zone):
+    def __init__(self, me, zone, revocation=None):
         self.me = me
         self.zone = zone
         self.log = log_module.Log(me)
         self.metrics = metrics.Metrics()
-        self.state = state.State()
+        self.state = state.State(revocation)
         self.load_tracker = selection.LoadTracker(zone)
         self.quarantine = quarantine.Quarantine()
         self.observations = crashes.Observations()
@@ -106,7 +106,7 @@
     def __init__(self, cfg):
         self.cfg = cfg
         me = f"{cfg.id}-{secrets.token_hex(4)}"
-        parts = self.parts = SharedParts(me, cfg.zone)
+        parts = self.parts = SharedParts(me, cfg.zone, cfg.revocation)
         self.log = parts.log
         self.state = parts.state
         self.slots = parts.slots = slots.SlotExchange(
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/registry.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/registry.py
@@ -5,6 +5,7 @@
 from samphirepost import addresses
 from samphirepost import codec
 from samphirepost import errors
+from samphirepost import organisations
 from samphirepost import roster
 from samphirepost import routing
 from samphirepost_daemon.entry import store
@@ -48,10 +49,13 @@
     cap: int = 0
     retentionS: float = 60
     completionTargetMs: float = 18000
+    sticky: bool = False
+    anonymous: bool = False
 
 
 class _EngineLimits(msgspec.Struct):
     slots: int = DEFAULT_SLOTS
+    kvCapacityTokens: int = 0
 
 
 class _Service(msgspec.Struct):
@@ -64,11 +68,20 @@
     idleTimeoutMs: float = 15000
 
 
+class _Tenant(msgspec.Struct):
+    name: str
+    apiKeys: list[str] = []
+    priority: int | None = None
+    ratePerS: float = 0.0
+    burst: float = 0.0
+
+
 class _Config(msgspec.Struct):
     version: int
     routes: list[_Route]
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
 
 
 class _Server(msgspec.Struct):
@@ -101,7 +114,23 @@
     limits = routing.Limits(
         cfg.limits.maxBodyBytes, cfg.limits.idleTimeoutMs / 1000
     )
-    return routing.Table(cfg.version, tuple(routes), pools, limits)
+    directory = _decode_organisations(cfg.tenants)
+    if isinstance(directory, errors.Failure):
+        reason = f"configuration {cfg.version}: {directory.reason}"
+        return errors.Failure(errors.Kind.BAD_REQUEST, reason)
+    return routing.Table(cfg.version, tuple(routes), pools, limits, directory)
+
+
+def _decode_organisations(tenants):
+    return organisations.build(
+        (
+            organisations.Organisation(
+                tenant.name, tenant.priority, tenant.ratePerS, tenant.burst
+            ),
+            tenant.apiKeys,
+        )
+        for tenant in tenants
+    )
 
 
 def _decode_route(route):
@@ -126,12 +155,17 @@
         waiting_tokens_max=route.cap,
         retention_s=route.retentionS,
         completion_s=route.completionTargetMs / 1000,
+        sticky=route.sticky,
+        anonymous=route.anonymous,
     )
 
 
 def _decode_pool(pool):
-    slots = pool.engine.slots if pool.engine else DEFAULT_SLOTS
-    return routing.Pool(pool.name, slots)
+    if pool.engine is None:
+        return routing.Pool(pool.name, DEFAULT_SLOTS)
+    return routing.Pool(
+        pool.name, pool.engine.slots, max(0, pool.engine.kvCapacityTokens)
+    )
 
 
 def decode_engine(row):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
@@ -11,6 +11,8 @@
 from samphirepost import codec
 from samphirepost import errors
 from samphirepost import fingerprint
+from samphirepost import organisations
+from samphirepost import slotmessages
 
 READINESS_PATH = "/readiness"
 REPORT_PATH = "/report"
@@ -29,6 +31,8 @@
 LIMIT_HEADER = "server-limit"
 LEAVING_HEADER = "server-leaving"
 CREDENTIAL_HEADER = "Credential"
+ORGANISATION_HEADER = "Tenant"
+TOKENS_HEADER = "Token-Count"
 # Longest id of a part of a prompt, and most shared parts of one.
 PART_ID_LENGTH_MAX = 64
 SHARED_PARTS_MAX = 64
@@ -51,6 +55,10 @@
         "expect",
     )
 )
+# Headers that the daemon removes or sets where organisations are declared.
+_ORGANISATION_HEADERS = frozenset(
+    (CREDENTIAL_HEADER.lower(), ORGANISATION_HEADER.lower())
+)
 # Headers that the daemon sets itself in a request to an engine.
 _DAEMON_HEADERS = frozenset(
     (
@@ -75,7 +83,10 @@
     `caller_timeout_s` the time that the caller allows for the request.
     `shared_parts` are the ids of the parts of its prompt, in order, without
     the last one, which is the request's own. `digest` is equal for requests
-    of one caller with the same content.
+    of one caller with the same content. `key_digest` is that of the caller's
+    key, of organisations.key_digest(); the `organisation` and its `priority`
+    are known once the key was checked. `prompt` has all parts of the prompt,
+    and the answer has `output_tokens` at most, unless that is 0.
     """
 
     id: str
@@ -89,6 +100,11 @@
     shared_parts: tuple[str, ...] = ()
     digest: str = ""
     resumes: str = ""
+    key_digest: str = ""
+    organisation: str = ""
+    priority: int | None = None
+    prompt: tuple[slotmessages.PromptPart, ...] = ()
+    output_tokens: int = 0
 
 
 class _Item(msgspec.Struct):
@@ -123,6 +139,8 @@
     method, path = environ["REQUEST_METHOD"], environ["REQUEST_URI"]
     host = headers_by_name.get("host", "")
     body = environ["wsgi.input"].read()
+    prompt = headers_by_name.get(PROMPT_HEADER.lower(), "")
+    key = headers_by_name.get(CREDENTIAL_HEADER.lower(), "")
     return Request(
         id=headers_by_name.get(REQUEST_ID_HEADER.lower(), ""),
         method=method,
@@ -133,19 +151,61 @@
         resume_after=resume_after,
         resumes=headers_by_name.get(RESUMES_HEADER.lower(), ""),
         caller_timeout_s=None if timeout_ms is None else timeout_ms / 1000,
-        shared_parts=_parse_shared_parts(
-            headers_by_name.get(PROMPT_HEADER.lower(), "")
-        ),
-        digest=fingerprint.request_digest(
-            method,
-            host,
-            path,
-            headers_by_name.get(CREDENTIAL_HEADER.lower(), ""),
-            body,
+        shared_parts=_parse_shared_parts(prompt),
+        digest=fingerprint.request_digest(method, host, path, key, body),
+        # WSGI gives the bytes of a header as Latin-1.
+        key_digest=organisations.key_digest(key.encode("latin-1", "replace")),
+        prompt=_parse_prompt(prompt),
+        output_tokens=_parse_output_tokens(
+            headers_by_name.get(TOKENS_HEADER.lower(), "")
         ),
     )
 
 
+def with_organisation(req, name, priority=None):
+    """Returns a request as engines get it where organisations are declared.
+
+    It has the name of the organisation, unless that is empty, and no key.
+    """
+    return msgspec.structs.replace(
+        req,
+        organisation=name,
+        priority=priority,
+        headers=_organisation_headers(req.headers, name),
+    )
+
+
+def _organisation_headers(headers, name):
+    kept = tuple(
+        pair
+        for pair in headers
+        if pair[0].lower() not in _ORGANISATION_HEADERS
+    )
+    return (*kept, (ORGANISATION_HEADER, name)) if name else kept
+
+
+def _parse_prompt(value):
+    """Returns the PromptParts in a list of ID:TOKENS entries.
+
+    Returns none if one of them is malformed.
+    """
+    found = []
+    for entry in value.split(",")[: SHARED_PARTS_MAX + 1]:
+        part_id, _, tokens = entry.strip().partition(":")
+        if not 0 < len(part_id) <= PART_ID_LENGTH_MAX:
+            return ()
+        if not _is_number(tokens):
+            return ()
+        found.append(slotmessages.PromptPart(part_id.lower(), int(tokens)))
+    return tuple(found)
+
+
+def _parse_output_tokens(value):
+    """Returns the second number of a list of two, or 0."""
+    tokens = value.partition(",")[2].strip()
+    return int(tokens) if _is_number(tokens) else 0
+
+
 def _parse_shared_parts(value):
     """Returns the ids in a list of ID:TOKENS entries, without the last."""
     entries = [entry.strip() for entry in value.split(",")]
@@ -323,7 +383,7 @@
         ):
             if name.lower() not in ("host", REQUEST_ID_HEADER.lower()):
                 headers.append((name, value))
-    return Request(
+    req = Request(
         item.id,
         "POST",
         item.path,
@@ -332,14 +392,31 @@
         item.body,
         shared_parts=shared_parts(item),
     )
+    if not record.organisation:
+        return req
+    return with_organisation(req, record.organisation)
 
 
 def shared_parts(item):
     """Returns the ids of an item's shared prompt parts; see Request."""
+    return _parse_shared_parts(_item_header(item, PROMPT_HEADER))
+
+
+def prompt_of(item):
+    """Returns the PromptParts of an item; see Request."""
+    return _parse_prompt(_item_header(item, PROMPT_HEADER))
+
+
+def output_tokens_of(item):
+    """Returns the most tokens of an item's output; 0 if unknown."""
+    return _parse_output_tokens(_item_header(item, TOKENS_HEADER))
+
+
+def _item_header(item, wanted):
     for name, value in item.headers.items():
-        if name.lower() == PROMPT_HEADER.lower():
-            return _parse_shared_parts(value)
-    return ()
+        if name.lower() == wanted.lower():
+            return value
+    return ""
 
 
 def parse_submission(req, host, route):
@@ -361,7 +438,9 @@
         )
     except codec.UNREADABLE as exc:
         return errors.Failure(errors.Kind.BAD_JSON, str(exc))
-    return batchjob.Record(req.id, host, route.name, req.path, items)
+    return batchjob.Record(
+        req.id, host, route.name, req.path, items, req.organisation
+    )
 
 
 class _Report(msgspec.Struct):
--- a/packages/samphirepost/src/samphirepost/batchjob.py
+++ b/packages/samphirepost/src/samphirepost/batchjob.py
@@ -70,6 +70,8 @@
     """A job as submitted.
 
     `host` and `path` determine its route; `route` was its name at submission.
+    `organisation` is the name of the one whose job it is; empty if there was
+    none, and in records of older builds.
     """
 
     id: str
@@ -77,13 +79,15 @@
     route: str
     path: str
     items: tuple[Item, ...]
+    organisation: str = ""
 
 
 class Head(msgspec.Struct, frozen=True):
     """A job's summary, read to answer requests of callers.
 
     The record is stored in `pieces` rows, or in the object named `object` if
-    that is not empty. `submitted_ms` is on the store's clock.
+    that is not empty. `submitted_ms` is on the store's clock. See Record for
+    `organisation`.
     """
 
     total: int
@@ -91,6 +95,7 @@
     pieces: int
     object: str
     submitted_ms: int
+    organisation: str = ""
 
 
 class Progress(msgspec.Struct, frozen=True):
@@ -101,7 +106,7 @@
     completed by `give_up_ms` are given up (both on the store's clock).
     `listed` has the index of the item at each position of the results;
     `waiting_tokens` counts the tokens of all other items. `failures` counts
-    failed attempts by item index.
+    failed attempts by item index. See Record for `organisation`.
     """
 
     route: str
@@ -112,6 +117,7 @@
     give_up_ms: int
     listed: tuple[int, ...] = ()
     failures: dict[int, int] = {}
+    organisation: str = ""
 
 
 class Result(msgspec.Struct, frozen=True):
--- a/packages/samphirepost/src/samphirepost/routing.py
+++ b/packages/samphirepost/src/samphirepost/routing.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from samphirepost import organisations
+
 
 class Kind(enum.Enum):
     """The kind of a route's requests; decides whether they may be retried."""
@@ -27,6 +29,8 @@
 
     `first_byte_s` is the latency objective, `completion_s` the objective for
     a batch job's last result. A `waiting_tokens_max` of 0 means no limit.
+    Requests of a `sticky` route name the parts of their prompts; those of an
+    `anonymous` one need no key.
     """
 
     name: str
@@ -42,6 +46,8 @@
     waiting_tokens_max: int = 0
     retention_s: float = 60.0
     completion_s: float = 18.0
+    sticky: bool = False
+    anonymous: bool = False
 
     @property
     def repeatable(self):
@@ -57,10 +63,14 @@
 
 
 class Pool(msgspec.Struct, frozen=True):
-    """One row of the pools table."""
+    """One row of the pools table.
+
+    The memory of one engine holds `kv_tokens`; 0 means that it is unknown.
+    """
 
     name: str
     slots: int = 8
+    kv_tokens: int = 0
 
 
 class Limits(msgspec.Struct, frozen=True):
@@ -71,12 +81,13 @@
 
 
 class Table(msgspec.Struct, frozen=True):
-    """The routes, pools and limits of one revision."""
+    """The routes, pools, limits and organisations of one revision."""
 
     revision: int
     routes: tuple[Route, ...]
     pools: dict[str, Pool]
     limits: Limits = Limits()
+    directory: organisations.Directory = organisations.EMPTY
 
     def find_route(self, host, path):
         """Returns the host's route with the longest prefix, or None."""
--- a/packages/samphirepost/src/samphirepost/selection.py
+++ b/packages/samphirepost/src/samphirepost/selection.py
@@ -60,9 +60,10 @@
     A batch item's job is due at `deadline_s`.
     """
 
-    __slots__ = ("batch", "deadline_s", "engine_id", "late")
+    __slots__ = ("batch", "deadline_s", "engine_id", "late", "organisation")
 
-    def __init__(self, engine_id, batch, late, deadline_s):
+    def __init__(self, engine_id, batch, late, deadline_s, organisation):
+        self.organisation = organisation
         self.engine_id = engine_id
         self.batch = batch
         self.late = late
@@ -94,10 +95,18 @@
         self.service_time_s = SERVICE_TIME_INITIAL_S
 
     def start_run(
-        self, run_id, engine_id, batch=False, late=False, deadline_s=0.0
+        self,
+        run_id,
+        engine_id,
+        batch=False,
+        late=False,
+        deadline_s=0.0,
+        organisation="",
     ):
         """Records a request that is sent to an engine."""
-        self._runs[run_id] = OwnRun(engine_id, batch, late, deadline_s)
+        self._runs[run_id] = OwnRun(
+            engine_id, batch, late, deadline_s, organisation
+        )
 
     def end_run(self, run_id):
         """Records that a request no longer runs; it may be unknown."""
@@ -116,6 +125,7 @@
                 run.batch,
                 run.late,
                 round(run.deadline_s - now_s, 2) if run.batch else 0.0,
+                run.organisation,
             )
             for run_id, run in list(self._runs.items())
         )
--- a/packages/samphirepost/src/samphirepost/slotmessages.py
+++ b/packages/samphirepost/src/samphirepost/slotmessages.py
@@ -21,11 +21,19 @@
     UNKNOWN = 2
 
 
+class PromptPart(msgspec.Struct, frozen=True, array_like=True):
+    """A part of a prompt: equal ids stand for the same `tokens`."""
+
+    id: str
+    tokens: int
+
+
 class Run(msgspec.Struct, frozen=True, array_like=True):
     """A request that occupies a slot; `id` is unique to its daemon.
 
     For a batch item, `late` tells that it is unlikely to meet its job's
-    deadline, which is `left_s` away.
+    deadline, which is `left_s` away. `organisation` is the name of the one
+    whose request it is, empty if there is none.
     """
 
     id: int
@@ -33,6 +41,7 @@
     batch: bool = False
     late: bool = False
     left_s: float = 0.0
+    organisation: str = ""
 
 
 class RunEnd(msgspec.Struct, frozen=True, array_like=True):
@@ -50,8 +59,8 @@
 class WantedSlot(msgspec.Struct, frozen=True, array_like=True):
     """A slot that a daemon wants for a batch item, as soon as one is free.
 
-    The grant has the same `id`; see Run for `late` and `left_s`, SlotRequest
-    for `probe` and `version`.
+    The grant has the same `id`; see Run for `late`, `left_s` and
+    `organisation`, SlotRequest for the fields from `probe` on.
     """
 
     id: int
@@ -60,6 +69,9 @@
     left_s: float
     probe: str = ""
     version: str | None = None
+    organisation: str = ""
+    prompt: tuple[PromptPart, ...] = ()
+    output_tokens: int = 0
 
 
 class Crash(msgspec.Struct, frozen=True, array_like=True):
@@ -116,6 +128,19 @@
 NO_PATHS = Paths()
 
 
+class TablesAge(msgspec.Struct, frozen=True, array_like=True):
+    """The tables of this revision were the newest `age_s` ago.
+
+    `age_s` is None if that is not known.
+    """
+
+    revision: int = 0
+    age_s: float | None = None
+
+
+UNKNOWN_TABLES = TablesAge()
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True, tag=11):
     """All that one daemon runs and wants; a higher `seq` replaces a lower.
 
@@ -125,7 +150,7 @@
     each run. `other_versions` are the pools in which the daemon knows of
     engines of a version other than the base, or None. `leaving_engines` told
     the daemon that they leave; at the addresses of `stale_entries`, other
-    engines answered it.
+    engines answered it. `tables` are the daemon's own.
     """
 
     vm: str
@@ -141,6 +166,7 @@
     other_versions: tuple[str, ...] | None = None
     leaving_engines: tuple[leaving.Incarnation, ...] = ()
     stale_entries: tuple[leaving.StaleEntry, ...] = ()
+    tables: TablesAge = UNKNOWN_TABLES
 
 
 class SlotRequest(msgspec.Struct, frozen=True, array_like=True, tag=12):
@@ -152,6 +178,11 @@
     it has and would probe. Unless `version` is None, only engines of that
     software version will do. With `relay`, the daemon doubts its own paths to
     the engines; peers at the addresses `not_through` have failed it.
+
+    See Run for `organisation`; `is_charged` if its quota was charged for the
+    request before. `prompt` has the parts of the prompt in order, on routes
+    that name them, and the answer has `output_tokens` at most, unless that is
+    0.
     """
 
     vm: str
@@ -167,6 +198,10 @@
     version: str | None = None
     relay: bool = False
     not_through: tuple[str, ...] = ()
+    organisation: str = ""
+    is_charged: bool = False
+    prompt: tuple[PromptPart, ...] = ()
+    output_tokens: int = 0
 
 
 class Grant(msgspec.Struct, frozen=True, array_like=True, tag=13):
@@ -193,12 +228,14 @@
     """The request `id` gets no slot: it would wait `wait_s`.
 
     `wait_s` is None if the hub knows no engine for the request, or too few
-    daemons' runs to choose one; the daemon then chooses itself.
+    daemons' runs to choose one; the daemon then chooses itself. With
+    `over_quota`, the quota of its organisation has no token for `wait_s`.
     """
 
     vm: str
     id: int
     wait_s: float | None
+    over_quota: bool = False
 
 
 class Preemption(msgspec.Struct, frozen=True, array_like=True, tag=16):
@@ -227,7 +264,8 @@
     rates (requests a second) that engines named. `other_versions` are the
     pools that any daemon named in a Report, or None if some daemon named none.
     `leaving_engines` leave by any daemon's word or by the hub's registry,
-    `stale_entries` are stale by any daemon's word.
+    `stale_entries` are stale by any daemon's word. `tables` are the newest of
+    any daemon.
     """
 
     vm: str
@@ -239,6 +277,7 @@
     other_versions: tuple[str, ...] | None = None
     leaving_engines: tuple[leaving.Incarnation, ...] = ()
     stale_entries: tuple[leaving.StaleEntry, ...] = ()
+    tables: TablesAge = UNKNOWN_TABLES
 
 
 Message = Report | SlotRequest | Grant | Queued | Denial | Preemption | Totals
