Organisations: quotas over all daemons

The hub charges a request with the grant of its slot; a request over its quota gets 429 at once. A new hub, two hubs and daemons without one keep the bound (rate x window + burst) x (1 + overshoot) + slack in sum; what no engine ran is given back.

test_slotexchange: the grant that nobody waits for is now reported as unused, so that its charge is given back; the test asks for that word.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -32,6 +32,8 @@
 # An answer has begun with this many events: an engine that crashes on a prompt
 # may put out one.
 BEGUN_EVENTS = 2
+# Longest wait for a quota (s) that a refusal tells: it may be raised before.
+QUOTA_WAIT_MAX_S = 60.0
 # Longest Retry-After (s) of a request that crashes engines.
 RETRY_AFTER_MAX_S = 3600.0
 
@@ -55,6 +57,7 @@
         self._quarantine = parts.quarantine
         self._observations = parts.observations
         self._limits = parts.limits
+        self._quotas = parts.quotas
         self._metrics = parts.metrics
         self._log = parts.log
         self._req = req
@@ -199,13 +202,15 @@
         if isinstance(reply, slotmessages.Grant):
             if reply.engine in engines:
                 return self._use_grant(reply, engines)
-            self._slots.end_run(run_id, slotmessages.Outcome.UNKNOWN)
+            self._slots.return_grant(run_id)
         elif self._probed_cause:
             # Only the hub knows whether another request probes the cause.
             return self._quarantine_error(
                 quarantine.Probation(self._probed_cause)
             )
         elif isinstance(reply, slotmessages.Denial):
+            if reply.over_quota:
+                return self._quota_error(reply.wait_s)
             # After an attempt, 503 could be untrue: an engine may have run
             # the request.
             if reply.wait_s is not None and not self._is_under_way():
@@ -222,17 +227,70 @@
         engine = engines[grant.engine]
         if not self._state.is_usable(engine):
             # It left while the request waited for the slot.
-            self._slots.end_run(grant.id, slotmessages.Outcome.UNKNOWN)
+            self._slots.return_grant(grant.id)
             return self._obtain_slot()
+        if not grant.through and self._is_stranded_for(engine):
+            self._slots.return_grant(grant.id)
+            return self._no_path_error()
+        if not self._slots.hub_keeps_quotas:
+            wait_s = self._charge_locally()
+            if wait_s:
+                self._slots.return_grant(grant.id)
+                return self._quota_error(wait_s)
+        self._record_charge()
         if not self._paths.is_unreached(engine.id) and (
             not self._paths.is_doubtful
         ):
             return engineattempt.Slot(engine, grant.id, True)
-        if not grant.through and self._paths.is_stranded:
-            self._slots.end_run(grant.id, slotmessages.Outcome.UNKNOWN)
-            return self._no_path_error()
         return engineattempt.Slot(engine, grant.id, True, grant.through)
 
+    def _is_stranded_for(self, engine):
+        """Whether only a peer could reach an engine, and none is known."""
+        is_reached = not (
+            self._paths.is_doubtful or self._paths.is_unreached(engine.id)
+        )
+        return not is_reached and self._paths.is_stranded
+
+    def _record_charge(self):
+        """Records that the hub charged the request to its organisation."""
+        if self._req.organisation and not self._is_charged:
+            self._is_charged = True
+            self._quotas.record_sent(self._req.organisation, time.monotonic())
+
+    def _charge_locally(self):
+        """Charges the request without the hub.
+
+        Returns 0, or the time (s) until the organisation's quota allows it.
+        """
+        if not self._req.organisation or self._is_charged:
+            return 0.0
+        directory = self._state.table.directory
+        organisation = directory.get(self._req.organisation)
+        if organisation is None:
+            return 0.0
+        wait_s = self._quotas.charge(
+            organisation, self._slots.daemon_count, time.monotonic()
+        )
+        self._is_charged = not wait_s
+        return wait_s
+
+    def _quota_error(self, wait_s):
+        """Returns the refusal of a request over its organisation's quota."""
+        self._metrics.quota_refusals.inc()
+        reason = (
+            f"the quota of {self._req.organisation!r} allows the next"
+            f" request in {wait_s:.2f} s (hub {self._slots.hub_vm})"
+        )
+        return attempts.ErrorResponse(
+            429, reason, attempts.retry_after_s(min(wait_s, QUOTA_WAIT_MAX_S))
+        )
+
+    def settle_charge(self):
+        """Gives the charge back if no engine may have run the request."""
+        if self._is_charged and not self.run_count:
+            self._is_charged = False
+            self._slots.refund(self._req.organisation)
+
     def _no_path_error(self):
         self._metrics.no_path.inc()
         if self.history.executions:
@@ -307,6 +365,9 @@
         )
         if wait_s > wait_max_s and not self._is_under_way():
             return self._busy_error(wait_s)
+        quota_wait_s = self._charge_locally()
+        if quota_wait_s:
+            return self._quota_error(quota_wait_s)
         engine = self._load_tracker.choose_engine(engines, (), now_s)
         through = ""
         if self._paths.is_doubtful or self._paths.is_unreached(engine.id):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
@@ -4,6 +4,8 @@
 thread of slots.SlotExchange, which receives the messages.
 """
 
+import time
+
 import msgspec
 
 from samphirepost import allocator
@@ -55,7 +57,7 @@
         self._log = parts.log
         self._hub_selector = hub_selector
         self._send = send
-        self._allocator = allocator.Allocator(parts.me)
+        self._allocator = allocator.Allocator(parts.me, parts.quotas.bounds)
         self._totals_sent_s = {}
         self._next_log_s = 0.0
         self._next_drop_s = 0.0
@@ -232,6 +234,7 @@
             for vm in self._allocator.drop_stale_reporters(now_s):
                 self._versions.remove(vm)
             self._allocator.limits.forget(now_s)
+            self._update_quotas(now_s)
         if not self._is_informed(now_s):
             return
         for pool in self._allocator.pools():
@@ -269,6 +272,18 @@
             },
         )
 
+    def _update_quotas(self, now_s):
+        table = self._state.table
+        if table is None or table.directory.is_empty:
+            return
+        hub_quotas = self._allocator.quotas
+        hub_quotas.set_directory(table.directory, now_s)
+        hub_quotas.set_members(
+            self._allocator.reporter_count,
+            len(self._hub_selector.members),
+            now_s,
+        )
+
     def _is_informed(self, now_s):
         member_count = len(self._hub_selector.members)
         return self._allocator.is_informed(member_count, now_s)
@@ -291,6 +306,7 @@
             self._leaving_engines,
             self._stale_entries,
             self._tables.newest(state_module.boottime_s()),
+            self._allocator.quotas.constrained(time.monotonic()),
         )
         self._send(address, totals)
 
@@ -307,4 +323,5 @@
             granted=self._allocator.granted,
             preempted=self._allocator.preempted,
             service_s=round(self._allocator.service_time_s, 3),
+            over_quota=self._allocator.quotas.refused,
         )
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/metrics.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/metrics.py
@@ -2,6 +2,10 @@
 
 import prometheus_client
 
+# Organisations with a label of their own; others are counted together.
+ORGANISATION_LABELS_MAX = 200
+OTHER_ORGANISATIONS = "(other)"
+
 _BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0)
 
 
@@ -10,6 +14,7 @@
 
     def __init__(self):
         self.registry = prometheus_client.CollectorRegistry()
+        self._organisations = set()
         self.requests = self._counter(
             "requests", "Online requests ended", ["route", "outcome"]
         )
@@ -43,6 +48,16 @@
             "Requests refused for their key: 401 unknown, 503 not certain",
             ["status"],
         )
+        self.quota_refusals = prometheus_client.Counter(
+            "samphirepost_quota_refusals",
+            "Requests refused as their organisation's quota is used up",
+            registry=self.registry,
+        )
+        self.organisation_requests = self._counter(
+            "organisation_requests",
+            "Online requests ended, by organisation",
+            ["organisation", "outcome"],
+        )
         self.relayed = self._counter(
             "relayed_runs",
             "Runs sent through a peer, or relayed for one",
@@ -85,6 +100,15 @@
             "registry_age_seconds", "Age of the list of engines"
         )
 
+    def count_organisation(self, organisation, outcome):
+        """Counts a request; many organisations share one label."""
+        names = self._organisations
+        if organisation not in names:
+            if len(names) >= ORGANISATION_LABELS_MAX:
+                organisation = OTHER_ORGANISATIONS
+            names.add(organisation)
+        self.organisation_requests.labels(organisation, outcome).inc()
+
     def _counter(self, name, help_text, labels):
         return prometheus_client.Counter(
             f"samphirepost_{name}", help_text, labels, registry=self.registry
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
@@ -155,8 +155,11 @@
     def _finish(self, outcome, error=None, reason=None):
         """Counts and logs the completed request."""
         parts = self._parts
+        self._exchange.settle_charge()
         parts.metrics.running.dec()
         parts.metrics.requests.labels(self._route.name, outcome).inc()
+        if self._req.organisation:
+            parts.metrics.count_organisation(self._req.organisation, outcome)
         log_line = parts.log.event
         fields = {"reason": reason} if reason else {}
         if self._req.resume_after is not None:
@@ -170,6 +173,8 @@
             fields["status"] = error.status
             fields["reason"] = error.reason
             fields["retry_after_s"] = error.retry_after_s
+        if self._req.organisation:
+            fields["organisation"] = self._req.organisation
         first_ms = None
         if self._first_response_s is not None:
             first_ms = round(self._first_response_s * 1000)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/settings.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/settings.py
@@ -7,6 +7,7 @@
 from samphirepost import addresses
 from samphirepost import errors
 from samphirepost import jsonc
+from samphirepost import quotas
 
 
 class ListenSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -41,18 +42,6 @@
     is_strict: bool = False
 
 
-class QuotaSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """How exactly the quotas of organisations are kept.
-
-    In each `window_s`, all daemons together send at most (rate x window +
-    burst) x (1 + `overshoot`) + `slack` requests of an organisation.
-    """
-
-    window_s: float = 5.0
-    overshoot: float = 0.1
-    slack: float = 20.0
-
-
 class EntrySettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """All settings of one entry daemon.
 
@@ -71,7 +60,7 @@
     stop_s: float = 8.0
     unready_s: float = 3.0
     memory_mb: float = 0.0
-    quota: QuotaSettings = QuotaSettings()
+    quota: quotas.Bounds = quotas.Bounds()
     revocation: RevocationSettings = RevocationSettings()
 
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -34,6 +34,9 @@
 # Interval at which a waiting request checks whether its caller left (s).
 CALLER_POLL_S = 0.1
 DATAGRAM_BYTES_MAX = 65_000
+# A new hub is told for this long (s) what was sent by organisation: it may not
+# have heard all daemons before, and a report may be lost.
+SENT_REPORT_S = 2.0
 # Engines named in one report: those not reached, and those that failed.
 UNREACHED_MAX = 64
 FAILED_MAX = 64
@@ -62,9 +65,18 @@
 class HubLink:
     """Which daemon is the hub, and whether it answers."""
 
-    __slots__ = ("address", "answers", "selector", "vm")
+    __slots__ = (
+        "address",
+        "answers",
+        "changed_s",
+        "keeps_quotas",
+        "selector",
+        "vm",
+    )
 
     def __init__(self):
+        self.changed_s = 0.0
+        self.keeps_quotas = False
         self.selector = loadshare.HubSelector()
         self.vm = None
         self.address = None
@@ -106,6 +118,7 @@
         self._next_report_s = 0.0
         self._pending = {}
         self._ended = []
+        self._refunds = []
         self._wanted = {}
         self._wanted_ids = ()
         self.hub_server = hub.HubServer(parts, self._hub.selector, self._send)
@@ -185,12 +198,34 @@
             self._send_report()
 
     def end_run(self, run_id, outcome, pace_s=0.0):
-        """Records the end of a run, or a grant that is not used."""
-        self._load_tracker.end_run(run_id)
+        """Records the end of a run."""
+        self._end_run(slotmessages.RunEnd(run_id, outcome, pace_s))
+
+    def return_grant(self, run_id):
+        """Records a grant for which nothing is sent."""
+        self._end_run(
+            slotmessages.RunEnd(
+                run_id, slotmessages.Outcome.UNKNOWN, is_unused=True
+            )
+        )
+
+    def _end_run(self, run_end):
+        self._load_tracker.end_run(run_end.id)
+        with self._report_lock:
+            self._ended.append(run_end)
+        self._send_report()
+
+    def refund(self, organisation):
+        """Has the charge given back of a request that no engine ran."""
         with self._report_lock:
-            self._ended.append(slotmessages.RunEnd(run_id, outcome, pace_s))
+            self._refunds.append(organisation)
         self._send_report()
 
+    @property
+    def hub_keeps_quotas(self):
+        """Whether the hub charges quotas; daemons of older builds do not."""
+        return self._hub.keeps_quotas
+
     @property
     def daemon_count(self):
         """The number of daemons that are known to be members."""
@@ -349,6 +384,8 @@
         self._log.event("hub.changed", hub=hub_vm, before=self._hub.vm)
         self._hub.vm = hub_vm
         self._hub.answers = False
+        self._hub.changed_s = now_s
+        self._hub.keeps_quotas = False
         self._hub.address = self._hub.selector.members.get(hub_vm)
         if hub_vm == self._me:
             self._hub.address = self._address
@@ -363,9 +400,11 @@
             address = self._hub.address
             if address is None:
                 self._ended.clear()
+                self._refunds.clear()
                 self._failed_engines.clear()
                 return
             ended, self._ended = self._ended, []
+            refunds, self._refunds = self._refunds, []
             failed, self._failed_engines = self._failed_engines, []
             marks = self._parts.state.marks
             report = slotmessages.Report(
@@ -383,9 +422,17 @@
                 marks.to_report(now_s),
                 marks.stale_to_report(now_s),
                 self._parts.state.tables_age(),
+                self._sent_for_new_hub(now_s),
+                tuple(refunds),
             )
             self._send(address, report)
 
+    def _sent_for_new_hub(self, now_s):
+        """Returns what a new hub is told of requests that were sent."""
+        if now_s - self._hub.changed_s > SENT_REPORT_S:
+            return None
+        return self._parts.quotas.sent(now_s)
+
     def _send(self, address, message):
         if self._sock is None:
             # The port is not bound yet.
@@ -447,6 +494,8 @@
                     message.other_versions, state.boottime_s()
                 )
                 self._parts.state.record_peer_tables(message.tables)
+                self._hub.keeps_quotas = message.tables.revision > 0
+                self._parts.quotas.announce_constrained(message.constrained)
                 self._apply_suspects(message, now_s)
         elif isinstance(message, slotmessages.Preemption):
             self._metrics.preemptions.inc(len(message.ids))
@@ -480,4 +529,4 @@
             self.on_grant(reply)
         elif not self._load_tracker.is_running(reply.id):
             # Its request went elsewhere, or its caller left.
-            self.end_run(reply.id, slotmessages.Outcome.UNKNOWN)
+            self.return_grant(reply.id)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -2,9 +2,11 @@
 
 import logging
 import secrets
+import time
 
 from samphirepost import crashes
 from samphirepost import quarantine
+from samphirepost import quotas
 from samphirepost import ratelimit
 from samphirepost import relays
 from samphirepost import selection
@@ -73,13 +75,14 @@
         "observations",
         "paths",
         "quarantine",
+        "quotas",
         "slots",
         "state",
         "streams",
         "zone",
     )
 
-    def __init__(self, me, zone, revocation=None):
+    def __init__(self, me, zone, revocation=None, quota_bounds=None):
         self.me = me
         self.zone = zone
         self.log = log_module.Log(me)
@@ -89,6 +92,9 @@
         self.quarantine = quarantine.Quarantine()
         self.observations = crashes.Observations()
         self.limits = ratelimit.SeenLimits()
+        self.quotas = quotas.LocalQuotas(
+            quota_bounds or quotas.Bounds(), time.monotonic()
+        )
         self.bases = streamversions.Bases()
         self.dialer = engineclient.dial
         self.slots = None
@@ -106,7 +112,9 @@
     def __init__(self, cfg):
         self.cfg = cfg
         me = f"{cfg.id}-{secrets.token_hex(4)}"
-        parts = self.parts = SharedParts(me, cfg.zone, cfg.revocation)
+        parts = self.parts = SharedParts(
+            me, cfg.zone, cfg.revocation, cfg.quota
+        )
         self.log = parts.log
         self.state = parts.state
         self.slots = parts.slots = slots.SlotExchange(
--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -12,6 +12,7 @@
 
 from samphirepost import enginehealth
 from samphirepost import poolview
+from samphirepost import quotas
 from samphirepost import ratelimit
 from samphirepost import relays
 from samphirepost import slotmessages
@@ -57,10 +58,12 @@
     `confirmed` once its daemon has reported it; `preempted_s` is the instant
     of its preemption, or None. A batch item's job is due at `deadline_s`.
     `relay` is the VM id of the daemon that relays the run, or None.
+    `charged_to` is the organisation whose quota its grant was charged to.
     """
 
     __slots__ = (
         "batch",
+        "charged_to",
         "confirmed",
         "deadline_s",
         "engine",
@@ -72,6 +75,7 @@
 
     def __init__(self, engine, batch, granted_s, confirmed):
         self.relay = None
+        self.charged_to = ""
         self.engine = engine
         self.batch = batch
         self.granted_s = granted_s
@@ -140,11 +144,12 @@
         "health",
         "limits",
         "preempted",
+        "quotas",
         "relays",
         "service_time_s",
     )
 
-    def __init__(self, me):
+    def __init__(self, me, quota_bounds=None):
         self._me = me
         self._reporters = {}
         self._runs = {}
@@ -157,6 +162,7 @@
         self.health = enginehealth.FleetHealth()
         self.limits = ratelimit.HubLimits()
         self.relays = relays.Relays()
+        self.quotas = quotas.HubQuotas(quota_bounds or quotas.Bounds())
         self.service_time_s = SERVICE_TIME_INITIAL_S
         self.granted = 0
         self.preempted = 0
@@ -173,6 +179,7 @@
             reporter = self._reporters[report.vm] = Reporter(address)
         if self._first_report_s is None:
             self._first_report_s = now_s
+            self.quotas.reset()
         if report.seq <= reporter.seq:
             return []
         reporter.address = address
@@ -183,6 +190,9 @@
         for engine_id in report.failed:
             if engine_id in self._pool_names:
                 self.health.record_failure(engine_id, report.vm, now_s)
+        self.quotas.apply_sent(report.vm, report.sent)
+        for name in report.refunds:
+            self.quotas.refund(name)
         for end in report.ended:
             self._end_run(report.vm, reporter, end, now_s)
         listed = {run.id: run for run in report.runs}
@@ -210,6 +220,8 @@
         run = self._runs.get((vm, end.id))
         if run is None:
             return
+        if end.is_unused and run.charged_to:
+            self.quotas.refund(run.charged_to)
         if end.outcome is slotmessages.Outcome.OK:
             self.health.record_success(run.engine)
             if not run.batch:
@@ -228,6 +240,8 @@
             known = AllocatedRun(run.engine, run.batch, now_s, True)
             self._add_run(vm, reporter, run.id, known)
             self.limits.take(run.engine, now_s)
+            if run.organisation and not run.batch:
+                self.quotas.charge(run.organisation, now_s)
         known.confirmed = True
         known.late = run.late
         known.deadline_s = now_s + run.left_s
@@ -369,6 +383,9 @@
         if _has_none_left(view, req):
             denial = slotmessages.Denial(self._me, req.id, None)
             return [(address, denial)]
+        over_quota = self._check_quota(req, now_s)
+        if over_quota is not None:
+            return [(address, over_quota)]
         queue = self._queues.setdefault(req.pool, [])
         if not queue or req.never_deny:
             sent = self._grant_online(req, view, now_s)
@@ -385,6 +402,16 @@
                 return [self._grant_request(req, engine, now_s)]
         return self._queue(queue, req, address, view, now_s)
 
+    def _check_quota(self, req, now_s):
+        """Returns the Denial of a request over its quota, or None."""
+        if not req.organisation or req.is_charged:
+            return None
+        wait_s = self.quotas.wait_s(req.organisation, now_s)
+        if not wait_s:
+            return None
+        self.quotas.refused += 1
+        return slotmessages.Denial(self._me, req.id, wait_s, over_quota=True)
+
     def _queue(self, queue, req, address, view, now_s):
         waiting = WaitingRequest(req, address, now_s + req.wait_max_s)
         urgency = _urgency(waiting)
@@ -503,16 +530,24 @@
             relay = self.relays.choose(
                 req.vm, req.zone, engine.id, req.not_through
             )
-        return self._grant(req.vm, req.id, engine, False, now_s, relay)
+        charged_to = "" if req.is_charged else req.organisation
+        return self._grant(
+            req.vm, req.id, engine, False, now_s, relay, charged_to
+        )
 
     def _needs_relay(self, vm, engine_id):
         """Whether a daemon may not reach an engine itself."""
         paths = self._reporters[vm].paths
         return paths.doubtful or engine_id in paths.unreached
 
-    def _grant(self, vm, run_id, engine, batch, now_s, relay=None):
+    def _grant(
+        self, vm, run_id, engine, batch, now_s, relay=None, charged_to=""
+    ):
         reporter = self._reporters[vm]
         run = AllocatedRun(engine.id, batch, now_s, False)
+        if charged_to:
+            run.charged_to = charged_to
+            self.quotas.charge(charged_to, now_s)
         through = ""
         if relay is not None:
             run.relay = relay.vm
@@ -550,6 +585,10 @@
             reporter = self._reporters.get(req.vm)
             if reporter is None or req.id in reporter.run_ids:
                 continue
+            over_quota = self._check_quota(req, now_s)
+            if over_quota is not None:
+                sent.append((waiting.address, over_quota))
+                continue
             granted = self._grant_online(req, view, now_s)
             if granted:
                 sent += granted
--- a/packages/samphirepost/src/samphirepost/slotmessages.py
+++ b/packages/samphirepost/src/samphirepost/slotmessages.py
@@ -48,12 +48,14 @@
     """The end of a run, or of a grant that was not used.
 
     `pace_s` is the mean time between two events of its stream, or 0 if
-    there were too few.
+    there were too few. If `is_unused`, nothing was sent for the grant, and
+    the charge of its organisation is given back.
     """
 
     id: int
     outcome: Outcome
     pace_s: float = 0.0
+    is_unused: bool = False
 
 
 class WantedSlot(msgspec.Struct, frozen=True, array_like=True):
@@ -150,7 +152,10 @@
     each run. `other_versions` are the pools in which the daemon knows of
     engines of a version other than the base, or None. `leaving_engines` told
     the daemon that they leave; at the addresses of `stale_entries`, other
-    engines answered it. `tables` are the daemon's own.
+    engines answered it. `tables` are the daemon's own. To a new hub, `sent`
+    has the number of requests by organisation that the daemon sent within a
+    window of the quotas; None if it does not know. `refunds` has the
+    organisation of each request that was charged and run by no engine.
     """
 
     vm: str
@@ -167,6 +172,8 @@
     leaving_engines: tuple[leaving.Incarnation, ...] = ()
     stale_entries: tuple[leaving.StaleEntry, ...] = ()
     tables: TablesAge = UNKNOWN_TABLES
+    sent: dict[str, int] | None = None
+    refunds: tuple[str, ...] = ()
 
 
 class SlotRequest(msgspec.Struct, frozen=True, array_like=True, tag=12):
@@ -265,7 +272,8 @@
     pools that any daemon named in a Report, or None if some daemon named none.
     `leaving_engines` leave by any daemon's word or by the hub's registry,
     `stale_entries` are stale by any daemon's word. `tables` are the newest of
-    any daemon.
+    any daemon. Organisations that are `constrained` have nearly used up their
+    quotas.
     """
 
     vm: str
@@ -278,6 +286,7 @@
     leaving_engines: tuple[leaving.Incarnation, ...] = ()
     stale_entries: tuple[leaving.StaleEntry, ...] = ()
     tables: TablesAge = UNKNOWN_TABLES
+    constrained: tuple[str, ...] = ()
 
 
 Message = Report | SlotRequest | Grant | Queued | Denial | Preemption | Totals
--- a/tests/test_slotexchange.py
+++ b/tests/test_slotexchange.py
@@ -86,7 +86,7 @@
     exchange._apply_hub_message(slotmessages.Grant("hub", 7, "e0"), 0.0)
     report, _ = exchange._sock.sent[-1]
     assert report.ended == (
-        slotmessages.RunEnd(7, slotmessages.Outcome.UNKNOWN),
+        slotmessages.RunEnd(7, slotmessages.Outcome.UNKNOWN, is_unused=True),
     )
 
 
