--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -5,6 +5,7 @@
 import time
 
 from samphirepost import crashes
+from samphirepost import memorybudget
 from samphirepost import quarantine
 from samphirepost import quotas
 from samphirepost import ratelimit
@@ -59,6 +60,7 @@
 class SharedParts:
     """Objects that most parts share.
 
+    `budget` is the memorybudget.Budget of all that is kept for others.
     `dialer` opens connections to engines, see engineclient.dial(). `slots` is
     the SlotExchange, `paths` the PathMonitor and `streams` the StreamTable,
     set once they are created.
@@ -66,6 +68,7 @@
 
     __slots__ = (
         "bases",
+        "budget",
         "dialer",
         "limits",
         "load_tracker",
@@ -82,7 +85,9 @@
         "zone",
     )
 
-    def __init__(self, me, zone, revocation=None, quota_bounds=None):
+    def __init__(
+        self, me, zone, revocation=None, quota_bounds=None, memory_mb=0.0
+    ):
         self.me = me
         self.zone = zone
         self.log = log_module.Log(me)
@@ -95,6 +100,7 @@
         self.quotas = quotas.LocalQuotas(
             quota_bounds or quotas.Bounds(), time.monotonic()
         )
+        self.budget = memorybudget.Budget(memorybudget.budget_bytes(memory_mb))
         self.bases = streamversions.Bases()
         self.dialer = engineclient.dial
         self.slots = None
@@ -113,7 +119,7 @@
         self.cfg = cfg
         me = f"{cfg.id}-{secrets.token_hex(4)}"
         parts = self.parts = SharedParts(
-            me, cfg.zone, cfg.revocation, cfg.quota
+            me, cfg.zone, cfg.revocation, cfg.quota, cfg.memory_mb
         )
         self.log = parts.log
         self.state = parts.state
