--- a/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
@@ -243,6 +243,9 @@
         float, cappa.Arg(long=True, help="How long faults are injected (s).")
     ] = 15.0
     unframed: _Unframed = False
+    organisations: typing.Annotated[
+        bool, cappa.Arg(long=True, help="Callers have keys and quotas.")
+    ] = False
 
     def __call__(self):
         from samphirepost_bench import soak
@@ -251,6 +254,7 @@
             _seeds(self.seed, self.runs),
             self.seconds,
             new_engine=_new_engine(self.unframed),
+            has_organisations=self.organisations,
         )
         return 1 if failed else 0
 
--- a/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
@@ -270,6 +270,7 @@
             for number in range(engines)
         ]
         self.version = 0
+        self.tenants = None
         self.configure()
         self.daemons = [
             Daemon(
@@ -295,11 +296,20 @@
             for one in engine.incarnations:
                 one.shutdown()
 
-    def configure(self, **fields):
-        """Writes a new version of the tables with `fields` in all routes."""
+    def configure(self, tenants=None, **fields):
+        """Writes a new version of the tables with `fields` in all routes.
+
+        `tenants` are the organisations from now on, unless that is None.
+        Returns whether the store has acknowledged it.
+        """
         self.version += 1
+        if tenants is not None:
+            self.tenants = tenants
         routes = [{**one, **fields} for one in ROUTES]
-        self.store.put_row("op", "config", tables(self.version, routes))
+        document = tables(self.version, routes)
+        if self.tenants is not None:
+            document["tenants"] = self.tenants
+        return self.store.put_row("op", "config", document)
 
     def wait_ready(self):
         """Waits until all daemons are ready; raises FleetError."""
--- a/packages/samphirepost-bench/src/samphirepost_bench/soak.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/soak.py
@@ -16,6 +16,7 @@
 from samphirepost_bench import entryfleet
 from samphirepost_bench import fleet as fleet_module
 from samphirepost_bench import soakfaults
+from samphirepost_bench import soakorganisations
 from samphirepost_bench import streamengine
 
 # The names such as `contactMs` below are limits that the platform sets.
@@ -144,7 +145,8 @@
 class Soak:
     """One run of a seed: callers, jobs, faults and violated guarantees."""
 
-    def __init__(self, fleet, seed):
+    def __init__(self, fleet, seed, organisations=None):
+        self.organisations = organisations
         self.fleet = fleet
         self.seed = seed
         self.trace = soakfaults.Trace(time.monotonic())
@@ -179,6 +181,10 @@
             "Prompt-Prefix": f"a{number % 2}:8,s{number}:8,{name}:8",
         }
         faults_over = self._faults_over.is_set()
+        sent = None
+        if self.organisations is not None:
+            sent = self.organisations.draw(name, rng)
+            headers["Credential"] = sent.key
         body = name.encode()
         found = send_request(daemon, "POST", path, headers, body)
         with self._lock:
@@ -188,13 +194,40 @@
             if found.status in NOT_RUN_STATUSES:
                 self._refused.append(name)
         self._check_response(name, found)
-        if found.status == 200 and found.is_complete:
+        if found.status == 401 and sent is not None:
+            self.organisations.check_refusal(
+                sent, self._is_undisturbed, self.record_violation
+            )
+        elif found.status == 200 and found.is_complete:
             self.served += 1
         elif faults_over:
             self.record_violation(
                 "RECOVER", f"{name} got {found.status} after the last fault"
             )
 
+    def ask_too_often(self, number, rng):
+        """Sends a request of the organisation that exceeds its quota.
+
+        The function's name is part of the callers' random seed.
+        """
+        name = f"h{self.seed}-{number}-{rng.getrandbits(32):08x}"
+        sent = self.organisations.draw_hot(name, rng)
+        headers = {
+            "Request-Id": name,
+            "Deadline-Ms": "5000",
+            "Credential": sent.key,
+        }
+        daemon = rng.choice(self.fleet.daemons)
+        found = send_request(daemon, "POST", "/notes/1", headers, b"hot")
+        with self._lock:
+            if found.status in NOT_RUN_STATUSES:
+                self._refused.append(name)
+        self._check_response(name, found)
+
+    def change_keys(self, _, rng):
+        """Withdraws a key; its name is part of the random seed."""
+        self.organisations.rotate(self.fleet, rng)
+
     def _check_response(self, name, found):
         if found.status != 200:
             return
@@ -263,7 +296,7 @@
             for item in job.items
         ]
         body = json.dumps({"requests": items}).encode()
-        headers = {"Request-Id": job.id}
+        headers = {"Request-Id": job.id, **self._job_headers()}
         for _ in range(3):
             daemon = rng.choice(self.fleet.daemons)
             found = send_request(daemon, "POST", "/evening/x", headers, body)
@@ -276,10 +309,18 @@
         if job.accepted_s and rng.random() < 0.2:
             self._cancel(job, rng)
 
+    def _job_headers(self):
+        if self.organisations is None:
+            return {}
+        return self.organisations.job_headers()
+
     def _cancel(self, job, rng):
         daemon = rng.choice(self.fleet.daemons)
         job.cancel_requested = True
-        if send_request(daemon, "DELETE", f"/lots/{job.id}", {}).status == 200:
+        found = send_request(
+            daemon, "DELETE", f"/lots/{job.id}", self._job_headers()
+        )
+        if found.status == 200:
             job.cancelled_s = time.monotonic()
 
     def read_results(self, job, rng):
@@ -288,7 +329,10 @@
         after = rng.choice([0, len(job.results)])
         requested_s = time.monotonic()
         found = send_request(
-            daemon, "GET", f"/lots/{job.id}?after={after}", {}
+            daemon,
+            "GET",
+            f"/lots/{job.id}?after={after}",
+            self._job_headers(),
         )
         if found.status == 404 and requested_s > job.accepted_s + JOB_KNOWN_S:
             self.record_violation("LOST", f"{daemon.name} has no job {job.id}")
@@ -352,6 +396,15 @@
             (self.ask, CALLER_COUNT, REQUEST_PAUSE_S),
             (self.submit, SUBMITTER_COUNT, JOB_PAUSE_S),
         ]
+        if self.organisations is not None:
+            callers += [
+                (
+                    self.ask_too_often,
+                    soakorganisations.HOT_CALLERS,
+                    soakorganisations.HOT_PAUSE_S,
+                ),
+                (self.change_keys, 1, soakorganisations.WITHDRAWAL_PAUSE_S),
+            ]
         if self.has_crashes:
             callers.append((self.ask_bad, 1, BAD_PAUSE_S))
             for engine in self.fleet.engines:
@@ -475,6 +528,10 @@
         for job in self.jobs:
             self._check_job(job)
         self._check_bad()
+        if self.organisations is not None:
+            self.organisations.check(
+                self.fleet, self._is_undisturbed, self.record_violation
+            )
         for engine in self.fleet.engines:
             for incarnation in engine.incarnations:
                 self._check_limit(incarnation)
@@ -557,19 +614,25 @@
     engines=3,
     report=print,
     new_engine=streamengine.Engine,
+    has_organisations=False,
 ):
     """Runs each seed; returns those in which a guarantee was violated.
 
     `seconds` is how long faults are injected; see entryfleet.Engine for
-    `new_engine`. Passes one line a seed to
-    `report`, and for a failed seed the violations and the faults as well.
+    `new_engine`. With `has_organisations`, callers have keys. Passes one line
+    a seed to `report`, and for a failed seed the violations and the faults as
+    well.
     """
     failed_seeds = []
     for seed in seeds:
         with entryfleet.Fleet(
             daemons, engines, new_engine=new_engine
         ) as fleet:
-            soak = Soak(fleet, seed)
+            organisations = None
+            if has_organisations:
+                organisations = soakorganisations.Organisations()
+                fleet.configure(tenants=organisations.tenants())
+            soak = Soak(fleet, seed, organisations)
             soak.run(seconds)
         done = sum(len(job.results) == ITEMS_PER_JOB for job in soak.jobs)
         report(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -43,3 +43,16 @@
         new_engine=entryfleet.unframed_engine,
     )
     assert not failed, "\n".join(lines)
+
+
+def test_no_promise_breaks_while_organisations_send_with_keys():
+    """Guards against keys at engines, old keys in use, and broken quotas.
+
+    Keys change all the time, and one organisation sends far more than its
+    quota allows.
+    """
+    lines = []
+    failed = soak.run(
+        [7], FAULTS_S, report=lines.append, has_organisations=True
+    )
+    assert not failed, "\n".join(lines)
