--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -63,7 +63,11 @@
 
 
 class HubLink:
-    """Which daemon is the hub, and whether it answers."""
+    """Which daemon is the hub, and whether it answers.
+
+    It keeps quotas unless its totals tell otherwise, as those of older builds
+    do; a new hub is taken for one of the same build until then.
+    """
 
     __slots__ = (
         "address",
@@ -76,7 +80,7 @@
 
     def __init__(self):
         self.changed_s = 0.0
-        self.keeps_quotas = False
+        self.keeps_quotas = True
         self.selector = loadshare.HubSelector()
         self.vm = None
         self.address = None
@@ -385,7 +389,6 @@
         self._hub.vm = hub_vm
         self._hub.answers = False
         self._hub.changed_s = now_s
-        self._hub.keeps_quotas = False
         self._hub.address = self._hub.selector.members.get(hub_vm)
         if hub_vm == self._me:
             self._hub.address = self._address
--- a/tests/test_slotexchange.py
+++ b/tests/test_slotexchange.py
@@ -146,3 +146,16 @@
     assert len(announced) == 195
     assert {len(one.suspects) for one, _ in announced} == {32}
     assert {"first" in one.suspects for one, _ in announced} == {True}
+
+
+def test_a_hub_of_an_older_build_keeps_no_quotas():
+    """Its grants have to be charged by the daemons."""
+    exchange = make_exchange()
+    exchange._select_hub(0.0)
+    assert exchange.hub_keeps_quotas
+    exchange._apply_hub_message(slotmessages.Totals("hub", {}), 0.0)
+    assert not exchange.hub_keeps_quotas
+    tables = slotmessages.TablesAge(3, 0.1)
+    totals = slotmessages.Totals("hub", {}, tables=tables)
+    exchange._apply_hub_message(totals, 0.0)
+    assert exchange.hub_keeps_quotas
