--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -13,6 +13,7 @@
 from samphirepost_daemon.entry import engineattempt
 from samphirepost_daemon.entry import engineclient
 from samphirepost_daemon.entry import pathmonitor
+from samphirepost_daemon.entry import quotacharge
 from samphirepost_daemon.entry import streamend
 from samphirepost_daemon.entry import streamversion
 from samphirepost_daemon.entry import tunnel
@@ -32,8 +33,6 @@
 # An answer has begun with this many events: an engine that crashes on a prompt
 # may put out one.
 BEGUN_EVENTS = 2
-# Longest wait for a quota (s) that a refusal tells: it may be raised before.
-QUOTA_WAIT_MAX_S = 60.0
 # Longest Retry-After (s) of a request that crashes engines.
 RETRY_AFTER_MAX_S = 3600.0
 
@@ -57,7 +56,6 @@
         self._quarantine = parts.quarantine
         self._observations = parts.observations
         self._limits = parts.limits
-        self._quotas = parts.quotas
         self._metrics = parts.metrics
         self._log = parts.log
         self._req = req
@@ -80,7 +78,7 @@
         )
         self.ends = streamend.EndFinder(parts, req, route, self)
         self._probed_cause = ""
-        self._is_charged = False
+        self._charge = quotacharge.QuotaCharge(parts, req.organisation)
         self._progress_s = time.monotonic()
 
     @property
@@ -210,7 +208,7 @@
             )
         elif isinstance(reply, slotmessages.Denial):
             if reply.over_quota:
-                return self._quota_error(reply.wait_s)
+                return self._charge.refusal(reply.wait_s)
             # After an attempt, 503 could be untrue: an engine may have run
             # the request.
             if reply.wait_s is not None and not self._is_under_way():
@@ -232,12 +230,10 @@
         if not grant.through and self._is_stranded_for(engine):
             self._slots.return_grant(grant.id)
             return self._no_path_error()
-        if not self._slots.hub_keeps_quotas:
-            wait_s = self._charge_locally()
-            if wait_s:
-                self._slots.return_grant(grant.id)
-                return self._quota_error(wait_s)
-        self._record_charge()
+        refusal = self._charge.apply_grant()
+        if refusal is not None:
+            self._slots.return_grant(grant.id)
+            return refusal
         if not self._paths.is_unreached(engine.id) and (
             not self._paths.is_doubtful
         ):
@@ -251,45 +247,9 @@
         )
         return not is_reached and self._paths.is_stranded
 
-    def _record_charge(self):
-        """Records that the hub charged the request to its organisation."""
-        if self._req.organisation and not self._is_charged:
-            self._is_charged = True
-            self._quotas.record_sent(self._req.organisation, time.monotonic())
-
-    def _charge_locally(self):
-        """Charges the request without the hub.
-
-        Returns 0, or the time (s) until the organisation's quota allows it.
-        """
-        if not self._req.organisation or self._is_charged:
-            return 0.0
-        directory = self._state.table.directory
-        organisation = directory.get(self._req.organisation)
-        if organisation is None:
-            return 0.0
-        wait_s = self._quotas.charge(
-            organisation, self._slots.daemon_count, time.monotonic()
-        )
-        self._is_charged = not wait_s
-        return wait_s
-
-    def _quota_error(self, wait_s):
-        """Returns the refusal of a request over its organisation's quota."""
-        self._metrics.quota_refusals.inc()
-        reason = (
-            f"the quota of {self._req.organisation!r} allows the next"
-            f" request in {wait_s:.2f} s (hub {self._slots.hub_vm})"
-        )
-        return attempts.ErrorResponse(
-            429, reason, attempts.retry_after_s(min(wait_s, QUOTA_WAIT_MAX_S))
-        )
-
     def settle_charge(self):
         """Gives the charge back if no engine may have run the request."""
-        if self._is_charged and not self.run_count:
-            self._is_charged = False
-            self._slots.refund(self._req.organisation)
+        self._charge.settle(self.run_count)
 
     def _no_path_error(self):
         self._metrics.no_path.inc()
@@ -328,7 +288,7 @@
             relay=self._paths.is_doubtful,
             not_through=tuple(self._peers_failed),
             organisation=self._req.organisation,
-            is_charged=self._is_charged,
+            is_charged=self._charge.is_made,
             prompt=self._req.prompt if self._route.sticky else (),
             output_tokens=self._req.output_tokens,
         )
@@ -365,9 +325,9 @@
         )
         if wait_s > wait_max_s and not self._is_under_way():
             return self._busy_error(wait_s)
-        quota_wait_s = self._charge_locally()
-        if quota_wait_s:
-            return self._quota_error(quota_wait_s)
+        refusal = self._charge.make_locally()
+        if refusal is not None:
+            return refusal
         engine = self._load_tracker.choose_engine(engines, (), now_s)
         through = ""
         if self._paths.is_doubtful or self._paths.is_unreached(engine.id):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
@@ -4,8 +4,6 @@
 thread of slots.SlotExchange, which receives the messages.
 """
 
-import time
-
 import msgspec
 
 from samphirepost import allocator
@@ -73,6 +71,7 @@
         self._other_versions = None
         self._next_versions_s = 0.0
         self._tables = reportedtables.ReportedTables()
+        self._constrained = ()
         self._logged_suspects = set()
         self._next_suspects_log_s = 0.0
         self.decided = None
@@ -273,6 +272,11 @@
         )
 
     def _update_quotas(self, now_s):
+        """Applies the tables and the members to the quotas.
+
+        What all totals tell of them is collected once: there may be a
+        thousand organisations.
+        """
         table = self._state.table
         if table is None or table.directory.is_empty:
             return
@@ -283,6 +287,7 @@
             len(self._hub_selector.members),
             now_s,
         )
+        self._constrained = hub_quotas.constrained(now_s)
 
     def _is_informed(self, now_s):
         member_count = len(self._hub_selector.members)
@@ -306,7 +311,7 @@
             self._leaving_engines,
             self._stale_entries,
             self._tables.newest(state_module.boottime_s()),
-            self._allocator.quotas.constrained(time.monotonic()),
+            self._constrained,
         )
         self._send(address, totals)
 
--- /dev/null
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/quotacharge.py
@@ -0,0 +1,80 @@
+"""Charges one request to the quota of its organisation."""
+
+import time
+
+from samphirepost import attempts
+
+# Longest wait for a quota (s) that a refusal tells: it may be raised before.
+WAIT_MAX_S = 60.0
+
+
+class QuotaCharge:
+    """The charge of one request; nothing without an organisation.
+
+    `is_made` once the request was charged, whatever its attempts.
+    """
+
+    __slots__ = (
+        "_metrics",
+        "_organisation",
+        "_quotas",
+        "_slots",
+        "_state",
+        "is_made",
+    )
+
+    def __init__(self, parts, organisation):
+        self._quotas = parts.quotas
+        self._slots = parts.slots
+        self._state = parts.state
+        self._metrics = parts.metrics
+        self._organisation = organisation
+        self.is_made = False
+
+    def apply_grant(self):
+        """Applies a grant of the hub, which has charged the request.
+
+        Returns None, or an ErrorResponse if the hub keeps no quotas and this
+        daemon's own part of the quota is used up.
+        """
+        if not self._slots.hub_keeps_quotas:
+            return self.make_locally()
+        if self._organisation and not self.is_made:
+            self.is_made = True
+            self._quotas.record_sent(self._organisation, time.monotonic())
+        return None
+
+    def make_locally(self):
+        """Charges the request without the hub.
+
+        Returns None, or an ErrorResponse if the quota does not allow it now.
+        """
+        if not self._organisation or self.is_made:
+            return None
+        organisation = self._state.table.directory.get(self._organisation)
+        if organisation is None:
+            return None
+        wait_s = self._quotas.charge(
+            organisation, self._slots.daemon_count, time.monotonic()
+        )
+        if wait_s:
+            return self.refusal(wait_s)
+        self.is_made = True
+        return None
+
+    def refusal(self, wait_s):
+        """Returns the ErrorResponse of a request over its quota."""
+        self._metrics.quota_refusals.inc()
+        reason = (
+            f"the quota of {self._organisation!r} allows the next request"
+            f" in {wait_s:.2f} s (hub {self._slots.hub_vm})"
+        )
+        return attempts.ErrorResponse(
+            429, reason, attempts.retry_after_s(min(wait_s, WAIT_MAX_S))
+        )
+
+    def settle(self, run_count):
+        """Gives the charge back if no engine may have run the request."""
+        if self.is_made and not run_count:
+            self.is_made = False
+            self._slots.refund(self._organisation)
