--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -179,7 +179,7 @@
             reporter = self._reporters[report.vm] = Reporter(address)
         if self._first_report_s is None:
             self._first_report_s = now_s
-            self.quotas.reset()
+            self.quotas.reset(now_s)
         if report.seq <= reporter.seq:
             return []
         reporter.address = address
--- a/packages/samphirepost/src/samphirepost/quotas.py
+++ b/packages/samphirepost/src/samphirepost/quotas.py
@@ -103,6 +103,7 @@
     """
 
     __slots__ = (
+        "_began_s",
         "_bounds",
         "_buckets",
         "_directory",
@@ -114,6 +115,7 @@
 
     def __init__(self, bounds):
         self._bounds = bounds
+        self._began_s = 0.0
         self._buckets = {}
         self._directory = None
         self._share = 1.0
@@ -121,8 +123,9 @@
         self._is_informed = False
         self.refused = 0
 
-    def reset(self):
+    def reset(self, now_s):
         """Forgets all buckets: this daemon begins to be the hub."""
+        self._began_s = now_s
         self._buckets.clear()
         self._sent_by_vm.clear()
         self._is_informed = False
@@ -186,7 +189,8 @@
             self._is_informed = True
             per_s, capacity = self._size(organisation)
             level = self._first_level(organisation)
-            bucket = Bucket(per_s, capacity, level, now_s)
+            # It was filled since this daemon became the hub.
+            bucket = Bucket(per_s, capacity, level, self._began_s)
             self._buckets[organisation.name] = bucket
         return bucket
 
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -29,6 +29,7 @@
 def hub(*known, now_s=0.0, bounds=BOUNDS):
     """Returns the HubQuotas of a hub that hears all members."""
     found = quotas.HubQuotas(bounds)
+    found.reset(now_s)
     found.set_directory(
         organisations.Directory({one.name: one for one in known}), now_s
     )
@@ -159,6 +160,13 @@
     assert sum(send(careful, "a", 0.0) for _ in range(200)) < 50
 
 
+def test_an_organisation_that_sends_later_has_its_whole_burst():
+    """A careful hub would refuse its first burst for nothing."""
+    one = organisation(10.0, 200.0)
+    found = hub(one)
+    assert sum(send(found, "a", 60.0) for _ in range(300)) >= 200
+
+
 def test_a_lowered_quota_holds_at_once():
     """The level that the higher one left would still be spent."""
     found = hub(organisation(100.0, 100.0))
