Hub: slots are shared among organisations; new callers first

The queue of online requests is a module of its own, ordered by priority and then by the virtual time of organisations (start-time fair queueing). Items take turns by organisation too. Without organisations the order of items is as before.

Within an organisation new callers go before returning ones, which are past their latency objective already; under lasting overload each slot went to a late caller.

--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -8,14 +8,17 @@
 """
 
 import heapq
+import itertools
 import math
 
 from samphirepost import enginehealth
+from samphirepost import fairqueue
 from samphirepost import poolview
 from samphirepost import quotas
 from samphirepost import ratelimit
 from samphirepost import relays
 from samphirepost import slotmessages
+from samphirepost import waitqueue
 
 # A daemon that has not reported for this long (s) is not counted.
 REPORT_STALE_S = 1.3
@@ -32,6 +35,9 @@
 # Wanted items that are passed over in one allocation, as no engine of their
 # version has a free slot.
 PASSED_ITEMS_MAX = 64
+# Waiting requests that are passed over in one allocation, as no free slot will
+# do for them.
+PASSED_REQUESTS_MAX = 64
 # Totals of a larger fleet would fill the hub's link; its daemons choose among
 # so many engines that they rarely meet without them.
 TOTALS_ENGINES_MAX = 64
@@ -58,11 +64,13 @@
     `confirmed` once its daemon has reported it; `preempted_s` is the instant
     of its preemption, or None. A batch item's job is due at `deadline_s`.
     `relay` is the VM id of the daemon that relays the run, or None.
-    `charged_to` is the organisation whose quota its grant was charged to.
+    `charged_to` is the organisation whose quota its grant was charged to,
+    `charge` the fairqueue.Charge of its slot; None if another hub granted it.
     """
 
     __slots__ = (
         "batch",
+        "charge",
         "charged_to",
         "confirmed",
         "deadline_s",
@@ -75,6 +83,7 @@
 
     def __init__(self, engine, batch, granted_s, confirmed):
         self.relay = None
+        self.charge = None
         self.charged_to = ""
         self.engine = engine
         self.batch = batch
@@ -112,17 +121,6 @@
         self.wanted = {}
 
 
-class WaitingRequest:
-    """An online request that waits for a slot until `expires_s`."""
-
-    __slots__ = ("address", "expires_s", "req")
-
-    def __init__(self, req, address, expires_s):
-        self.req = req
-        self.address = address
-        self.expires_s = expires_s
-
-
 class Allocator:
     """The hub's state. Methods return the messages to send.
 
@@ -133,6 +131,7 @@
     __slots__ = (
         "_engines",
         "_first_report_s",
+        "_item_shares",
         "_me",
         "_pool_names",
         "_queues",
@@ -155,6 +154,7 @@
         self._runs = {}
         self._engines = {}
         self._queues = {}
+        self._item_shares = {}
         self._views = {}
         self._pool_names = {}
         self._wanting = set()
@@ -199,6 +199,7 @@
         for run_id in reporter.run_ids - listed.keys():
             run = self._runs[report.vm, run_id]
             if run.confirmed or now_s - run.granted_s > UNCONFIRMED_S:
+                self._settle(run, now_s - run.granted_s)
                 self._remove_run(report.vm, reporter, run_id)
         for run in report.runs:
             self._confirm_run(report.vm, reporter, run, now_s)
@@ -232,8 +233,15 @@
             self.health.record_failure(run.engine, vm, now_s)
         if end.pace_s:
             self.health.record_pace(run.engine, end.pace_s, now_s)
+        self._settle(run, 0.0 if end.is_unused else now_s - run.granted_s)
         self._remove_run(vm, reporter, end.id)
 
+    def _settle(self, run, used_s):
+        """Corrects what a run's organisation is charged for its slot."""
+        if run.charge is not None:
+            run.charge.settle(used_s)
+            run.charge = None
+
     def _confirm_run(self, vm, reporter, run, now_s):
         known = self._runs.get((vm, run.id))
         if known is None:
@@ -311,6 +319,8 @@
         for vm, reporter in list(self._reporters.items()):
             if now_s - reporter.received_s > REPORT_STALE_S:
                 for run_id in list(reporter.run_ids):
+                    run = self._runs[vm, run_id]
+                    self._settle(run, now_s - run.granted_s)
                     self._remove_run(vm, reporter, run_id)
                 del self._reporters[vm]
                 self._wanting.discard(vm)
@@ -386,7 +396,9 @@
         over_quota = self._check_quota(req, now_s)
         if over_quota is not None:
             return [(address, over_quota)]
-        queue = self._queues.setdefault(req.pool, [])
+        queue = self._queue_of(req.pool)
+        if queue.has(req):
+            return [(address, slotmessages.Queued(self._me, req.id))]
         if not queue or req.never_deny:
             sent = self._grant_online(req, view, now_s)
             if sent:
@@ -412,17 +424,49 @@
         self.quotas.refused += 1
         return slotmessages.Denial(self._me, req.id, wait_s, over_quota=True)
 
+    def _queue_of(self, pool):
+        queue = self._queues.get(pool)
+        if queue is None:
+            queue = self._queues[pool] = waitqueue.WaitQueue()
+        return queue
+
+    def _item_shares_of(self, pool):
+        shares = self._item_shares.get(pool)
+        if shares is None:
+            shares = self._item_shares[pool] = fairqueue.FairQueue()
+        return shares
+
     def _queue(self, queue, req, address, view, now_s):
-        waiting = WaitingRequest(req, address, now_s + req.wait_max_s)
-        urgency = _urgency(waiting)
-        ahead = sum(_urgency(other) <= urgency for other in queue)
+        waiting = waitqueue.WaitingRequest(
+            req, address, now_s + req.wait_max_s
+        )
+        ahead = queue.add(waiting)
+        if self._queue_wait_s(ahead, view, now_s) > req.wait_max_s:
+            return [self._deny(queue, waiting, view, now_s)]
+        sent = [(address, slotmessages.Queued(self._me, req.id))]
+        return sent + self._deny_displaced(queue, view, now_s)
+
+    def _deny(self, queue, waiting, view, now_s):
+        """Denies a waiting request; tells how long it waits if it returns."""
+        queue.remove(waiting)
+        return self._denial(queue, waiting, view, now_s)
+
+    def _denial(self, queue, waiting, view, now_s):
+        ahead = queue.ahead_if_returning(waiting.req)
         wait_s = self._queue_wait_s(ahead, view, now_s)
-        if wait_s > req.wait_max_s:
-            denial = slotmessages.Denial(self._me, req.id, wait_s)
-            return [(address, denial)]
-        queue.append(waiting)
-        queue.sort(key=_urgency)
-        return [(address, slotmessages.Queued(self._me, req.id))]
+        denial = slotmessages.Denial(self._me, waiting.req.id, wait_s)
+        return (waiting.address, denial)
+
+    def _deny_displaced(self, queue, view, now_s):
+        """Denies those at the end that would now wait too long."""
+        sent = []
+        while queue:
+            waiting = queue.last()
+            wait_s = self._queue_wait_s(len(queue) - 1, view, now_s)
+            if now_s + wait_s <= waiting.expires_s:
+                break
+            sent.append(self._deny(queue, waiting, view, now_s))
+        return sent
 
     def _queue_wait_s(self, ahead, view, now_s):
         """Returns how long a request waits behind `ahead` others (s)."""
@@ -531,9 +575,18 @@
                 req.vm, req.zone, engine.id, req.not_through
             )
         charged_to = "" if req.is_charged else req.organisation
-        return self._grant(
+        sent = self._grant(
             req.vm, req.id, engine, False, now_s, relay, charged_to
         )
+        self._runs[req.vm, req.id].charge = self._queue_of(req.pool).start(req)
+        return sent
+
+    def _grant_item(self, vm, wanted, engine, now_s, relay):
+        sent = self._grant(vm, wanted.id, engine, True, now_s, relay)
+        shares = self._item_shares_of(wanted.pool)
+        charge = shares.start_at_once(wanted.organisation)
+        self._runs[vm, wanted.id].charge = charge
+        return sent
 
     def _needs_relay(self, vm, engine_id):
         """Whether a daemon may not reach an engine itself."""
@@ -578,29 +631,61 @@
         return sent
 
     def _serve_queue(self, pool, view, now_s):
+        queue = self._queues.get(pool)
+        if not queue:
+            return []
         sent = []
-        remaining = []
-        for waiting in self._queues.get(pool, ()):
+        if view.free_total or view.items:
+            sent = self._grant_waiting(queue, view, now_s)
+        for waiting in queue.expired(now_s):
+            if self._is_waiting(waiting.req):
+                sent.append(self._denial(queue, waiting, view, now_s))
+        return sent
+
+    def _grant_waiting(self, queue, view, now_s):
+        """Grants the slots that are free, or that items have, in order."""
+        sent = []
+        passed = 0
+        charged = {}
+        for waiting in queue.in_order():
             req = waiting.req
-            reporter = self._reporters.get(req.vm)
-            if reporter is None or req.id in reporter.run_ids:
+            if not self._is_waiting(req):
+                queue.remove(waiting)
                 continue
             over_quota = self._check_quota(req, now_s)
             if over_quota is not None:
+                queue.remove(waiting)
                 sent.append((waiting.address, over_quota))
                 continue
             granted = self._grant_online(req, view, now_s)
             if granted:
                 sent += granted
-            elif now_s >= waiting.expires_s:
-                wait_s = self._queue_wait_s(len(remaining), view, now_s)
-                denial = slotmessages.Denial(self._me, req.id, wait_s)
+                charged[req.priority, req.organisation] = None
+                continue
+            passed += 1
+            if passed >= PASSED_REQUESTS_MAX:
+                break
+        for priority, name in charged:
+            sent += self._deny_over_quota(queue, priority, name, now_s)
+        return sent
+
+    def _deny_over_quota(self, queue, priority, name, now_s):
+        """Denies an organisation's requests once its quota is used up."""
+        if not name or not self.quotas.wait_s(name, now_s):
+            return []
+        sent = []
+        for waiting in queue.of_organisation(priority, name):
+            denial = self._check_quota(waiting.req, now_s)
+            if denial is not None:
+                queue.remove(waiting)
                 sent.append((waiting.address, denial))
-            else:
-                remaining.append(waiting)
-        self._queues[pool] = remaining
         return sent
 
+    def _is_waiting(self, req):
+        """Whether the daemon of a request still waits for its slot."""
+        reporter = self._reporters.get(req.vm)
+        return reporter is not None and req.id not in reporter.run_ids
+
     def _serve_items(self, pool, view, now_s):
         avoided = set(self._avoided(view, now_s))
         avoided |= self.limits.rates(view.engines).keys()
@@ -632,23 +717,35 @@
             if self._needs_relay(vm, engine.id):
                 relay = self.relays.choose(vm, paths.zone, engine.id)
             del self._reporters[vm].wanted[wanted_id]
-            sent.append(self._grant(vm, wanted_id, engine, True, now_s, relay))
+            sent.append(self._grant_item(vm, wanted, engine, now_s, relay))
         return sent
 
     def _most_urgent(self, pool, budget):
         """Returns the wanted slots to serve first, some more than the budget.
 
-        Items that are late anyway come last. Some may find no engine of their
-        version.
+        Items that are late anyway come last, organisations take turns by what
+        they have used, and each one's items are ordered by their due time.
+        Some may find no engine of their version.
         """
-        wanted_slots = (
-            (wanted.late, deadline_s, vm, wanted.id)
-            for vm in self._wanting
-            for wanted, deadline_s in self._reporters[vm].wanted.values()
-            if wanted.pool == pool
-        )
+        in_time, late = {}, {}
+        for vm in self._wanting:
+            for wanted, deadline_s in self._reporters[vm].wanted.values():
+                if wanted.pool == pool:
+                    lines = late if wanted.late else in_time
+                    lines.setdefault(wanted.organisation, []).append(
+                        (wanted.late, deadline_s, vm, wanted.id)
+                    )
         count = math.ceil(budget) + PASSED_ITEMS_MAX
-        return heapq.nsmallest(count, wanted_slots)
+        shares = self._item_shares_of(pool)
+        found = []
+        for lines in (in_time, late):
+            shortened = {
+                name: heapq.nsmallest(count - len(found), line)
+                for name, line in lines.items()
+            }
+            in_turn = shares.in_turn(shortened)
+            found += itertools.islice(in_turn, count - len(found))
+        return found
 
     def _engine_for_item(self, view, version, vm, now_s):
         """Returns an engine with a free slot, a suspect one first.
@@ -715,9 +812,3 @@
     if req.version is None and len(view.engines) > len(req.excluded):
         return False
     return not any(view.is_eligible(one, req) for one in view.engines)
-
-
-def _urgency(waiting):
-    """Returns the sort key of a WaitingRequest, the most urgent first."""
-    req = waiting.req
-    return (req.priority, not req.returns, waiting.expires_s)
--- a/packages/samphirepost/src/samphirepost/slotmessages.py
+++ b/packages/samphirepost/src/samphirepost/slotmessages.py
@@ -179,12 +179,13 @@
 class SlotRequest(msgspec.Struct, frozen=True, array_like=True, tag=12):
     """A daemon asks for a slot for one online request, to run under `id`.
 
-    It waits `wait_max_s` at most; one that `returns` was rejected before and
-    goes before others of its priority. With `never_deny`, it gets an engine
-    even if none has a free slot. `probe` is the cause of crashes, if any, that
-    it has and would probe. Unless `version` is None, only engines of that
-    software version will do. With `relay`, the daemon doubts its own paths to
-    the engines; peers at the addresses `not_through` have failed it.
+    It waits `wait_max_s` at most; one that `returns` was rejected before
+    and goes after new ones of its priority and organisation. With
+    `never_deny`, it gets an engine even if none has a free slot. `probe`
+    is the cause of crashes, if any, that it has and would probe. Unless
+    `version` is None, only engines of that software version will do. With
+    `relay`, the daemon doubts its own paths to the engines; peers at the
+    addresses `not_through` have failed it.
 
     See Run for `organisation`; `is_charged` if its quota was charged for the
     request before. `prompt` has the parts of the prompt in order, on routes
--- /dev/null
+++ b/packages/samphirepost/src/samphirepost/waitqueue.py
@@ -0,0 +1,167 @@
+"""The online requests of one pool that wait for a slot, in order.
+
+The order is by priority, then by the virtual time of organisations. Within an
+organisation, new callers go before returning ones: a caller that returns is
+past its latency objective already and waits longer instead. If returning ones
+went first, under lasting overload each slot would go to a late caller.
+"""
+
+import bisect
+import heapq
+import itertools
+
+from samphirepost import fairqueue
+
+
+class WaitingRequest:
+    """An online request that waits for a slot until `expires_s`.
+
+    `has_left` once it does not wait any more.
+    """
+
+    __slots__ = ("address", "expires_s", "has_left", "number", "req")
+
+    def __init__(self, req, address, expires_s):
+        self.req = req
+        self.address = address
+        self.expires_s = expires_s
+        self.number = 0
+        self.has_left = False
+
+    @property
+    def urgency(self):
+        """The sort key within an organisation, the most urgent first."""
+        return (self.req.returns, self.expires_s, self.number)
+
+    @property
+    def key(self):
+        """Identifies the request among those of all daemons."""
+        return (self.req.vm, self.req.id)
+
+
+class WaitQueue:
+    """The waiting requests of a pool, and what organisations have used."""
+
+    __slots__ = ("_expiries", "_levels", "_lines", "_numbers", "_waiting")
+
+    def __init__(self):
+        self._levels = {}
+        self._lines = {}
+        self._waiting = {}
+        self._expiries = []
+        self._numbers = itertools.count()
+
+    def __len__(self):
+        return len(self._waiting)
+
+    def has(self, req):
+        """Whether a slotmessages.SlotRequest waits already."""
+        return (req.vm, req.id) in self._waiting
+
+    def add(self, waiting):
+        """Adds a WaitingRequest; returns how many are ahead of it."""
+        req = waiting.req
+        waiting.number = next(self._numbers)
+        self._waiting[waiting.key] = waiting
+        line = self._lines.setdefault((req.priority, req.organisation), [])
+        place = bisect.bisect(line, waiting.urgency, key=_urgency)
+        line.insert(place, waiting)
+        level = self._level(req.priority)
+        level.add(req.organisation)
+        heapq.heappush(
+            self._expiries, (waiting.expires_s, waiting.number, waiting)
+        )
+        return self._more_urgent(req.priority) + level.ahead(
+            req.organisation, place
+        )
+
+    def ahead_if_returning(self, req):
+        """Returns how many are ahead of a SlotRequest that returned now."""
+        level = self._level(req.priority)
+        return self._more_urgent(req.priority) + level.ahead_of_next(
+            req.organisation
+        )
+
+    def remove(self, waiting):
+        """Removes a request that gets no slot."""
+        self._leave(waiting)
+        self._levels[waiting.req.priority].remove(waiting.req.organisation)
+
+    def start(self, req):
+        """Charges a request that gets a slot, whether it waited or not.
+
+        Returns the fairqueue.Charge.
+        """
+        level = self._level(req.priority)
+        waiting = self._waiting.get((req.vm, req.id))
+        if waiting is None:
+            return level.start_at_once(req.organisation)
+        self._leave(waiting)
+        return level.start(req.organisation)
+
+    def in_order(self):
+        """Yields the waiting requests in order.
+
+        Each may be started or removed before the next one is asked for.
+        """
+        for priority in sorted(self._levels):
+            level = self._levels[priority]
+            passed = {}
+            index = 0
+            while index < len(level):
+                name = level.name_at(index)
+                waiting = self._lines[priority, name][passed.get(name, 0)]
+                yield waiting
+                if not waiting.has_left:
+                    passed[name] = passed.get(name, 0) + 1
+                    index += 1
+
+    def last(self):
+        """Returns the request that gets a slot last, or None."""
+        for priority in sorted(self._levels, reverse=True):
+            level = self._levels[priority]
+            if level:
+                name = level.name_at(-1)
+                return self._lines[priority, name][-1]
+        return None
+
+    def of_organisation(self, priority, name):
+        """Returns the waiting requests of an organisation."""
+        return list(self._lines.get((priority, name), ()))
+
+    def expired(self, now_s):
+        """Returns the requests whose time to wait is over; removes them."""
+        found = []
+        while self._expiries and self._expiries[0][0] <= now_s:
+            _, _, waiting = heapq.heappop(self._expiries)
+            if not waiting.has_left:
+                self.remove(waiting)
+                found.append(waiting)
+        return found
+
+    def _leave(self, waiting):
+        req = waiting.req
+        waiting.has_left = True
+        del self._waiting[waiting.key]
+        key = (req.priority, req.organisation)
+        line = self._lines[key]
+        del line[bisect.bisect_left(line, waiting.urgency, key=_urgency)]
+        if not line:
+            del self._lines[key]
+
+    def _level(self, priority):
+        level = self._levels.get(priority)
+        if level is None:
+            level = self._levels[priority] = fairqueue.FairQueue()
+        return level
+
+    def _more_urgent(self, priority):
+        return sum(
+            len(level)
+            for other, level in self._levels.items()
+            if other < priority
+        )
+
+
+def _urgency(waiting):
+    return waiting.urgency
