Returning callers wait longer at the hub, behind new ones

A caller that returns is past its latency objective, so it waits up to half of the route's timeout for a slot that new callers leave. While no hub keeps an order, its bound is as before. A daemon does not wait for a hub that is lost.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -310,7 +310,7 @@
         excluded = set(self.history.excluded)
         if len(avoided) < len(engines):
             excluded |= avoided
-        wait_max_s = attempts.queue_wait_max_s(
+        wait_max_s = attempts.hub_wait_max_s(
             self._route, self._req.caller_timeout_s
         )
         req = self._slots.slot_request(
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -171,7 +171,7 @@
             self._hub.answers = False
             self._log.event("hub.silent", hub=self._hub.vm)
         else:
-            self._wait_for_decision(pending, req.wait_max_s, is_disconnected)
+            self._wait_for_decision(pending, req, address, is_disconnected)
         self._pending.pop(req.id, None)
         # The reply may have come after the wait and before the removal.
         reply = pending.reply
@@ -179,11 +179,17 @@
         self._metrics.slots.labels(label).inc()
         return reply
 
-    def _wait_for_decision(self, pending, wait_max_s, is_disconnected):
-        deadline_s = time.monotonic() + wait_max_s + REPLY_TIMEOUT_S
+    def _wait_for_decision(self, pending, req, address, is_disconnected):
+        """Waits until the hub at `address` decides on a SlotRequest.
+
+        Another hub does not know of the request, so it is not waited for.
+        """
+        deadline_s = time.monotonic() + req.wait_max_s + REPLY_TIMEOUT_S
         while not pending.decided.wait(CALLER_POLL_S):
             if is_disconnected() or time.monotonic() > deadline_s:
                 return
+            if self._hub.address != address:
+                return
 
     def slot_request(self, run_id, pool, priority, wait_max_s, **fields):
         """Returns a SlotRequest of this daemon."""
--- a/packages/samphirepost/src/samphirepost/attempts.py
+++ b/packages/samphirepost/src/samphirepost/attempts.py
@@ -19,8 +19,14 @@
 # Share of the latency objective that a request may wait for a slot; the rest
 # is for the prompt and the first event on a full engine.
 QUEUE_SHARE = 0.55
-# The same for a caller that was rejected before, who goes before new callers.
+# The same for a caller that was rejected before, while no hub keeps an order.
 RETRY_QUEUE_SHARE = 0.65
+# Share of the route's timeout that such a caller may wait for a slot at the
+# hub: it is past the latency objective, goes after new callers, and gets the
+# slots that these leave. The share of the timeout that must be left then is
+# for the answer.
+RETRY_WAIT_SHARE = 0.5
+RETRY_ANSWER_SHARE = 0.2
 # A request with less than this share of the route's timeout left is a
 # caller's retry.
 FIRST_TRY_SHARE_MIN = 0.95
@@ -165,6 +171,19 @@
     return share * route.first_byte_s
 
 
+def hub_wait_max_s(route, remaining_s):
+    """Returns how long a request may wait at the hub for a slot (s).
+
+    A new caller is rejected if it would wait longer than queue_wait_max_s().
+    """
+    wait_max_s = queue_wait_max_s(route, remaining_s)
+    if not is_caller_retry(remaining_s, route.timeout_s):
+        return wait_max_s
+    answer_s = RETRY_ANSWER_SHARE * route.timeout_s
+    longest_s = min(RETRY_WAIT_SHARE * route.timeout_s, remaining_s - answer_s)
+    return max(wait_max_s, longest_s)
+
+
 def retry_after_s(wait_s, draw=random.random):
     """Returns the Retry-After time of a rejected caller (s)."""
     return round(wait_s + RETRY_AFTER_MIN_S + RETRY_AFTER_JITTER_S * draw(), 2)
--- a/tests/test_fairsharing.py
+++ b/tests/test_fairsharing.py
@@ -175,6 +175,17 @@
         assert sum(flood.twice[name] for name in "bcd") > 0
 
 
+class TestALastingOverloadWithoutOrganisations:
+    """Load pattern: half as much again as the capacity, to the end."""
+
+    def test_most_of_the_capacity_is_served_in_time(self):
+        """Failure guarded against: each slot goes to a returning caller."""
+        fleet = Fleet({"": 1.5 * CAPACITY_PER_S}, 8.0).run()
+        in_time = fleet.served[""] - fleet.late[""]
+        assert in_time >= 0.9 * CAPACITY_PER_S * (8.0 - BEGIN_S)
+        assert fleet.twice[""] > 0
+
+
 class TestItemsOfSeveralOrganisations:
     """Load pattern: one organisation has a thousand items, one a few."""
 
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -155,6 +155,23 @@
         fresh_s = attempts.queue_wait_max_s(ROUTE, 5.0)
         assert attempts.queue_wait_max_s(ROUTE, 4.2) > fresh_s
 
+    def test_a_caller_that_returns_may_wait_at_the_hub_for_an_answer(self):
+        """It is late already; what it needs is an answer before its timeout.
+
+        A new caller waits no longer than its objective allows.
+        """
+        assert attempts.hub_wait_max_s(ROUTE, 5.0) == (
+            attempts.queue_wait_max_s(ROUTE, 5.0)
+        )
+        assert attempts.hub_wait_max_s(ROUTE, None) == (
+            attempts.queue_wait_max_s(ROUTE, None)
+        )
+        assert attempts.hub_wait_max_s(ROUTE, 4.0) == 2.5
+        assert attempts.hub_wait_max_s(ROUTE, 2.0) == 1.0
+        assert attempts.hub_wait_max_s(ROUTE, 0.5) == (
+            attempts.queue_wait_max_s(ROUTE, 0.5)
+        )
+
     def test_refused_callers_return_spread_and_after_the_queue(self):
         """Else they would retry together and fill the same queue."""
         early = attempts.retry_after_s(0.5, lambda: 0.0)
--- a/tests/test_slotexchange.py
+++ b/tests/test_slotexchange.py
@@ -90,6 +90,27 @@
     )
 
 
+def test_a_request_does_not_wait_for_a_hub_that_is_lost():
+    """The next hub does not know of it; a returning caller may wait long."""
+    exchange = make_exchange()
+    exchange._select_hub(0.0)
+    exchange._hub.answers = True
+    req = exchange.slot_request(7, "plants", 0, 60.0, returns=True)
+    queued = slotmessages.Queued("hub", 7)
+    exchange._send = lambda address, message: exchange._apply_hub_message(
+        queued, 0.0
+    )
+    polls = []
+
+    def is_disconnected():
+        polls.append(exchange._hub.address)
+        exchange._hub.address = ("10.0.0.2", 1)
+        return False
+
+    assert exchange.request(req, is_disconnected) is None
+    assert polls == [ADDRESS]
+
+
 def test_a_datagram_that_cannot_be_decoded_is_dropped():
     """A peer of another version must not end the thread."""
     exchange = make_exchange([(b"\xc1", ADDRESS), (b"\x93\x01\x02", ADDRESS)])
