Find engines whose share of failures stands out against their peers'

The hub compares the last outcomes of each engine with those of the other engines of its pool, instead of a fixed share. A suspect engine that failed part of its runs is released after several successes, is probed first with requests that may be repeated, and has no history after a restart. A status 500 that is passed on to the caller was reported as a success; an item's failures count once the item is complete.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineattempt.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineattempt.py
@@ -12,6 +12,8 @@
 
 # Events of a stream from which an engine's pace is judged.
 PACE_EVENTS_MIN = 6
+# Lowest status of a response that tells a failure of the engine.
+ENGINE_FAILURE_STATUS_MIN = 500
 # Failed attempts that tell nothing about their engine.
 NO_ENGINE_FAILURES = (
     attempts.AttemptFailure.REFUSED,
@@ -95,6 +97,18 @@
             self.last_id = found[-1].id
         return None
 
+    @property
+    def outcome(self):
+        """What the response has shown about its engine so far.
+
+        The failure of a request that may not be repeated is passed on.
+        """
+        if not self.done:
+            return slotmessages.Outcome.UNKNOWN
+        if self.head.status >= ENGINE_FAILURE_STATUS_MIN:
+            return slotmessages.Outcome.FAILED
+        return slotmessages.Outcome.OK
+
     def go_on(self, answer):
         """Goes on with another answer of the engine, an OpenResponse.
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -331,6 +331,7 @@
             is_charged=self._is_charged,
             prompt=self._req.prompt if self._route.sticky else (),
             output_tokens=self._req.output_tokens,
+            is_repeatable=not self.history.is_last_execution,
         )
         return self._slots.request(req, self._is_disconnected)
 
@@ -623,7 +624,7 @@
         response.done = True
         if response.head.status == 200:
             self._record_begun()
-        if response.head.status < 500:
+        if response.head.status < engineattempt.ENGINE_FAILURE_STATUS_MIN:
             self._load_tracker.record_success(response.engine.id)
             return response
         if response.head.status == 503 or not self.history.is_last_execution:
@@ -678,7 +679,7 @@
         """Closes the connection of an attempt; may be called repeatedly.
 
         `outcome` is what the attempt showed about its engine, by default
-        success if the response is complete.
+        success if the response is complete and tells no fault of the engine.
         """
         if response.closed:
             return
@@ -689,9 +690,7 @@
             )
         response.call.close()
         if outcome is None:
-            outcome = slotmessages.Outcome.UNKNOWN
-            if response.done:
-                outcome = slotmessages.Outcome.OK
+            outcome = response.outcome
         self._slots.end_run(response.slot.run_id, outcome, response.pace_s)
 
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -12,6 +12,7 @@
 
 from samphirepost import batchjob
 from samphirepost import errors
+from samphirepost import leaving
 from samphirepost import quarantine
 from samphirepost import routing
 from samphirepost import slotmessages
@@ -624,6 +625,7 @@
                 self._duration_estimator.add_sample(
                     item.tokens, events, duration_s
                 )
+            self._report_failed_engines(held_job, index)
             held_job.finish_item(
                 index,
                 batchjob.Result(
@@ -633,7 +635,7 @@
         elif isinstance(outcome, items.UnprocessableItem):
             held_job.give_up_item(index)
         elif isinstance(outcome, items.FailedRun):
-            self._count_failure(held_job, index)
+            self._count_failure(held_job, run)
         else:
             held_job.running.discard(index)
             if outcome.is_engine_failure:
@@ -642,13 +644,28 @@
             is_lost = _may_have_crashed_engine(run, outcome)
             held_job.postpone_item(index, is_lost, now_s)
 
-    def _count_failure(self, held_job, index):
+    def _count_failure(self, held_job, run):
+        index = run.index
         route = self._find_route(held_job)
         if route is None:
             held_job.running.discard(index)
             return
+        engine = self._parts.state.roster.get(run.engine)
+        if engine is not None:
+            failed_at = held_job.failed_at.setdefault(index, [])
+            failed_at.append(leaving.incarnation(engine))
         held_job.fail_item(index, route.attempts_max)
 
+    def _report_failed_engines(self, held_job, index):
+        """Reports the engines that failed an item which now is complete.
+
+        Until then, the item itself may be what fails.
+        """
+        for failed in held_job.failed_at.pop(index, ()):
+            engine = self._parts.state.roster.get(failed.engine)
+            if engine is not None and leaving.incarnation(engine) == failed:
+                self._parts.slots.record_engine_failure(engine.id)
+
     # Commits.
 
     def _commit_if_due(self, key, held_job, now_s):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
@@ -256,9 +256,9 @@
             self._log_loads()
         if now_s >= self._next_suspects_log_s:
             self._next_suspects_log_s = now_s + SUSPECTS_LOG_INTERVAL_S
-            self._log_suspects()
+            self._log_suspects(now_s)
 
-    def _log_suspects(self):
+    def _log_suspects(self, now_s):
         """Logs the suspect engines and who saw them fail, if changed."""
         health = self._allocator.health
         if health.suspects == self._logged_suspects:
@@ -267,7 +267,7 @@
         self._log.event(
             "hub.suspects",
             engines={
-                engine_id: health.witnesses(engine_id)
+                engine_id: health.witnesses(engine_id, now_s)
                 for engine_id in health.suspects
             },
         )
--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -223,7 +223,7 @@
         if end.is_unused and run.charged_to:
             self.quotas.refund(run.charged_to)
         if end.outcome is slotmessages.Outcome.OK:
-            self.health.record_success(run.engine)
+            self.health.record_success(run.engine, now_s)
             if not run.batch:
                 self.service_time_s += SERVICE_TIME_SAMPLE_SHARE * (
                     now_s - run.granted_s - self.service_time_s
@@ -364,6 +364,7 @@
             self._pool_names.pop(engine_id, None)
             self.health.remove(engine_id)
             self.limits.remove(engine_id)
+        self.health.set_engines(engines)
         self.limits.set_engines(engines)
         self._pool_names |= dict.fromkeys(engine_ids, pool)
         slow = self.health.slow_engines(engine_ids, now_s)
@@ -392,14 +393,10 @@
             if sent:
                 return sent
         if req.never_deny:
-            engine = view.least_occupied(
-                lambda engine_id: (
-                    view.is_eligible(engine_id, req)
-                    and self.limits.allows(engine_id, now_s)
-                )
-            )
-            if engine is not None:
-                return [self._grant_request(req, engine, now_s)]
+            for is_allowed in self._preferences_if_full(req, view, now_s):
+                engine = view.least_occupied(is_allowed)
+                if engine is not None:
+                    return [self._grant_request(req, engine, now_s)]
         return self._queue(queue, req, address, view, now_s)
 
     def _check_quota(self, req, now_s):
@@ -478,8 +475,8 @@
             )
 
         def is_healthy(engine_id):
-            return is_untried(engine_id) and not self.health.is_avoided(
-                engine_id, now_s
+            return is_untried(engine_id) and self.health.may_try(
+                engine_id, req.is_repeatable, now_s
             )
 
         def is_untried(engine_id):
@@ -491,6 +488,24 @@
             return (is_untried,)
         return (is_reliable, is_healthy)
 
+    def _preferences_if_full(self, req, view, now_s):
+        """Returns tests for the ids of engines over their slots.
+
+        An engine that fails has the most free slots, as it is avoided.
+        """
+
+        def is_allowed(engine_id):
+            return view.is_eligible(engine_id, req) and self.limits.allows(
+                engine_id, now_s
+            )
+
+        def is_healthy(engine_id):
+            return is_allowed(engine_id) and not self.health.is_avoided(
+                engine_id, now_s
+            )
+
+        return (is_healthy, is_allowed)
+
     def _preempt(self, req, view, is_allowed, now_s):
         """Grants the slot of the least urgent batch item, if there is one."""
         key = None
--- a/packages/samphirepost/src/samphirepost/batchjob.py
+++ b/packages/samphirepost/src/samphirepost/batchjob.py
@@ -297,13 +297,15 @@
     `pending_failures` the failure counts that are not yet durable, and
     `retry_at_s` the instants before which items are not started again, and
     `lost_counts` the runs in a row that lost their engine before their answer
-    began, by index. `pending_commit` is the commit whose outcome is unknown,
-    or None.
+    began, by index. `failed_at` has the incarnations of the engines at which
+    runs of an item failed, by index. `pending_commit` is the commit whose
+    outcome is unknown, or None.
     """
 
     __slots__ = (
         "commit_started_s",
         "deadline_s",
+        "failed_at",
         "give_up_s",
         "lost_counts",
         "next_heartbeat_s",
@@ -333,6 +335,7 @@
         self.retry_at_s = {}
         self.lost_counts = {}
         self.pending_failures = {}
+        self.failed_at = {}
         self.pending_commit = None
         self.next_heartbeat_s = now_s + HEARTBEAT_S
 
--- a/packages/samphirepost/src/samphirepost/slotmessages.py
+++ b/packages/samphirepost/src/samphirepost/slotmessages.py
@@ -189,7 +189,8 @@
     See Run for `organisation`; `is_charged` if its quota was charged for the
     request before. `prompt` has the parts of the prompt in order, on routes
     that name them, and the answer has `output_tokens` at most, unless that is
-    0.
+    0. Unless `is_repeatable`, no other engine may run the request if the one
+    granted fails.
     """
 
     vm: str
@@ -209,6 +210,7 @@
     is_charged: bool = False
     prompt: tuple[PromptPart, ...] = ()
     output_tokens: int = 0
+    is_repeatable: bool = True
 
 
 class Grant(msgspec.Struct, frozen=True, array_like=True, tag=13):
--- a/tests/test_allocator.py
+++ b/tests/test_allocator.py
@@ -428,6 +428,28 @@
         hub.request(1)
         assert ("vm0", 1) in hub.grants
 
+    def test_a_request_that_cannot_be_refused_avoids_it(self):
+        """Retries went there while all others were full: it has free slots."""
+        hub = Hub(2)
+        self.fail(hub, 2)
+        for i in range(SLOTS + 1):
+            hub.request(i, never_deny=True)
+        assert set(hub.grants.values()) == {"e1"}
+
+    def test_requests_that_may_be_repeated_probe_it_first(self):
+        """Another request waits for a sound engine, or is denied."""
+        hub = Hub(2)
+        self.fail(hub, 2)
+        hub.now_s += enginehealth.AVOID_S
+        for i in range(SLOTS):
+            hub.request(i)
+        hub.request(100, is_repeatable=False)
+        assert ("vm0", 100) not in hub.grants
+        hub.now_s += 0.2
+        hub.allocate()
+        hub.request(101, is_repeatable=True)
+        assert hub.grants["vm0", 101] == "e0"
+
 
 class TestAnEngineThatTurnsSlow:
     """Load pattern: one engine's events take several times as long."""
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -276,6 +276,55 @@
     assert [one["state"] for one in found] == ["dead_letter"]
 
 
+def test_a_failure_that_is_passed_on_is_reported(fleet, monkeypatch):
+    """The hub must hear of each status 500 of an engine as a failure.
+
+    A request that may not be repeated gets the engine's answer; it was
+    reported as a success.
+    """
+    ended = []
+    end_run = fleet.daemons[0].slots.end_run
+
+    def record_and_end(run_id, outcome, *args, **kwargs):
+        ended.append(outcome)
+        end_run(run_id, outcome, *args, **kwargs)
+
+    monkeypatch.setattr(fleet.daemons[0].slots, "end_run", record_and_end)
+    for engine in fleet.engines:
+        engine.faults.append(Fault.FAIL)
+    assert fleet.send_online("r1", "/bills/1").status in (500, 502)
+    assert fleet.ran("r1") == 1
+    assert ended == [slotmessages.Outcome.FAILED]
+
+
+def test_an_engine_is_blamed_for_an_item_once_another_completes_it(
+    fleet, monkeypatch
+):
+    """An item alone may fail at every engine; that is no engine's fault."""
+    blamed = []
+    monkeypatch.setattr(
+        fleet.daemons[0].slots, "record_engine_failure", blamed.append
+    )
+    fleet.engines[0].faults.append(Fault.FAIL)
+    fleet.engines[1].faults.append(Fault.FAIL)
+    fleet.submit("job", 2)
+    found = entryhelper.wait_until(
+        lambda: fleet.complete_results("job"), "the job completes"
+    )
+    assert {one["state"] for one in found} == {"done"}
+    failing = {one.name for one in fleet.engines if not one.faults}
+    assert set(blamed) == failing
+    blamed.clear()
+    for engine in fleet.engines:
+        engine.faults.extend([Fault.FAIL] * 9)
+    fleet.submit("never", 1)
+    found = entryhelper.wait_until(
+        lambda: fleet.complete_results("never"), "the job completes"
+    )
+    assert [one["state"] for one in found] == ["dead_letter"]
+    assert blamed == []
+
+
 def test_an_ended_job_stops(pair):
     """Closing a job must stop its runs on engines, at any daemon.
 
