--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -7,6 +7,7 @@
 engine's queue and nothing else. All instants are monotonic seconds.
 """
 
+import collections
 import heapq
 import itertools
 import math
@@ -36,8 +37,10 @@
 # version has a free slot.
 PASSED_ITEMS_MAX = 64
 # Waiting requests that are passed over in one allocation, as no free slot will
-# do for them.
-PASSED_REQUESTS_MAX = 64
+# do for them, and those of them that are tried of each version and excluded
+# engines: what all the others of these need is not free either.
+PASSED_REQUESTS_MAX = 256
+TRIED_REQUESTS_MAX = 4
 # Totals of a larger fleet would fill the hub's link; its daemons choose among
 # so many engines that they rarely meet without them.
 TOTALS_ENGINES_MAX = 64
@@ -634,9 +637,7 @@
         queue = self._queues.get(pool)
         if not queue:
             return []
-        sent = []
-        if view.free_total or view.items:
-            sent = self._grant_waiting(queue, view, now_s)
+        sent = self._grant_waiting(queue, view, now_s)
         for waiting in queue.expired(now_s):
             if self._is_waiting(waiting.req):
                 sent.append(self._denial(queue, waiting, view, now_s))
@@ -646,8 +647,11 @@
         """Grants the slots that are free, or that items have, in order."""
         sent = []
         passed = 0
+        failures = collections.Counter()
         charged = {}
         for waiting in queue.in_order():
+            if not view.free_total and not view.items:
+                break
             req = waiting.req
             if not self._is_waiting(req):
                 queue.remove(waiting)
@@ -657,11 +661,15 @@
                 queue.remove(waiting)
                 sent.append((waiting.address, over_quota))
                 continue
-            granted = self._grant_online(req, view, now_s)
+            needs = (req.version, req.excluded)
+            granted = []
+            if failures[needs] < TRIED_REQUESTS_MAX:
+                granted = self._grant_online(req, view, now_s)
             if granted:
                 sent += granted
                 charged[req.priority, req.organisation] = None
                 continue
+            failures[needs] += 1
             passed += 1
             if passed >= PASSED_REQUESTS_MAX:
                 break
--- a/tests/test_allocator.py
+++ b/tests/test_allocator.py
@@ -403,6 +403,43 @@
             assert len(hub.grants) == 100
         assert looked_at[1] <= looked_at[0]
 
+    def test_the_work_of_a_free_slot_does_not_grow_with_the_queue(
+        self, monkeypatch
+    ):
+        """Load pattern: hundreds of returning callers wait for seconds.
+
+        Also if the slots that are free are of no use to them: a hub that
+        tries all of them after each message answers nobody in time.
+        """
+        tried = []
+        grant = allocator.Allocator._grant_online
+
+        def count_and_grant(self, req, view, now_s):
+            tried.append(req.id)
+            return grant(self, req, view, now_s)
+
+        monkeypatch.setattr(
+            allocator.Allocator, "_grant_online", count_and_grant
+        )
+        hub = Hub(2)
+        for vm in ("w0", "w1"):
+            hub.report(runs=[slotmessages.Run(1, "e1")], vm=vm)
+            failed = slotmessages.RunEnd(1, slotmessages.Outcome.FAILED)
+            hub.report(ended=[failed], vm=vm)
+        for i in range(SLOTS):
+            hub.request(1, vm=f"vm{i}")
+        for i in range(500):
+            hub.request(2, vm=f"vm{i}", returns=True, wait_max_s=100.0)
+        assert hub.allocator.waiting_count == 500
+        tried.clear()
+        hub.allocate()
+        assert 0 < len(tried) <= allocator.TRIED_REQUESTS_MAX
+        end = slotmessages.RunEnd(1, slotmessages.Outcome.OK)
+        tried.clear()
+        hub.report(ended=[end], vm="vm3")
+        assert hub.allocator.waiting_count == 499
+        assert len(tried) <= 1 + allocator.TRIED_REQUESTS_MAX
+
     def test_totals_fit_a_datagram(self):
         """They are left out for a fleet of many engines."""
         hub = Hub(3000)
