--- a/packages/samphirepost/src/samphirepost/waitqueue.py
+++ b/packages/samphirepost/src/samphirepost/waitqueue.py
@@ -30,8 +30,12 @@
 
     @property
     def urgency(self):
-        """The sort key within an organisation, the most urgent first."""
-        return (self.req.returns, self.expires_s, self.number)
+        """The sort key within an organisation, the most urgent first.
+
+        What must not be denied was attempted before, or resumes a stream.
+        """
+        req = self.req
+        return (not req.never_deny, req.returns, self.expires_s, self.number)
 
     @property
     def key(self):
--- a/tests/test_fairqueue.py
+++ b/tests/test_fairqueue.py
@@ -2,6 +2,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 
 from samphirepost import fairqueue
 from samphirepost import slotmessages
@@ -246,6 +247,14 @@
 class TestTheQueueOfAPool:
     """Requests of several priorities and organisations wait together."""
 
+    def test_what_is_under_way_goes_before_new_callers(self):
+        """A stream that a returning caller resumes breaks if it waits."""
+        queue = waitqueue.WaitQueue()
+        queue.add(make_waiting(1, 0, "", False, 0.1))
+        resumed = make_waiting(2, 0, "", True, 2.0)
+        resumed.req = msgspec.structs.replace(resumed.req, never_deny=True)
+        assert queue.add(resumed) == 0
+
     @hypothesis.given(_REQUESTS)
     def test_each_waiting_request_is_looked_at_once(self, requests):
         """While others are started and removed: no slot is left unused.
