--- a/packages/samphirepost/src/samphirepost/memorybudget.py
+++ b/packages/samphirepost/src/samphirepost/memorybudget.py
@@ -3,8 +3,10 @@
 Every reader takes from the budget before it keeps data, and gives back what
 it drops. Each kind of data has a part of the budget of its own. Within a kind,
 dynamic thresholds (Choudhury and Hahne, 1998) bound each holder: it may have
-as much as is free, so that one holder gets half of the kind at most, two get
-a third each, and there is always room for one more.
+as much as it leaves free, so that one holder gets half of the kind at most and
+two get a third each if they grow together. Holders that come one after the
+other halve what is free each time; a reserve for small holders is therefore
+never given to large ones.
 """
 
 import enum
@@ -12,10 +14,13 @@
 
 # Part of a VM's memory that is kept for others; the rest is for the process
 # itself and for what an allocator cannot return.
-BUDGET_SHARE = 0.4
+BUDGET_SHARE = 0.5
 # A VM of unknown size counts as the smallest one (MB).
 MEMORY_DEFAULT_MB = 160.0
 BYTES_PER_MB = 1_000_000
+# Part of each kind that only holders of up to SMALL_BYTES get.
+RESERVE_SHARE = 1 / 16
+SMALL_BYTES = 65_536
 
 
 class Kind(enum.Enum):
@@ -28,12 +33,14 @@
     STORE = "store"
 
 
-# Part of the budget for each kind.
+# Part of the budget for each kind. On the smallest VM, the part of callers has
+# room for two bodies of the largest legal size with a copy each, and that of
+# relays for one order with such a body.
 SHARES = {
     Kind.CALLER: 0.35,
     Kind.ENGINE: 0.25,
-    Kind.ITEM: 0.15,
-    Kind.RELAY: 0.1,
+    Kind.ITEM: 0.13,
+    Kind.RELAY: 0.12,
     Kind.STORE: 0.15,
 }
 
@@ -41,12 +48,19 @@
 class _Part:
     """The bytes of one kind, by holder."""
 
-    __slots__ = ("free", "held", "size")
+    __slots__ = ("free", "held", "reserve", "size")
 
     def __init__(self, size):
         self.size = size
         self.free = size
         self.held = {}
+        self.reserve = int(RESERVE_SHARE * size)
+
+    def admits(self, held, left):
+        """Whether a holder may have `held` bytes, which leaves `left` free."""
+        if held > SMALL_BYTES:
+            left -= self.reserve
+        return held <= left
 
 
 class Budget:
@@ -71,10 +85,12 @@
 
     def take(self, kind, holder, count):
         """Takes bytes for a holder; returns whether they were free."""
+        if not count:
+            return True
         part = self._parts[kind]
         with self._lock:
             held = part.held.get(holder, 0) + count
-            if held > part.free:
+            if not part.admits(held, part.free - count):
                 self.refused[kind] += 1
                 return False
             part.free -= count
