Listeners keep within the memory budget whatever callers send

Connections, heads, bodies and answers that are not read yet take bytes from the budget before they are kept. A caller that finds it empty gets 503 from the listener's thread; requests that are late to be complete give way first. Heads, empty lines before a request, the time of a head, silence in a body and the number of connections are bounded. Answers no longer wait in the thread of their request for callers that read slowly.

--- a/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
@@ -109,14 +109,17 @@
 class Daemon:
     """One entry daemon; its ports and settings survive a restart.
 
-    `program` is what the next start runs.
+    `program` is what the next start runs. `settings` replaces single settings
+    of the daemon; those of `listen` are merged with the addresses.
     """
 
-    def __init__(self, name, store_proxy, folder):
+    def __init__(self, name, store_proxy, folder, settings=None):
         self.name = name
         self.store_proxy = store_proxy
         self.callers_port = fleet.free_port()
         self.readiness_port = fleet.free_port()
+        self.peer_port = fleet.free_port()
+        self._changes = settings or {}
         self._folder = folder
         self._path = folder / f"{name}.json"
         self._path.write_text(json.dumps(self._settings()))
@@ -124,19 +127,21 @@
         self.program = ENTRY_PROGRAM
 
     def _settings(self):
+        listen = {
+            "callers": f"{fleet.HOST}:{self.callers_port}",
+            "readiness": f"{fleet.HOST}:{self.readiness_port}",
+        }
         return {
             "id": self.name,
             "zone": "a",
-            "listen": {
-                "callers": f"{fleet.HOST}:{self.callers_port}",
-                "readiness": f"{fleet.HOST}:{self.readiness_port}",
-            },
             "store": {
                 "address": f"{fleet.HOST}:{self.store_proxy.port}",
             },
             "peer_address": fleet.HOST,
-            "peer_port": fleet.free_port(),
+            "peer_port": self.peer_port,
             "stop_s": STOP_GRACE_S,
+            **self._changes,
+            "listen": listen | self._changes.get("listen", {}),
         }
 
     def start(self):
@@ -255,11 +260,16 @@
 class Fleet:
     """A store, engines and daemons; a context manager that stops them.
 
-    See Engine for `new_engine`.
+    See Engine for `new_engine`, and Daemon for `settings`.
     """
 
     def __init__(
-        self, daemons, engines, folder=None, new_engine=streamengine.Engine
+        self,
+        daemons,
+        engines,
+        folder=None,
+        new_engine=streamengine.Engine,
+        settings=None,
     ):
         self.folder = pathlib.Path(folder or tempfile.mkdtemp("-soak"))
         self.store = storeserver.StoreServer()
@@ -277,6 +287,7 @@
                 f"vm-{number}",
                 self.proxies.open_proxy(self.store.address),
                 self.folder,
+                settings,
             )
             for number in range(daemons)
         ]
--- a/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
@@ -87,7 +87,8 @@
     have no length and end with the connection; a CUT ends them between two
     events only below `cut_paths`, and inside an event elsewhere. If
     `says_leaving`, its answers say that it leaves. `born` tells incarnations
-    of an engine apart.
+    of an engine apart. Each event has `padding` bytes more; `sent_ids` are the
+    requests whose answers were sent whole.
     """
 
     daemon_threads = True
@@ -118,6 +119,8 @@
         self.unframed = False
         self.cut_paths = ("/",)
         self.born = 0
+        self.padding = 0
+        self.sent_ids = []
         self.has_crashed = False
         self._connections = set()
 
@@ -296,7 +299,8 @@
             + (self.server.events - arrival.resume_after) // 2
         )
         for number in range(arrival.resume_after + 1, self.server.events + 1):
-            event = f"id: {number}\ndata: {arrival.id}:{number}\n\n".encode()
+            text = f"{arrival.id}:{number}" + "x" * self.server.padding
+            event = f"id: {number}\ndata: {text}\n\n".encode()
             if fault is Fault.CUT_EVENT and number > half:
                 event = event[: len(event) // 2]
             if fault is Fault.CUT and number > half:
@@ -308,6 +312,7 @@
         else:
             if not self.server.unframed:
                 self.wfile.write(b"0\r\n\r\n")
+            self.server.sent_ids.append(arrival.id)
             return None
         self.close_connection = True
         return None
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/enginerelay.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/enginerelay.py
@@ -82,6 +82,8 @@
         """Answers one order; see tunnel for the response."""
         try:
             order = _order_decoder.decode(environ["wsgi.input"].read())
+            # The order has a copy of the data; only one is counted.
+            environ["wsgi.input"].close()
         except codec.UNREADABLE:
             return self._refuse(start_response, "unreadable", 400)
         engine = self._parts.state.roster.get(order.engine)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/metrics.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/metrics.py
@@ -53,6 +53,11 @@
             "Requests refused as their organisation's quota is used up",
             registry=self.registry,
         )
+        self.caller_refusals = self._counter(
+            "caller_refusals",
+            "Connections refused or cut by a listener's limits or memory",
+            ["listener", "kind"],
+        )
         self.organisation_requests = self._counter(
             "organisation_requests",
             "Online requests ended, by organisation",
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
@@ -79,7 +79,7 @@
     def _send_body(self, response):
         self._exchange.close(response)
         self._finish("answered")
-        yield response.body
+        yield from web.pieces(response.body)
 
     def _relay_stream(self, response):
         outcome, reason = "cut", None
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/settings.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/settings.py
@@ -14,12 +14,19 @@
     """Addresses (IP:PORT) that the daemon listens on.
 
     `callers` is for callers, `readiness` for readiness checks and metrics.
-    `threads` is the largest number of callers' requests served at a time.
+    `threads` is the largest number of callers' requests served at a time, and
+    `connections` that of callers' connections. See callerguard.Limits for the
+    others.
     """
 
     callers: str
     readiness: str
     threads: int = 64
+    connections: int = 1000
+    head_bytes: int = 32_768
+    head_s: float = 10.0
+    body_silence_s: float = 15.0
+    empty_line_bytes: int = 1_024
 
 
 class StoreSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -96,4 +103,22 @@
                 errors.Kind.BAD_SETTINGS,
                 f"{path}: must be a number from 0 on - at `$.{field}`",
             )
+    return _check_limits(path, cfg)
+
+
+def _check_limits(path, cfg):
+    """Returns the settings, or a Failure if a listener would refuse all."""
+    numbers_by_field = {
+        "listen.connections": cfg.listen.connections,
+        "listen.head_bytes": cfg.listen.head_bytes,
+        "listen.head_s": cfg.listen.head_s,
+        "listen.body_silence_s": cfg.listen.body_silence_s,
+        "listen.empty_line_bytes": cfg.listen.empty_line_bytes,
+    }
+    for field, number in numbers_by_field.items():
+        if not math.isfinite(number) or number <= 0:
+            return errors.Failure(
+                errors.Kind.BAD_SETTINGS,
+                f"{path}: must be a number above 0 - at `$.{field}`",
+            )
     return cfg
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/storerelay.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/storerelay.py
@@ -153,6 +153,8 @@
         """Answers one store request of a peer."""
         try:
             request = _request_decoder.decode(environ["wsgi.input"].read())
+            # The request has a copy of the data; only one is counted.
+            environ["wsgi.input"].close()
         except codec.UNREADABLE as exc:
             text = f"the call is not readable: {exc}\n".encode()
             return web.send_response(start_response, 400, text, "text/plain")
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/web.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/web.py
@@ -19,6 +19,9 @@
 # Longest time of a request that submits, reads or closes a job (s), while the
 # store works.
 JOB_REQUEST_MAX_S = 3.0
+# Size of the pieces in which a body is passed to the listener, which copies
+# each of them.
+PIECE_BYTES = 65_536
 
 
 def status_line(status):
@@ -29,8 +32,10 @@
         return f"{status} -"
 
 
-def _body(data):
-    yield data
+def pieces(data):
+    """Yields a complete body in pieces."""
+    for start in range(0, max(1, len(data)), PIECE_BYTES):
+        yield data[start : start + PIECE_BYTES]
 
 
 def send_response(
@@ -38,7 +43,7 @@
 ):
     """Starts a response and returns its WSGI body."""
     start_response(status_line(status), [("Content-Type", content_type)])
-    return _body(data)
+    return pieces(data)
 
 
 def send_error_response(start_response, error):
@@ -47,7 +52,7 @@
     if error.retry_after_s is not None:
         headers.append(("Retry-After", f"{error.retry_after_s:g}"))
     start_response(status_line(error.status), headers)
-    return _body(error.reason.encode() + b"\n")
+    return pieces(error.reason.encode() + b"\n")
 
 
 def answer_disconnected(start_response):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -4,6 +4,8 @@
 import secrets
 import time
 
+import msgspec
+
 from samphirepost import crashes
 from samphirepost import memorybudget
 from samphirepost import quarantine
@@ -12,6 +14,7 @@
 from samphirepost import relays
 from samphirepost import selection
 from samphirepost import streamversions
+from samphirepost_daemon import callerguard
 from samphirepost_daemon.entry import batch
 from samphirepost_daemon.entry import boundedhttp
 from samphirepost_daemon.entry import engineclient
@@ -24,6 +27,7 @@
 from samphirepost_daemon.entry import online
 from samphirepost_daemon.entry import pathmonitor
 from samphirepost_daemon.entry import quarantinetable
+from samphirepost_daemon.entry import refusals
 from samphirepost_daemon.entry import slots
 from samphirepost_daemon.entry import state
 from samphirepost_daemon.entry import storeclock
@@ -38,9 +42,13 @@
 
 READINESS_THREADS = 2
 STORE_RELAY_THREADS = 8
-# Connections per listener. A VM has at least 4,100 file descriptors, and each
-# request needs a second one for its connection to an engine.
-CONNECTIONS_MAX = 2000
+# Connections of the listeners for peers and for readiness checks. A VM has at
+# least 1,638 file descriptors; `listen.connections` is that of callers. Each
+# request and each relayed run needs a second one, to an engine.
+PEER_CONNECTIONS_MAX = 200
+READINESS_CONNECTIONS_MAX = 50
+# A relayed order keeps its body once.
+RELAY_BODY_COPIES = 1
 # A connection without a request is closed after this time (s).
 IDLE_TIMEOUT_S = 60
 # Longest wait of one feed of the members table. Its changes are not urgent: a
@@ -153,7 +161,10 @@
         self.engine_relay = enginerelay.EngineRelayApp(
             parts, lambda: self.slots.hub_selector.members
         )
+        limits = _caller_limits(cfg.listen)
         self.relay = _make_listener(
+            parts,
+            "peers",
             web.PathDispatcher(
                 {
                     storerelay.PATH: storerelay.RelayApp(store_client),
@@ -162,6 +173,9 @@
             ),
             f"{cfg.peer_address}:{cfg.peer_port}",
             STORE_RELAY_THREADS + relays.RUNS_MAX,
+            PEER_CONNECTIONS_MAX,
+            memorybudget.Kind.RELAY,
+            msgspec.structs.replace(limits, body_copies=RELAY_BODY_COPIES),
         )
         self.membership = members.MembershipWriter(
             store_client, me, cfg.peer_address, cfg.peer_port, parts.log
@@ -218,10 +232,24 @@
             batch.JobHandler(parts, job_store, self.actor),
         )
         self.callers = _make_listener(
-            app, cfg.listen.callers, cfg.listen.threads
+            parts,
+            "callers",
+            app,
+            cfg.listen.callers,
+            cfg.listen.threads,
+            cfg.listen.connections,
+            memorybudget.Kind.CALLER,
+            limits,
         )
         self.readiness = _make_listener(
-            web.ReadinessApp(parts), cfg.listen.readiness, READINESS_THREADS
+            parts,
+            "readiness",
+            web.ReadinessApp(parts),
+            cfg.listen.readiness,
+            READINESS_THREADS,
+            READINESS_CONNECTIONS_MAX,
+            memorybudget.Kind.CALLER,
+            limits,
         )
 
     def _peer_addresses(self):
@@ -239,13 +267,28 @@
         self.log.failure("fault", where=where, error=repr(args.exc_value))
 
 
-def _make_listener(app, address, threads):
+def _caller_limits(cfg):
+    """Returns the limits of all listeners."""
+    return callerguard.Limits(
+        cfg.head_bytes,
+        cfg.head_s,
+        cfg.body_silence_s,
+        cfg.empty_line_bytes,
+    )
+
+
+def _make_listener(
+    parts, name, app, address, threads, connections, kind, limits
+):
     return listener.Listener(
         app,
         address,
         threads,
         BODY_BYTES_MAX,
-        CONNECTIONS_MAX,
+        connections,
         IDLE_TIMEOUT_S,
         keep_proxy_headers=True,
+        guard=callerguard.Guard(
+            parts.budget, kind, limits, refusals.RefusalReport(parts, name)
+        ),
     )
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/listener.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/listener.py
@@ -4,14 +4,19 @@
 import time
 
 import waitress
+from waitress import adjustments
 from waitress import task
 from waitress import wasyncore
 
+from samphirepost_daemon import boundedchannel
+
 FLUSH_POLL_S = 0.02
 FLUSH_MAX_S = 5.0
 CLOSE_POLL_S = 0.01
 # Connections that may wait for accept: those of a burst of one second.
 BACKLOG = 1024
+# Interval at which a guarded listener checks the times of its connections.
+CHECK_INTERVAL_S = 1
 
 
 class GrowingDispatcher(task.ThreadedTaskDispatcher):
@@ -45,7 +50,8 @@
 
     Each kind of request has a listener of its own, so that one kind cannot
     occupy the threads of another. `idle_s` is the time after which an idle
-    connection is closed.
+    connection is closed. With a callerguard.Guard, connections keep within its
+    limits and its memory.
     """
 
     def __init__(
@@ -57,26 +63,31 @@
         connections_max,
         idle_s,
         keep_proxy_headers=False,
+        guard=None,
     ):
         host, _, port = address.rpartition(":")
-        self._server = waitress.create_server(
-            app,
-            map={},
-            _dispatcher=GrowingDispatcher(threads_max),
-            host=host,
-            port=int(port),
-            max_request_body_size=body_bytes_max,
-            inbuf_overflow=body_bytes_max,
-            outbuf_overflow=body_bytes_max,
-            connection_limit=connections_max,
-            channel_timeout=idle_s,
-            cleanup_interval=5,
-            channel_request_lookahead=1,
-            asyncore_use_poll=True,
-            ident=None,
-            backlog=BACKLOG,
-            clear_untrusted_proxy_headers=not keep_proxy_headers,
-        )
+        options = {
+            "host": host,
+            "port": int(port),
+            "max_request_body_size": body_bytes_max,
+            "inbuf_overflow": body_bytes_max,
+            "outbuf_overflow": body_bytes_max,
+            "connection_limit": connections_max,
+            "channel_timeout": idle_s,
+            "cleanup_interval": 5,
+            "channel_request_lookahead": 1,
+            "asyncore_use_poll": True,
+            "ident": None,
+            "backlog": BACKLOG,
+            "clear_untrusted_proxy_headers": not keep_proxy_headers,
+        }
+        dispatcher = GrowingDispatcher(threads_max)
+        if guard is None:
+            self._server = waitress.create_server(
+                app, map={}, _dispatcher=dispatcher, **options
+            )
+        else:
+            self._server = _bounded_server(guard, app, dispatcher, options)
         self._thread = threading.Thread(target=self._server.run, daemon=True)
 
     def start(self):
@@ -136,3 +147,14 @@
             if not any(c.total_outbufs_len for c in channels):
                 return
             pause.wait(FLUSH_POLL_S)
+
+
+def _bounded_server(guard, app, dispatcher, options):
+    """Returns the server of a listener with a guard."""
+    options = options | {
+        "max_request_header_size": guard.limits.head_bytes,
+        "cleanup_interval": CHECK_INTERVAL_S,
+    }
+    return boundedchannel.BoundedServer(
+        guard, app, adjustments.Adjustments(**options), dispatcher
+    )
--- a/packages/samphirepost/src/samphirepost/memorybudget.py
+++ b/packages/samphirepost/src/samphirepost/memorybudget.py
@@ -112,6 +112,11 @@
         """Returns all bytes of a kind, free or not."""
         return self._parts[kind].size
 
+    def largest(self, kind):
+        """Returns the most that one holder gets while there is no other."""
+        part = self._parts[kind]
+        return max((part.size - part.reserve) // 2, SMALL_BYTES)
+
     def held(self, kind):
         """Returns the bytes of a kind that are kept."""
         part = self._parts[kind]
--- a/tests/test_entrysettings.py
+++ b/tests/test_entrysettings.py
@@ -41,6 +41,16 @@
     assert "store.address" in found.reason
 
 
+@pytest.mark.parametrize("name", ["connections", "head_s", "head_bytes"])
+@pytest.mark.parametrize("number", [0, -1])
+def test_a_limit_that_refuses_all_callers_is_refused(tmp_path, name, number):
+    """A daemon with it would look ready and serve nobody."""
+    listen = SOUND["listen"] | {name: number}
+    found = read(tmp_path, {**SOUND, "listen": listen})
+    assert isinstance(found, errors.Failure)
+    assert f"listen.{name}" in found.reason
+
+
 def test_a_field_that_is_not_known_is_refused(tmp_path):
     """It may be a misspelt one."""
     found = read(tmp_path, {**SOUND, "stop": 3})
--- a/tests/test_memorybudget.py
+++ b/tests/test_memorybudget.py
@@ -68,6 +68,13 @@
     assert found.held_by(KIND, "a") <= found.size(KIND) / 2
 
 
+def test_a_holder_gets_the_largest_size_in_calm():
+    """Else a reader refuses for good what would have been served."""
+    found = budget()
+    assert not found.take(KIND, "a", found.largest(KIND) + 1)
+    assert found.take(KIND, "a", found.largest(KIND))
+
+
 @hypothesis.given(strategies.integers(1, 16))
 def test_there_is_room_for_one_more_small_holder(count):
     """Holders that take all they can get must not shut a new one out.
