Items leave slots free by the recent rise of online use

An arrival that finds no free slot stops an item and waits until it has left. The reserve now follows the largest recent rise within that time, up to the recent peak of online use, and is at least what it was before.

--- a/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
@@ -145,6 +145,27 @@
         return 1 if mutate.run(pathlib.Path.cwd(), self.only) else 0
 
 
+@cappa.command(
+    name="reserve-model", help="Compares rules for the reserve of slots."
+)
+@dataclasses.dataclass
+class ReserveModel:
+    """The rules for the slots that items leave free, in a model."""
+
+    seed: typing.Annotated[
+        int, cappa.Arg(long=True, help="Seed of the model.")
+    ] = 1
+    online: typing.Annotated[
+        float,
+        cappa.Arg(long=True, help="Time an online request has a slot (s)."),
+    ] = 0.7
+
+    def __call__(self):
+        from samphirepost_bench import reservemodel
+
+        reservemodel.print_table(self.seed, self.online)
+
+
 @cappa.command(name="experiment", help="Compares policies under load.")
 @dataclasses.dataclass
 class Experiment:
@@ -381,6 +402,7 @@
     | Service
     | Demo
     | Mutate
+    | ReserveModel
     | Experiment
     | Slopes
     | Relay
--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -10,6 +10,7 @@
 import heapq
 import math
 
+from samphirepost import demandpeaks
 from samphirepost import enginehealth
 from samphirepost import poolview
 from samphirepost import quotas
@@ -40,11 +41,8 @@
 UNCONFIRMED_S = 0.3
 # Interval (s) after which a preemption that was not followed is sent again.
 PREEMPTION_RETRY_S = 0.1
-# Slots that batch items leave free, in standard deviations of the number of
-# online requests that run: arrivals are random, so that number varies by the
-# square root of its mean. A smaller reserve starts items that the next
-# arrivals stop; late items leave a share of all slots besides.
-RESERVE_DEVIATIONS = 0.5
+# Share of all slots that late items leave free, besides the reserve for online
+# arrivals.
 LATE_RESERVE_SHARE = 0.12
 # Initial estimate of the time that an online request occupies a slot (s), and
 # the weight of each completed request in its moving average.
@@ -134,6 +132,7 @@
         "_engines",
         "_first_report_s",
         "_me",
+        "_peaks",
         "_pool_names",
         "_queues",
         "_reporters",
@@ -157,6 +156,7 @@
         self._queues = {}
         self._views = {}
         self._pool_names = {}
+        self._peaks = {}
         self._wanting = set()
         self._first_report_s = None
         self.health = enginehealth.FleetHealth()
@@ -259,6 +259,10 @@
             view.online += not run.batch
             if run.batch:
                 view.items.add((vm, run_id))
+            elif not run.confirmed:
+                # Runs that are only reported began before.
+                peaks = self._peaks_at(run.engine)
+                peaks.record_start(view.online, run.granted_s)
             view.update(run.engine, load)
 
     def _remove_run(self, vm, reporter, run_id):
@@ -276,6 +280,8 @@
         if view is not None:
             view.online -= not run.batch
             view.items.discard((vm, run_id))
+            if not run.batch:
+                self._peaks_at(run.engine).record_end()
             view.update(run.engine, load)
         if load.is_idle:
             del self._engines[run.engine]
@@ -287,6 +293,19 @@
             return None
         return view
 
+    def _peaks_at(self, engine_id):
+        """Returns the DemandPeaks of an engine's pool."""
+        pool = self._pool_names[engine_id]
+        peaks = self._peaks.get(pool)
+        if peaks is None:
+            peaks = self._peaks[pool] = demandpeaks.DemandPeaks()
+        return peaks
+
+    def _reserved(self, pool, view, now_s):
+        """Returns the slots that items leave free for online arrivals."""
+        peaks = self._peaks.get(pool, demandpeaks.NONE)
+        return peaks.reserved(view.online, now_s)
+
     def _repeat_preemptions(self, vm, reporter, now_s):
         ids = []
         for run_id in reporter.run_ids:
@@ -612,7 +631,7 @@
             for one in self.limits.rates(view.engines)
             if not self.health.is_avoided(one, now_s)
         )
-        budget = free - RESERVE_DEVIATIONS * math.sqrt(view.online)
+        budget = free - self._reserved(pool, view, now_s)
         if budget <= 0:
             return []
         sent = []
