Items that were stopped or are about to be late give way last

Daemons tell how long a run is expected to go on and how often its item was preempted (Run, WantedSlot: needs_ms, preemptions; defaults for older builds). The hub stops items that are late anyway first, those at risk last, and among the others those that were stopped least often, then those that can wait longest. An item is known by its wanted slot until its run is reported.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -403,6 +403,8 @@
             held_job.record.organisation,
             wire.prompt_of(item) if route.sticky else (),
             wire.output_tokens_of(item),
+            round(self._remaining_s(held_job, index) * 1000),
+            partial.preemptions if partial else 0,
         )
 
     def _start_without_hub(self, wanted, now_s):
@@ -483,6 +485,7 @@
         del self._wanted[key, index]
         held_job.running.add(index)
         late = self._is_late(held_job, index, now_s)
+        remaining_s = self._remaining_s(held_job, index)
         run = holdermessages.ItemRun(
             run_id, key, index, engine, partial, through
         )
@@ -495,6 +498,8 @@
             late=late,
             deadline_s=held_job.deadline_s,
             organisation=held_job.record.organisation,
+            end_s=now_s + remaining_s if remaining_s else None,
+            preemptions=partial.preemptions,
         )
         self._item_executor.submit(
             self._call_logged, self._run_item, run, held_job, engine
@@ -505,16 +510,24 @@
         """Stops items whose slots the hub gave to online requests."""
         for run_id in message.run_ids:
             run = self._item_runs.get(run_id)
-            if run is not None:
-                run.stop()
+            if run is None:
+                continue
+            if not run.stop_requested:
+                # The hub repeats a preemption until the run has ended.
+                run.partial.preemptions += 1
+            run.stop()
 
     def _is_late(self, held_job, index, now_s):
         """Whether an item is unlikely to complete by its job's deadline."""
+        left_s = self._remaining_s(held_job, index)
+        return now_s + FEASIBLE_SHARE * left_s > held_job.deadline_s
+
+    def _remaining_s(self, held_job, index):
+        """Returns how long an item is expected to run (s), 0 if unknown."""
         item = held_job.record.items[index]
         partial = held_job.partial_outputs.get(index)
         events = len(partial.texts) if partial else 0
-        left_s = self._duration_estimator.remaining_s(item.tokens, events)
-        return now_s + FEASIBLE_SHARE * left_s > held_job.deadline_s
+        return self._duration_estimator.remaining_s(item.tokens, events)
 
     def _find_route(self, held_job):
         table = self._parts.state.table
--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -12,6 +12,7 @@
 
 from samphirepost import demandpeaks
 from samphirepost import enginehealth
+from samphirepost import expendability
 from samphirepost import poolview
 from samphirepost import quotas
 from samphirepost import ratelimit
@@ -28,7 +29,7 @@
 # as a read of many engines takes long.
 REFRESH_INTERVAL_S = 0.05
 REFRESH_PER_ENGINE_S = 0.0002
-# Batch items that are compared to find the least urgent one.
+# Batch items that are compared to find the most expendable one.
 ITEMS_COMPARED_MAX = 256
 # Wanted items that are passed over in one allocation, as no engine of their
 # version has a free slot.
@@ -54,7 +55,7 @@
     """A run that occupies a slot of `engine`.
 
     `confirmed` once its daemon has reported it; `preempted_s` is the instant
-    of its preemption, or None. A batch item's job is due at `deadline_s`.
+    of its preemption, or None. `claim` is the expendability.Claim of an item.
     `relay` is the VM id of the daemon that relays the run, or None.
     `charged_to` is the organisation whose quota its grant was charged to.
     """
@@ -62,11 +63,10 @@
     __slots__ = (
         "batch",
         "charged_to",
+        "claim",
         "confirmed",
-        "deadline_s",
         "engine",
         "granted_s",
-        "late",
         "preempted_s",
         "relay",
     )
@@ -78,8 +78,7 @@
         self.batch = batch
         self.granted_s = granted_s
         self.confirmed = confirmed
-        self.late = False
-        self.deadline_s = 0.0
+        self.claim = expendability.UNKNOWN
         self.preempted_s = None
 
 
@@ -243,8 +242,8 @@
             if run.organisation and not run.batch:
                 self.quotas.charge(run.organisation, now_s)
         known.confirmed = True
-        known.late = run.late
-        known.deadline_s = now_s + run.left_s
+        if run.batch:
+            known.claim = expendability.claim_of(run, now_s)
 
     def _add_run(self, vm, reporter, run_id, run):
         self._runs[vm, run_id] = run
@@ -511,16 +510,17 @@
         return (is_reliable, is_healthy)
 
     def _preempt(self, req, view, is_allowed, now_s):
-        """Grants the slot of the least urgent batch item, if there is one."""
-        key = None
+        """Grants the slot of the most expendable item, if there is one."""
+        key, highest = None, None
         for count, candidate in enumerate(view.items):
             if count >= ITEMS_COMPARED_MAX:
                 break
-            if is_allowed(self._runs[candidate].engine) and (
-                key is None
-                or self._expendability(candidate) > self._expendability(key)
-            ):
-                key = candidate
+            run = self._runs[candidate]
+            if not is_allowed(run.engine):
+                continue
+            rank = run.claim.rank(now_s)
+            if highest is None or rank > highest:
+                key, highest = candidate, rank
         if key is None:
             return []
         run = self._runs[key]
@@ -539,10 +539,6 @@
             self._grant_request(req, engine, now_s),
         ]
 
-    def _expendability(self, key):
-        run = self._runs[key]
-        return (run.late, run.deadline_s)
-
     def _grant_request(self, req, engine, now_s):
         relay = None
         if req.relay or self._needs_relay(req.vm, engine.id):
@@ -652,6 +648,8 @@
                 relay = self.relays.choose(vm, paths.zone, engine.id)
             del self._reporters[vm].wanted[wanted_id]
             sent.append(self._grant(vm, wanted_id, engine, True, now_s, relay))
+            claim = expendability.claim_of(wanted, now_s)
+            self._runs[vm, wanted_id].claim = claim
         return sent
 
     def _most_urgent(self, pool, budget):
--- a/packages/samphirepost/src/samphirepost/batchjob.py
+++ b/packages/samphirepost/src/samphirepost/batchjob.py
@@ -161,7 +161,7 @@
     checkpoints; `row_count` rows may be stored, of former outputs too.
     `ending` is the EndEvidence of answers without a length. The thread that
     runs the item records there and appends events; the holder's thread does
-    the rest.
+    the rest. This daemon was told `preemptions` times to stop its run.
     """
 
     __slots__ = (
@@ -171,12 +171,14 @@
         "first_id",
         "output_id",
         "pool",
+        "preemptions",
         "row_count",
         "texts",
         "version",
     )
 
     def __init__(self, output_id="", row_count=0):
+        self.preemptions = 0
         self.output_id = output_id
         self.row_count = row_count
         self.pool = None
--- a/packages/samphirepost/src/samphirepost/selection.py
+++ b/packages/samphirepost/src/samphirepost/selection.py
@@ -57,18 +57,44 @@
 class OwnRun:
     """A run of this daemon at an engine; see slotmessages.Run.
 
-    A batch item's job is due at `deadline_s`.
+    A batch item's job is due at `deadline_s`; its run is expected to end at
+    `end_s`, None if that is not known.
     """
 
-    __slots__ = ("batch", "deadline_s", "engine_id", "late", "organisation")
+    __slots__ = (
+        "batch",
+        "deadline_s",
+        "end_s",
+        "engine_id",
+        "late",
+        "organisation",
+        "preemptions",
+    )
 
-    def __init__(self, engine_id, batch, late, deadline_s, organisation):
+    def __init__(
+        self,
+        engine_id,
+        batch,
+        late,
+        deadline_s,
+        organisation,
+        end_s,
+        preemptions,
+    ):
+        self.end_s = end_s
+        self.preemptions = preemptions
         self.organisation = organisation
         self.engine_id = engine_id
         self.batch = batch
         self.late = late
         self.deadline_s = deadline_s
 
+    def needs_ms(self, now_s):
+        """Returns how long the run is expected to go on (ms), 0 if unknown."""
+        if self.end_s is None:
+            return 0
+        return max(1, round((self.end_s - now_s) * 1000))
+
 
 class LoadTracker:
     """Tracks the running requests by engine, and each engine's health.
@@ -102,10 +128,18 @@
         late=False,
         deadline_s=0.0,
         organisation="",
+        end_s=None,
+        preemptions=0,
     ):
         """Records a request that is sent to an engine."""
         self._runs[run_id] = OwnRun(
-            engine_id, batch, late, deadline_s, organisation
+            engine_id,
+            batch,
+            late,
+            deadline_s,
+            organisation,
+            end_s,
+            preemptions,
         )
 
     def end_run(self, run_id):
@@ -126,6 +160,8 @@
                 run.late,
                 round(run.deadline_s - now_s, 2) if run.batch else 0.0,
                 run.organisation,
+                run.needs_ms(now_s),
+                run.preemptions,
             )
             for run_id, run in list(self._runs.items())
         )
--- a/packages/samphirepost/src/samphirepost/slotmessages.py
+++ b/packages/samphirepost/src/samphirepost/slotmessages.py
@@ -33,7 +33,9 @@
 
     For a batch item, `late` tells that it is unlikely to meet its job's
     deadline, which is `left_s` away. `organisation` is the name of the one
-    whose request it is, empty if there is none.
+    whose request it is, empty if there is none. An item is expected to run for
+    `needs_ms` more, 0 if that is not known, and was preempted `preemptions`
+    times before.
     """
 
     id: int
@@ -42,6 +44,8 @@
     late: bool = False
     left_s: float = 0.0
     organisation: str = ""
+    needs_ms: int = 0
+    preemptions: int = 0
 
 
 class RunEnd(msgspec.Struct, frozen=True, array_like=True):
@@ -61,8 +65,9 @@
 class WantedSlot(msgspec.Struct, frozen=True, array_like=True):
     """A slot that a daemon wants for a batch item, as soon as one is free.
 
-    The grant has the same `id`; see Run for `late`, `left_s` and
-    `organisation`, SlotRequest for the fields from `probe` on.
+    The grant has the same `id`; see Run for `late`, `left_s`, `organisation`,
+    `needs_ms` and `preemptions`, SlotRequest for the other fields from `probe`
+    on.
     """
 
     id: int
@@ -74,6 +79,8 @@
     organisation: str = ""
     prompt: tuple[PromptPart, ...] = ()
     output_tokens: int = 0
+    needs_ms: int = 0
+    preemptions: int = 0
 
 
 class Crash(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -2,6 +2,7 @@
 
 import http.client
 import threading
+import time
 
 import pytest
 
@@ -294,6 +295,31 @@
     assert pair.results("job")["total"] == 3
 
 
+def test_a_preempted_item_tells_how_often_it_was_stopped(fleet):
+    """Its next run is reported with it; a repeated message counts once."""
+    for engine in fleet.engines:
+        engine.faults.extend([Fault.SILENT] * 8)
+    daemon = fleet.daemons[0]
+
+    def runs(preemptions):
+        own = daemon.parts.load_tracker.own_runs(time.monotonic())
+        return [
+            run.id
+            for run in own
+            if run.batch and run.preemptions == preemptions
+        ]
+
+    def stop_first_run():
+        ids = tuple(runs(0))
+        daemon.slots.on_preemption(ids)
+        daemon.slots.on_preemption(ids)
+        return runs(1)
+
+    assert fleet.submit("job", 1).status == 202
+    entryhelper.wait_until(stop_first_run, "the item runs again")
+    assert fleet.call("DELETE", "/lots/job").status == 200
+
+
 def test_a_job_outlives_its_daemon(pair):
     """A job must complete though its holder stops without releasing it."""
     for engine in pair.engines:
