samphirepost where: where a request or job would go now

Asks an entry daemon at /where of its readiness address. The hub decides with its own code on a copy that grants, queues and charges nothing (dryallocator.py); any other daemon names the hub and answers from its own picture. The refusals of online requests are made in one place (refusals.py).

--- a/packages/samphirepost-cli/src/samphirepost_cli/actions.py
+++ b/packages/samphirepost-cli/src/samphirepost_cli/actions.py
@@ -15,6 +15,7 @@
 from samphirepost_cli import exits
 from samphirepost_cli import logtrace
 from samphirepost_cli import output
+from samphirepost_cli import where
 
 POLL_INTERVAL_S = 0.2
 
@@ -452,3 +453,15 @@
     ]
     output.print_rows(ctx.env, header, rows)
     return exits.Exit.OK
+
+
+@run.register
+def _(command: commands.Where, ctx):
+    found = where.ask(ctx.cfg, command)
+    if isinstance(found, errors.Failure):
+        return output.print_failure(ctx.env, found)
+    if command.json:
+        output.print_json(ctx.env, found)
+    else:
+        where.print_outlook(ctx.env, found)
+    return exits.Exit.OK
--- a/packages/samphirepost-cli/src/samphirepost_cli/client.py
+++ b/packages/samphirepost-cli/src/samphirepost_cli/client.py
@@ -22,11 +22,11 @@
 class Client:
     """Sends requests with the caller's token; does not retry."""
 
-    def __init__(self, token):
+    def __init__(self, token, read_timeout_s=READ_TIMEOUT_S):
         self._pool = urllib3.PoolManager(
             retries=False,
             timeout=urllib3.Timeout(
-                connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S
+                connect=CONNECT_TIMEOUT_S, read=read_timeout_s
             ),
         )
         self._headers = {}
@@ -75,7 +75,7 @@
     """
     found = codec.from_json(body, Problem)
     if isinstance(found, errors.Failure):
-        reason = body.decode("utf-8", "replace")[:200]
+        reason = body.decode("utf-8", "replace")[:200].strip()
         return errors.Failure(
             errors.Kind.BAD_REQUEST, reason, errors.Outcome.UNKNOWN
         )
--- a/packages/samphirepost-cli/src/samphirepost_cli/commands.py
+++ b/packages/samphirepost-cli/src/samphirepost_cli/commands.py
@@ -253,6 +253,36 @@
     config: _Config = ""
 
 
+@cappa.command(
+    name="where",
+    help="Tell where a request or job would go now, without sending it.",
+    description="Example: samphirepost where shop.example /notes/1",
+)
+@dataclasses.dataclass(slots=True)
+class Where:
+    """Tell where a request or job would go now, without sending it."""
+
+    host: typing.Annotated[str, cappa.Arg(help="Host of the request.")]
+    path: typing.Annotated[str, cappa.Arg(help="Path of the request.")]
+    organisation: typing.Annotated[
+        str, cappa.Arg(long=True, help="Organisation that sends it.")
+    ] = ""
+    prompt: typing.Annotated[
+        str,
+        cappa.Arg(long=True, help="Parts of its prompt: ID:TOKENS,..."),
+    ] = ""
+    at: typing.Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            help="Readiness address (IP:PORT) of the daemon to ask; default:"
+            " that of the config.",
+        ),
+    ] = ""
+    json: _Json = False
+    config: _Config = ""
+
+
 Command = (
     Apply
     | Check
@@ -268,6 +298,7 @@
     | Results
     | Cancel
     | Explain
+    | Where
 )
 
 
@@ -277,7 +308,7 @@
     description=(
         "Callers use complete, call, result, submit, status, results and"
         " cancel. Operators use check, diff, apply, show, history,"
-        " members and explain."
+        " members, explain and where."
     ),
 )
 @dataclasses.dataclass(slots=True)
--- a/packages/samphirepost-cli/src/samphirepost_cli/environment.py
+++ b/packages/samphirepost-cli/src/samphirepost_cli/environment.py
@@ -12,12 +12,16 @@
 
 
 class Config(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """The URLs of a daemon's listeners, and the caller's token."""
+    """The URLs of a daemon's listeners, and the caller's token.
+
+    `readiness` is the readiness address of an entry daemon.
+    """
 
     online: str = "http://127.0.0.1:7001"
     batch: str = "http://127.0.0.1:7002"
     operator: str = "http://127.0.0.1:7003"
     token: str = ""
+    readiness: str = "http://127.0.0.1:7004"
 
 
 class Environment:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/authentication.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/authentication.py
@@ -48,26 +48,33 @@
         found = table.directory.find(req.key_digest)
         if is_anonymous:
             return wire.with_organisation(req, found.name if found else "")
-        if found is None:
-            if self._state.may_be_outdated():
-                return self._refuse(req, 503, "key.unconfirmed")
-            return self._refuse(req, 401, "key.unknown")
-        if self._state.may_have_lost_keys():
-            return self._refuse(req, 503, "key.unconfirmed")
-        return wire.with_organisation(req, found.name, found.priority)
+        refusal = key_refusal(self._state, found)
+        if refusal is None:
+            return wire.with_organisation(req, found.name, found.priority)
+        self._report(req, refusal.status)
+        return refusal
 
-    def _refuse(self, req, status, event):
+    def _report(self, req, status):
         self._metrics.key_refusals.labels(str(status)).inc()
         self._log.failure(
-            event,
+            "key.unknown" if status == 401 else "key.unconfirmed",
             request=req.id,
             key=organisations.logged_digest(req.key_digest),
             status=status,
             newest_revision=self._state.newest_revision,
             **self._state.age_fields(),
         )
-        if status == 401:
-            return attempts.ErrorResponse(401, "the key is not known")
+
+
+def key_refusal(state, found):
+    """Returns the ErrorResponse to a key, or None if it is accepted.
+
+    `found` is the Organisation that has the key, or None.
+    """
+    if found is None and not state.may_be_outdated():
+        return attempts.ErrorResponse(401, "the key is not known")
+    if found is None or state.may_have_lost_keys():
         return attempts.ErrorResponse(
             503, "the newest keys are not known", RETRY_AFTER_S
         )
+    return None
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -8,6 +8,7 @@
 from samphirepost import attempts
 from samphirepost import events
 from samphirepost import quarantine
+from samphirepost import refusals
 from samphirepost import routing
 from samphirepost import slotmessages
 from samphirepost_daemon.entry import engineattempt
@@ -32,10 +33,6 @@
 # An answer has begun with this many events: an engine that crashes on a prompt
 # may put out one.
 BEGUN_EVENTS = 2
-# Longest wait for a quota (s) that a refusal tells: it may be raised before.
-QUOTA_WAIT_MAX_S = 60.0
-# Longest Retry-After (s) of a request that crashes engines.
-RETRY_AFTER_MAX_S = 3600.0
 
 
 CUT_HEAD = engineclient.CallFailure("the head has no seal")
@@ -168,13 +165,10 @@
 
     def _quarantine_error(self, found):
         self._metrics.quarantine_refusals.labels("online").inc()
-        reason = quarantine.describe(found.cause)
         if self.history.executions:
+            reason = quarantine.describe(found.cause)
             return attempts.ErrorResponse(502, reason)
-        left_s = quarantine.PROBE_INTERVAL_S
-        if isinstance(found, quarantine.Blocked):
-            left_s = min(found.left_s, RETRY_AFTER_MAX_S)
-        return attempts.ErrorResponse(503, reason, round(left_s, 2))
+        return refusals.quarantined(found)
 
     def _obtain_slot(self):
         """Returns a Slot, or an ErrorResponse. Raises CallerDisconnected.
@@ -214,7 +208,7 @@
             # After an attempt, 503 could be untrue: an engine may have run
             # the request.
             if reply.wait_s is not None and not self._is_under_way():
-                return self._busy_error(reply.wait_s)
+                return refusals.busy(reply.wait_s)
         self.check_caller()
         return self._choose_engine(list(engines.values()))
 
@@ -277,12 +271,8 @@
     def _quota_error(self, wait_s):
         """Returns the refusal of a request over its organisation's quota."""
         self._metrics.quota_refusals.inc()
-        reason = (
-            f"the quota of {self._req.organisation!r} allows the next"
-            f" request in {wait_s:.2f} s (hub {self._slots.hub_vm})"
-        )
-        return attempts.ErrorResponse(
-            429, reason, attempts.retry_after_s(min(wait_s, QUOTA_WAIT_MAX_S))
+        return refusals.over_quota(
+            self._req.organisation, wait_s, self._slots.hub_vm
         )
 
     def settle_charge(self):
@@ -358,13 +348,13 @@
             # All named a limit, and this daemon's share of it is used up.
             if self._is_under_way():
                 return self._final_error()
-            return self._busy_error(LIMITED_WAIT_S)
+            return refusals.busy(LIMITED_WAIT_S)
         wait_s = self._load_tracker.queue_wait_s(engines, now_s)
         wait_max_s = attempts.queue_wait_max_s(
             self._route, self._req.caller_timeout_s
         )
         if wait_s > wait_max_s and not self._is_under_way():
-            return self._busy_error(wait_s)
+            return refusals.busy(wait_s)
         quota_wait_s = self._charge_locally()
         if quota_wait_s:
             return self._quota_error(quota_wait_s)
@@ -379,13 +369,6 @@
             engine, self._slots.next_run_id(), False, through
         )
 
-    def _busy_error(self, wait_s):
-        return attempts.ErrorResponse(
-            503,
-            f"all engines are busy for {wait_s:.2f} s",
-            attempts.retry_after_s(wait_s),
-        )
-
     def resume(self, response, part, last_id):
         """Resumes an interrupted stream at another engine.
 
@@ -466,6 +449,8 @@
         )
 
     def _final_error(self):
+        if self.last_failure is None and not self.history.executions:
+            return refusals.no_engine()
         reason = (
             self.last_failure.reason
             if self.last_failure
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
@@ -9,12 +9,14 @@
 import msgspec
 
 from samphirepost import allocator
+from samphirepost import dryallocator
 from samphirepost import judge
 from samphirepost import leaving
 from samphirepost import otherversions
 from samphirepost import quarantine
 from samphirepost import reportedtables
 from samphirepost import slotmessages
+from samphirepost import whereabouts
 from samphirepost_daemon.entry import state as state_module
 
 # Shortest time between two totals for one daemon (s). They are the loads by
@@ -227,6 +229,23 @@
         self._refresh_engines(req.pool, now_s)
         self._send_all(self._allocator.request_slot(req, address, now_s))
 
+    def preview(self, asked, now_s):
+        """Returns the SlotOutlook of a SlotRequest or WantedSlot of this VM.
+
+        Nothing is granted, queued or charged.
+        """
+        if not self._is_informed(now_s):
+            return whereabouts.SlotOutlook(
+                whereabouts.Decision.UNDECIDED,
+                "too few daemons have reported to the hub",
+            )
+        self._refresh_engines(asked.pool, now_s)
+        if isinstance(asked, slotmessages.WantedSlot):
+            return dryallocator.preview_item(
+                self._allocator, asked, self._me, now_s
+            )
+        return dryallocator.preview(self._allocator, asked, now_s)
+
     def allocate(self, now_s):
         """Drops lost daemons and grants free slots to what waits."""
         if now_s >= self._next_drop_s:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -4,6 +4,7 @@
 decided in samphirepost.loadshare; its side is in hub.py.
 """
 
+import collections
 import itertools
 import socket
 import threading
@@ -34,6 +35,9 @@
 # Interval at which a waiting request checks whether its caller left (s).
 CALLER_POLL_S = 0.1
 DATAGRAM_BYTES_MAX = 65_000
+# Longest wait for a preview (s), and previews that may wait.
+PREVIEW_TIMEOUT_S = 1.0
+PREVIEWS_MAX = 4
 # A new hub is told for this long (s) what was sent by organisation: it may not
 # have heard all daemons before, and a report may be lost.
 SENT_REPORT_S = 2.0
@@ -51,7 +55,7 @@
 class PendingRequest:
     """A request for a slot that a thread waits for.
 
-    `reply` is the Grant or Denial, or None until it has arrived.
+    `reply` is the Grant, Denial or preview, or None until it has arrived.
     """
 
     __slots__ = ("answered", "decided", "reply")
@@ -117,6 +121,7 @@
         self._report_lock = threading.Lock()
         self._next_report_s = 0.0
         self._pending = {}
+        self._previews = collections.deque(maxlen=PREVIEWS_MAX)
         self._ended = []
         self._refunds = []
         self._wanted = {}
@@ -179,6 +184,25 @@
         self._metrics.slots.labels(label).inc()
         return reply
 
+    def preview(self, asked):
+        """Returns the SlotOutlook of a SlotRequest or WantedSlot.
+
+        Nothing is sent, granted, queued or charged. Returns None if this
+        daemon is not the hub, or its thread does not answer.
+        """
+        if not self.is_hub:
+            return None
+        pending = PendingRequest()
+        self._previews.append((asked, pending))
+        pending.decided.wait(PREVIEW_TIMEOUT_S)
+        return pending.reply
+
+    def _answer_previews(self, now_s):
+        while self._previews:
+            asked, pending = self._previews.popleft()
+            pending.reply = self.hub_server.preview(asked, now_s)
+            pending.decided.set()
+
     def _wait_for_decision(self, pending, wait_max_s, is_disconnected):
         deadline_s = time.monotonic() + wait_max_s + REPLY_TIMEOUT_S
         while not pending.decided.wait(CALLER_POLL_S):
@@ -376,6 +400,7 @@
         self.hub_server.decide_causes(now_s)
         if self._hub.vm == self._me:
             self.hub_server.announce_and_log(now_s)
+        self._answer_previews(now_s)
 
     def _select_hub(self, now_s):
         hub_vm = self._hub.selector.select_hub(self._me, now_s)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/web.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/web.py
@@ -10,12 +10,11 @@
 
 from samphirepost import attempts
 from samphirepost import hashing
+from samphirepost import refusals
 from samphirepost import routing
 from samphirepost_daemon.entry import authentication
 from samphirepost_daemon.platform import wire
 
-# Retry-After of a daemon that is about to exit (s): others may be free.
-EXIT_RETRY_AFTER_S = 0.1
 # Longest time of a request that submits, reads or closes a job (s), while the
 # store works.
 JOB_REQUEST_MAX_S = 3.0
@@ -108,8 +107,7 @@
             return send_error_response(start_response, error)
         table = self._parts.state.table
         if table is None:
-            error = attempts.ErrorResponse(503, "no tables are known yet", 0.5)
-            return send_error_response(start_response, error)
+            return send_error_response(start_response, refusals.no_tables())
         path = environ["PATH_INFO"]
         if self._batch.is_job_request(req, path):
             if not self._is_admitted(JOB_REQUEST_MAX_S):
@@ -133,10 +131,7 @@
                 path=path_only,
                 **self._parts.state.age_fields(),
             )
-            error = attempts.ErrorResponse(
-                404, "no route has this host and path"
-            )
-            return send_error_response(start_response, error)
+            return send_error_response(start_response, refusals.no_route())
         req = self._authenticator.check_request(req, table, route)
         if isinstance(req, attempts.ErrorResponse):
             return send_error_response(start_response, req)
@@ -158,11 +153,8 @@
 
     def _refuse_at_exit(self, start_response, req):
         """Refuses a request that might not be done before the exit."""
-        error = attempts.ErrorResponse(
-            503, "the daemon is about to exit", EXIT_RETRY_AFTER_S
-        )
         self._parts.log.event("request.at_exit", request=req.id)
-        return send_error_response(start_response, error)
+        return send_error_response(start_response, refusals.at_exit())
 
 
 def _host_name(req):
@@ -171,15 +163,24 @@
 
 
 class ReadinessApp:
-    """Answers readiness checks of the load balancer and serves metrics."""
+    """Answers readiness checks of the load balancer and serves metrics.
 
-    def __init__(self, parts):
+    `where` is the WSGI application that tells where requests would go.
+    """
+
+    def __init__(self, parts, where):
         self._parts = parts
+        self._where = where
 
     def __call__(self, environ, start_response):
-        """Serves /metrics; elsewhere answers 200 if ready and 503 if not."""
+        """Serves /metrics and /where.
+
+        Elsewhere answers 200 if ready and 503 if not.
+        """
         if environ["PATH_INFO"] == "/metrics":
             return self._send_metrics(start_response)
+        if environ["PATH_INFO"] == "/where":
+            return self._where(environ, start_response)
         state = self._parts.state
         status = 200 if state.ready else 503
         text = b"ready\n" if state.ready else b"not ready\n"
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -32,6 +32,7 @@
 from samphirepost_daemon.entry import versiontable
 from samphirepost_daemon.entry import watch
 from samphirepost_daemon.entry import web
+from samphirepost_daemon.entry import where
 import samphirepost_daemon.listener as listener
 from samphirepost_daemon.platform import client
 from samphirepost_daemon.platform import registry
@@ -221,7 +222,9 @@
             app, cfg.listen.callers, cfg.listen.threads
         )
         self.readiness = _make_listener(
-            web.ReadinessApp(parts), cfg.listen.readiness, READINESS_THREADS
+            web.ReadinessApp(parts, where.WhereApp(parts)),
+            cfg.listen.readiness,
+            READINESS_THREADS,
         )
 
     def _peer_addresses(self):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
@@ -200,6 +200,11 @@
     return tuple(found)
 
 
+def parse_prompt(value):
+    """Returns the shared parts and all PromptParts that a header names."""
+    return _parse_shared_parts(value), _parse_prompt(value)
+
+
 def _parse_output_tokens(value):
     """Returns the second number of a list of two, or 0."""
     tokens = value.partition(",")[2].strip()
--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -523,6 +523,13 @@
                 key, highest = candidate, rank
         if key is None:
             return []
+        engine = view.engines[self._runs[key].engine]
+        return [
+            self._stop_item(key, view, now_s),
+            self._grant_request(req, engine, now_s),
+        ]
+
+    def _stop_item(self, key, view, now_s):
         run = self._runs[key]
         run.preempted_s = now_s
         load = self._engines[run.engine]
@@ -533,11 +540,7 @@
         self.preempted += 1
         vm, run_id = key
         message = slotmessages.Preemption(self._me, (run_id,))
-        engine = view.engines[run.engine]
-        return [
-            (self._reporters[vm].address, message),
-            self._grant_request(req, engine, now_s),
-        ]
+        return (self._reporters[vm].address, message)
 
     def _grant_request(self, req, engine, now_s):
         relay = None
@@ -616,7 +619,8 @@
         self._queues[pool] = remaining
         return sent
 
-    def _serve_items(self, pool, view, now_s):
+    def _item_budget(self, pool, view, now_s):
+        """Returns the slots that items may take, and all usable slots."""
         avoided = set(self._avoided(view, now_s))
         avoided |= self.limits.rates(view.engines).keys()
         slots = view.slots - sum(view.engines[one].slots for one in avoided)
@@ -627,7 +631,10 @@
             for one in self.limits.rates(view.engines)
             if not self.health.is_avoided(one, now_s)
         )
-        budget = free - self._reserved(pool, view, now_s)
+        return free - self._reserved(pool, view, now_s), slots
+
+    def _serve_items(self, pool, view, now_s):
+        budget, slots = self._item_budget(pool, view, now_s)
         if budget <= 0:
             return []
         sent = []
--- /dev/null
+++ b/packages/samphirepost/src/samphirepost/dryallocator.py
@@ -0,0 +1,117 @@
+"""Decides on requests for slots as the hub does, and grants none.
+
+A DryAllocator shares the state of an allocator.Allocator and runs its code;
+what would change the state is replaced. It is made for one decision and used
+by the thread that owns the Allocator.
+"""
+
+from samphirepost import allocator
+from samphirepost import slotmessages
+from samphirepost import whereabouts
+
+
+class DryAllocator(allocator.Allocator):
+    """An Allocator whose decisions change nothing."""
+
+    __slots__ = ()
+
+    def _grant_request(self, req, engine, now_s):
+        return ("", slotmessages.Grant(self._me, req.id, engine.id))
+
+    def _stop_item(self, key, view, now_s):
+        return ("", slotmessages.Preemption(self._me, (key[1],)))
+
+
+def _dry_copy(live, req):
+    """Returns a DryAllocator with the state of an Allocator for a request."""
+    dry = DryAllocator(live._me)
+    for name in allocator.Allocator.__slots__:
+        setattr(dry, name, getattr(live, name))
+    dry._queues = {req.pool: list(live._queues.get(req.pool, ()))}
+    dry.quotas = live.quotas.dry_copy(req.organisation)
+    return dry
+
+
+def preview(live, req, now_s):
+    """Returns the SlotOutlook of a SlotRequest."""
+    view = live._views.get(req.pool)
+    if view is None or not live.has_reporter(req.vm):
+        return whereabouts.UNDECIDED
+    dry = _dry_copy(live, req)
+    sent = dry.request_slot(req, "", now_s)
+    found = whereabouts.outlook_of(
+        [message for _, message in sent],
+        lambda engine_id: engine_state(live, view, req.vm, engine_id, now_s),
+    )
+    wait_s = found.wait_s
+    if found.decision is whereabouts.Decision.WAITS:
+        ahead = [waiting.req for waiting in dry._queues[req.pool]].index(req)
+        wait_s = live._queue_wait_s(ahead, view, now_s)
+    return _with_counts(found, live, req.pool, view, now_s, wait_s)
+
+
+def preview_item(live, wanted, vm, now_s):
+    """Returns the SlotOutlook of a WantedSlot of a daemon."""
+    view = live._views.get(wanted.pool)
+    if view is None or not live.has_reporter(vm):
+        return whereabouts.UNDECIDED
+    found = _decide_item(live, wanted, vm, view, now_s)
+    return _with_counts(found, live, wanted.pool, view, now_s, None)
+
+
+def _decide_item(live, wanted, vm, view, now_s):
+    waits = whereabouts.Decision.WAITS
+    if live._queues.get(wanted.pool):
+        return whereabouts.SlotOutlook(waits, "online requests wait")
+    budget, _ = live._item_budget(wanted.pool, view, now_s)
+    if budget <= 0:
+        why = "free slots are left to online arrivals"
+        return whereabouts.SlotOutlook(waits, why)
+    ahead = sum(
+        one.pool == wanted.pool
+        for wanting_vm in live._wanting
+        for one, _ in live._reporters[wanting_vm].wanted.values()
+    )
+    if ahead >= budget:
+        return whereabouts.SlotOutlook(waits, f"{ahead} items wait")
+    engine = live._engine_for_item(view, wanted.version, vm, now_s)
+    if engine is None:
+        return whereabouts.SlotOutlook(waits, "no engine takes an item")
+    state = engine_state(live, view, vm, engine.id, now_s)
+    return whereabouts.SlotOutlook(
+        whereabouts.Decision.ENGINE, "a slot is free", state
+    )
+
+
+def _with_counts(found, live, pool, view, now_s, wait_s):
+    return whereabouts.SlotOutlook(
+        found.decision,
+        found.why,
+        found.engine,
+        wait_s,
+        found.over_quota,
+        len(live._queues.get(pool, ())),
+        view.free_total,
+        round(live._reserved(pool, view, now_s)),
+    )
+
+
+def engine_state(live, view, vm, engine_id, now_s):
+    """Returns the EngineState of an engine of a pool, as a daemon sees it."""
+    engine = view.engines[engine_id]
+    load = live._engines.get(engine_id)
+    marks = {
+        "suspect": engine_id in live.health.suspects,
+        "avoided": live.health.is_avoided(engine_id, now_s),
+        "slow": engine_id in view.slow,
+        "at-limit": not live.limits.allows(engine_id, now_s),
+        "unreached": live._needs_relay(vm, engine_id),
+    }
+    return whereabouts.EngineState(
+        engine_id,
+        engine.zone,
+        engine.slots,
+        load.online if load else 0,
+        len(load.items) if load else 0,
+        tuple(name for name, holds in marks.items() if holds),
+    )
--- a/packages/samphirepost/src/samphirepost/quotas.py
+++ b/packages/samphirepost/src/samphirepost/quotas.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import copy
 import math
 import random
 import threading
@@ -128,6 +129,17 @@
         self._is_informed = False
         self._share = 1.0
 
+    def dry_copy(self, name):
+        """Returns a copy in which the organisation `name` may be charged.
+
+        Its other buckets are shared.
+        """
+        dry = copy.copy(self)
+        dry._buckets = dict(self._buckets)
+        if name in dry._buckets:
+            dry._buckets[name] = copy.copy(dry._buckets[name])
+        return dry
+
     def apply_sent(self, vm, sent):
         """Applies what a daemon sent by organisation within a window.
 
@@ -288,6 +300,21 @@
         """Applies the hub's word on which organisations are at their quota."""
         self._constrained = frozenset(names)
 
+    def is_constrained(self, name):
+        """Whether the hub told that an organisation is at its quota."""
+        return name in self._constrained
+
+    def local_wait_s(self, name, now_s):
+        """Returns the time (s) to the next token of its local bucket, or 0.
+
+        There is a bucket once this daemon charged a request without a hub.
+        """
+        with self._lock:
+            one = self._sent.get(name)
+            if one is None or one.bucket is None:
+                return 0.0
+            return one.bucket.wait_s(now_s)
+
     def record_sent(self, name, now_s):
         """Records a request that the hub granted."""
         with self._lock:
