--- a/tests/test_expendability.py
+++ b/tests/test_expendability.py
@@ -2,6 +2,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 
 from samphirepost import expendability
 from samphirepost import slotmessages
@@ -73,6 +74,16 @@
     assert max(claims, key=lambda one: one.rank(100.0)) is claims[1]
 
 
+def test_messages_of_older_builds_are_read():
+    """They end before the fields that tell what an item needs."""
+    packed = msgspec.msgpack.encode([1, "e0", True, False, 5.0, "farms"])
+    run = msgspec.msgpack.decode(packed, type=slotmessages.Run)
+    assert (run.needs_ms, run.preemptions) == (0, 0)
+    packed = msgspec.msgpack.encode([1, "plants", False, 5.0])
+    wanted = msgspec.msgpack.decode(packed, type=slotmessages.WantedSlot)
+    assert (wanted.needs_ms, wanted.preemptions) == (0, 0)
+
+
 @hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
 @hypothesis.given(
     strategies.lists(
