--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/quotacharge.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/quotacharge.py
@@ -2,10 +2,7 @@
 
 import time
 
-from samphirepost import attempts
-
-# Longest wait for a quota (s) that a refusal tells: it may be raised before.
-WAIT_MAX_S = 60.0
+from samphirepost import refusals
 
 
 class QuotaCharge:
@@ -65,12 +62,8 @@
     def refusal(self, wait_s):
         """Returns the ErrorResponse of a request over its quota."""
         self._metrics.quota_refusals.inc()
-        reason = (
-            f"the quota of {self._organisation!r} allows the next request"
-            f" in {wait_s:.2f} s (hub {self._slots.hub_vm})"
-        )
-        return attempts.ErrorResponse(
-            429, reason, attempts.retry_after_s(min(wait_s, WAIT_MAX_S))
+        return refusals.over_quota(
+            self._organisation, wait_s, self._slots.hub_vm
         )
 
     def settle(self, run_count):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -36,6 +36,7 @@
 from samphirepost_daemon.entry import versiontable
 from samphirepost_daemon.entry import watch
 from samphirepost_daemon.entry import web
+from samphirepost_daemon.entry import where
 import samphirepost_daemon.listener as listener
 from samphirepost_daemon.platform import client
 from samphirepost_daemon.platform import registry
@@ -244,7 +245,7 @@
         self.readiness = _make_listener(
             parts,
             "readiness",
-            web.ReadinessApp(parts),
+            web.ReadinessApp(parts, where.WhereApp(parts)),
             cfg.listen.readiness,
             READINESS_THREADS,
             READINESS_CONNECTIONS_MAX,
--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -12,7 +12,9 @@
 import itertools
 import math
 
+from samphirepost import demandpeaks
 from samphirepost import enginehealth
+from samphirepost import expendability
 from samphirepost import fairqueue
 from samphirepost import poolview
 from samphirepost import quotas
@@ -31,7 +33,7 @@
 # as a read of many engines takes long.
 REFRESH_INTERVAL_S = 0.05
 REFRESH_PER_ENGINE_S = 0.0002
-# Batch items that are compared to find the least urgent one.
+# Batch items that are compared to find the most expendable one.
 ITEMS_COMPARED_MAX = 256
 # Wanted items that are passed over in one allocation, as no engine of their
 # version has a free slot.
@@ -49,11 +51,8 @@
 UNCONFIRMED_S = 0.3
 # Interval (s) after which a preemption that was not followed is sent again.
 PREEMPTION_RETRY_S = 0.1
-# Slots that batch items leave free, in standard deviations of the number of
-# online requests that run: arrivals are random, so that number varies by the
-# square root of its mean. A smaller reserve starts items that the next
-# arrivals stop; late items leave a share of all slots besides.
-RESERVE_DEVIATIONS = 0.5
+# Share of all slots that late items leave free, besides the reserve for online
+# arrivals.
 LATE_RESERVE_SHARE = 0.12
 # Initial estimate of the time that an online request occupies a slot (s), and
 # the weight of each completed request in its moving average.
@@ -65,7 +64,7 @@
     """A run that occupies a slot of `engine`.
 
     `confirmed` once its daemon has reported it; `preempted_s` is the instant
-    of its preemption, or None. A batch item's job is due at `deadline_s`.
+    of its preemption, or None. `claim` is the expendability.Claim of an item.
     `relay` is the VM id of the daemon that relays the run, or None.
     `charged_to` is the organisation whose quota its grant was charged to,
     `charge` the fairqueue.Charge of its slot; None if another hub granted it.
@@ -75,11 +74,10 @@
         "batch",
         "charge",
         "charged_to",
+        "claim",
         "confirmed",
-        "deadline_s",
         "engine",
         "granted_s",
-        "late",
         "preempted_s",
         "relay",
     )
@@ -92,8 +90,7 @@
         self.batch = batch
         self.granted_s = granted_s
         self.confirmed = confirmed
-        self.late = False
-        self.deadline_s = 0.0
+        self.claim = expendability.UNKNOWN
         self.preempted_s = None
 
 
@@ -136,6 +133,7 @@
         "_first_report_s",
         "_item_shares",
         "_me",
+        "_peaks",
         "_pool_names",
         "_queues",
         "_reporters",
@@ -160,6 +158,7 @@
         self._item_shares = {}
         self._views = {}
         self._pool_names = {}
+        self._peaks = {}
         self._wanting = set()
         self._first_report_s = None
         self.health = enginehealth.FleetHealth()
@@ -254,8 +253,8 @@
             if run.organisation and not run.batch:
                 self.quotas.charge(run.organisation, now_s)
         known.confirmed = True
-        known.late = run.late
-        known.deadline_s = now_s + run.left_s
+        if run.batch:
+            known.claim = expendability.claim_of(run, now_s)
 
     def _add_run(self, vm, reporter, run_id, run):
         self._runs[vm, run_id] = run
@@ -270,6 +269,10 @@
             view.online += not run.batch
             if run.batch:
                 view.items.add((vm, run_id))
+            elif not run.confirmed:
+                # Runs that are only reported began before.
+                peaks = self._peaks_at(run.engine)
+                peaks.record_start(view.online, run.granted_s)
             view.update(run.engine, load)
 
     def _remove_run(self, vm, reporter, run_id):
@@ -287,6 +290,8 @@
         if view is not None:
             view.online -= not run.batch
             view.items.discard((vm, run_id))
+            if not run.batch:
+                self._peaks_at(run.engine).record_end()
             view.update(run.engine, load)
         if load.is_idle:
             del self._engines[run.engine]
@@ -298,6 +303,19 @@
             return None
         return view
 
+    def _peaks_at(self, engine_id):
+        """Returns the DemandPeaks of an engine's pool."""
+        pool = self._pool_names[engine_id]
+        peaks = self._peaks.get(pool)
+        if peaks is None:
+            peaks = self._peaks[pool] = demandpeaks.DemandPeaks()
+        return peaks
+
+    def _reserved(self, pool, view, now_s):
+        """Returns the slots that items leave free for online arrivals."""
+        peaks = self._peaks.get(pool, demandpeaks.NONE)
+        return peaks.reserved(view.online, now_s)
+
     def _repeat_preemptions(self, vm, reporter, now_s):
         ids = []
         for run_id in reporter.run_ids:
@@ -554,18 +572,26 @@
         return (is_healthy, is_allowed)
 
     def _preempt(self, req, view, is_allowed, now_s):
-        """Grants the slot of the least urgent batch item, if there is one."""
-        key = None
+        """Grants the slot of the most expendable item, if there is one."""
+        key, highest = None, None
         for count, candidate in enumerate(view.items):
             if count >= ITEMS_COMPARED_MAX:
                 break
-            if is_allowed(self._runs[candidate].engine) and (
-                key is None
-                or self._expendability(candidate) > self._expendability(key)
-            ):
-                key = candidate
+            run = self._runs[candidate]
+            if not is_allowed(run.engine):
+                continue
+            rank = run.claim.rank(now_s)
+            if highest is None or rank > highest:
+                key, highest = candidate, rank
         if key is None:
             return []
+        engine = view.engines[self._runs[key].engine]
+        return [
+            self._stop_item(key, view, now_s),
+            self._grant_request(req, engine, now_s),
+        ]
+
+    def _stop_item(self, key, view, now_s):
         run = self._runs[key]
         run.preempted_s = now_s
         load = self._engines[run.engine]
@@ -576,15 +602,7 @@
         self.preempted += 1
         vm, run_id = key
         message = slotmessages.Preemption(self._me, (run_id,))
-        engine = view.engines[run.engine]
-        return [
-            (self._reporters[vm].address, message),
-            self._grant_request(req, engine, now_s),
-        ]
-
-    def _expendability(self, key):
-        run = self._runs[key]
-        return (run.late, run.deadline_s)
+        return (self._reporters[vm].address, message)
 
     def _grant_request(self, req, engine, now_s):
         relay = None
@@ -603,7 +621,9 @@
         sent = self._grant(vm, wanted.id, engine, True, now_s, relay)
         shares = self._item_shares_of(wanted.pool)
         charge = shares.start_at_once(wanted.organisation)
-        self._runs[vm, wanted.id].charge = charge
+        run = self._runs[vm, wanted.id]
+        run.charge = charge
+        run.claim = expendability.claim_of(wanted, now_s)
         return sent
 
     def _needs_relay(self, vm, engine_id):
@@ -709,7 +729,8 @@
         reporter = self._reporters.get(req.vm)
         return reporter is not None and req.id not in reporter.run_ids
 
-    def _serve_items(self, pool, view, now_s):
+    def _item_budget(self, pool, view, now_s):
+        """Returns the slots that items may take, and all usable slots."""
         avoided = set(self._avoided(view, now_s))
         avoided |= self.limits.rates(view.engines).keys()
         slots = view.slots - sum(view.engines[one].slots for one in avoided)
@@ -720,7 +741,10 @@
             for one in self.limits.rates(view.engines)
             if not self.health.is_avoided(one, now_s)
         )
-        budget = free - RESERVE_DEVIATIONS * math.sqrt(view.online)
+        return free - self._reserved(pool, view, now_s), slots
+
+    def _serve_items(self, pool, view, now_s):
+        budget, slots = self._item_budget(pool, view, now_s)
         if budget <= 0:
             return []
         sent = []
--- a/packages/samphirepost/src/samphirepost/waitqueue.py
+++ b/packages/samphirepost/src/samphirepost/waitqueue.py
@@ -79,6 +79,14 @@
             req.organisation, place
         )
 
+    def ahead_of(self, req):
+        """Returns how many are ahead of a SlotRequest that waits."""
+        line = self._lines[req.priority, req.organisation]
+        place = line.index(self._waiting[req.vm, req.id])
+        return self._more_urgent(req.priority) + self._level(
+            req.priority
+        ).ahead(req.organisation, place)
+
     def ahead_if_returning(self, req):
         """Returns how many are ahead of a SlotRequest that returned now."""
         level = self._level(req.priority)
