Choose engines by their speed, learned from the ends of runs

The hub learns the time between events and to the first event by engine and incarnation, as the median of the last runs, relative to the pool's median engine. An engine's free slots count by its speed.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineattempt.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineattempt.py
@@ -50,12 +50,12 @@
     Either `body` is complete, or `events` holds the events of a stream that
     are not yet passed on. `done` is true once the engine has sent the complete
     response; `closed`, once the connection to the engine is closed. `began_s`
-    is the monotonic time of a stream's first events, `event_count` the number
-    of events so far. `last_id` is the id of the event that the next one has to
-    follow; None before the first event of a stream that was not resumed.
-    `after_id` is what it was before the first event of the present answer.
-    `asking_s` is the time since `began_s` that went by with questions about
-    its end.
+    is the monotonic time of a stream's first events, `sent_s` that at which
+    the request was sent, `event_count` the number of events so far. `last_id`
+    is the id of the event that the next one has to follow; None before the
+    first event of a stream that was not resumed. `after_id` is what it was
+    before the first event of the present answer. `asking_s` is the time since
+    `began_s` that went by with questions about its end.
     """
 
     call: engineclient.Call
@@ -71,6 +71,7 @@
     last_id: int | None = None
     after_id: int | None = None
     asking_s: float = 0.0
+    sent_s: float = 0.0
 
     @property
     def engine(self):
@@ -121,6 +122,13 @@
         self.last_id = answer.last_id
         self.after_id = answer.after_id
 
+    @property
+    def first_s(self):
+        """The time from sending to the first events; 0 without any."""
+        if not self.began_s or not self.sent_s:
+            return 0.0
+        return self.began_s - self.sent_s
+
     @property
     def pace_s(self):
         """The mean time between two events; 0 after too few of them."""
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -508,11 +508,15 @@
         if failure is not None:
             return _unopened_attempt(failure)
         self.record_progress()
+        sent_s = time.monotonic()
         self.stream_version.attempt_sent(engine)
         head = self.receive(call)
         if isinstance(head, (engineclient.CallFailure, type(None))):
             return self._failed_attempt(head, has_head=False)
-        return self._read_response(call, slot, head, resume_after)
+        result = self._read_response(call, slot, head, resume_after)
+        if isinstance(result, engineattempt.OpenResponse):
+            result.sent_s = sent_s
+        return result
 
     def _failed_attempt(self, part, has_head=True):
         """Returns the failure shown by `part`, a result of receive()."""
@@ -691,7 +695,9 @@
         response.call.close()
         if outcome is None:
             outcome = response.outcome
-        self._slots.end_run(response.slot.run_id, outcome, response.pace_s)
+        self._slots.end_run(
+            response.slot.run_id, outcome, response.pace_s, response.first_s
+        )
 
 
 def _unopened_attempt(failure):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -567,7 +567,7 @@
         del self._item_runs[run.id]
         outcome = message.outcome
         self._parts.slots.end_run(
-            run.id, items.engine_outcome(outcome), run.pace_s
+            run.id, items.engine_outcome(outcome), run.pace_s, run.first_s
         )
         label = outcome.label
         self._parts.metrics.items.labels(label).inc()
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holdermessages.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holdermessages.py
@@ -59,6 +59,7 @@
         "began_s",
         "engine",
         "events_before",
+        "first_event_s",
         "id",
         "index",
         "key",
@@ -72,6 +73,7 @@
     def __init__(self, run_id, key, index, engine, partial, through=""):
         self.id = run_id
         self.began_s = time.monotonic()
+        self.first_event_s = None
         self.last_event_s = self.began_s
         self.events_before = len(partial.texts)
         self.key = key
@@ -100,13 +102,28 @@
         self.stop_requested = True
         self._call.abort()
 
+    def record_event(self):
+        """Records that the engine has put out an event."""
+        self.last_event_s = time.monotonic()
+        if self.first_event_s is None:
+            self.first_event_s = self.last_event_s
+
+    @property
+    def first_s(self):
+        """The time from the start to the first event; 0 without any."""
+        if self.first_event_s is None:
+            return 0.0
+        return self.first_event_s - self.began_s
+
     @property
     def pace_s(self):
         """The mean time between two events; 0 after too few of them."""
         count = len(self.partial.texts) - self.events_before
-        if count < engineattempt.PACE_EVENTS_MIN:
+        if self.first_event_s is None or (
+            count < engineattempt.PACE_EVENTS_MIN
+        ):
             return 0.0
-        return (self.last_event_s - self.began_s) / count
+        return (self.last_event_s - self.first_event_s) / (count - 1)
 
 
 class ItemRunFinished(msgspec.Struct, frozen=True):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
@@ -233,7 +233,7 @@
             return None
         if not self._is_repeat:
             is_next = self._partial.append_event(event.id, event.data)
-            self._run.last_event_s = time.monotonic()
+            self._run.record_event()
         elif self.is_short:
             is_next = event.id == self._partial.id_of(self.end + 1)
         else:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -197,9 +197,11 @@
         if not granted:
             self._send_report()
 
-    def end_run(self, run_id, outcome, pace_s=0.0):
-        """Records the end of a run."""
-        self._end_run(slotmessages.RunEnd(run_id, outcome, pace_s))
+    def end_run(self, run_id, outcome, pace_s=0.0, first_s=0.0):
+        """Records the end of a run; see RunEnd for the times."""
+        self._end_run(
+            slotmessages.RunEnd(run_id, outcome, pace_s, first_s=first_s)
+        )
 
     def return_grant(self, run_id):
         """Records a grant for which nothing is sent."""
--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -11,6 +11,7 @@
 import math
 
 from samphirepost import enginehealth
+from samphirepost import enginetimes
 from samphirepost import poolview
 from samphirepost import quotas
 from samphirepost import ratelimit
@@ -147,6 +148,7 @@
         "quotas",
         "relays",
         "service_time_s",
+        "times",
     )
 
     def __init__(self, me, quota_bounds=None):
@@ -160,6 +162,7 @@
         self._wanting = set()
         self._first_report_s = None
         self.health = enginehealth.FleetHealth()
+        self.times = enginetimes.EngineTimes()
         self.limits = ratelimit.HubLimits()
         self.relays = relays.Relays()
         self.quotas = quotas.HubQuotas(quota_bounds or quotas.Bounds())
@@ -225,15 +228,22 @@
         if end.outcome is slotmessages.Outcome.OK:
             self.health.record_success(run.engine, now_s)
             if not run.batch:
-                self.service_time_s += SERVICE_TIME_SAMPLE_SHARE * (
-                    now_s - run.granted_s - self.service_time_s
-                )
+                self._record_service(run, now_s)
         elif end.outcome is slotmessages.Outcome.FAILED:
             self.health.record_failure(run.engine, vm, now_s)
-        if end.pace_s:
-            self.health.record_pace(run.engine, end.pace_s, now_s)
+        self.times.record_end(run.engine, end, now_s)
         self._remove_run(vm, reporter, end.id)
 
+    def _record_service(self, run, now_s):
+        service_s = now_s - run.granted_s
+        self.service_time_s += SERVICE_TIME_SAMPLE_SHARE * (
+            service_s - self.service_time_s
+        )
+        view = self._view_of(run.engine)
+        if view is not None:
+            speed = view.speeds.of(run.engine)
+            self.times.record_service(run.engine, service_s, speed)
+
     def _confirm_run(self, vm, reporter, run, now_s):
         known = self._runs.get((vm, run.id))
         if known is None:
@@ -363,12 +373,14 @@
         for engine_id in view.engines.keys() - set(engine_ids):
             self._pool_names.pop(engine_id, None)
             self.health.remove(engine_id)
+            self.times.remove(engine_id)
             self.limits.remove(engine_id)
         self.health.set_engines(engines)
+        self.times.set_engines(engines)
         self.limits.set_engines(engines)
         self._pool_names |= dict.fromkeys(engine_ids, pool)
-        slow = self.health.slow_engines(engine_ids, now_s)
-        view.refresh(engines, self._engines, slow, now_s)
+        speeds = self.times.speeds(pool, engine_ids, now_s)
+        view.refresh(engines, self._engines, speeds, now_s)
 
     # Requests.
 
--- a/packages/samphirepost/src/samphirepost/enginehealth.py
+++ b/packages/samphirepost/src/samphirepost/enginehealth.py
@@ -7,7 +7,6 @@
 
 import collections
 import math
-import statistics
 
 # Outcomes of an engine that are judged together, and the time (s) after which
 # one no longer counts.
@@ -51,13 +50,6 @@
 # A suspect engine that is no longer avoided is left to runs that may be
 # repeated for this long (s).
 REPEATABLE_FIRST_S = 1.0
-# Weight of a run in the moving average of an engine's pace.
-PACE_SAMPLE_SHARE = 0.3
-# An engine is slow if its events take this many times those of the median
-# engine.
-SLOW_FACTOR = 2.0
-# An engine's pace is forgotten after this time (s) without a run.
-PACE_STALE_S = 5.0
 
 
 class RunOutcome:
@@ -117,8 +109,6 @@
         "avoid_until_s",
         "count",
         "outcomes",
-        "pace_at_s",
-        "pace_s",
         "pause_s",
         "pool",
         "probing",
@@ -141,8 +131,6 @@
         self.probing = False
         self.trials = 0
         self.successes_missing = 0
-        self.pace_s = 0.0
-        self.pace_at_s = 0.0
 
     def fresh_outcomes(self, now_s):
         """Yields the RunOutcomes that still count, the newest first."""
@@ -318,30 +306,6 @@
             if outcome.has_failed
         }
 
-    def record_pace(self, engine_id, pace_s, now_s):
-        """Records the mean time between two events of a run."""
-        record = self._records.setdefault(engine_id, EngineRecord())
-        if now_s - record.pace_at_s > PACE_STALE_S:
-            record.pace_s = pace_s
-        else:
-            record.pace_s += PACE_SAMPLE_SHARE * (pace_s - record.pace_s)
-        record.pace_at_s = now_s
-
-    def slow_engines(self, engine_ids, now_s):
-        """Returns the ids of engines that are slower than their peers."""
-        paces = {}
-        for engine_id in engine_ids:
-            record = self._records.get(engine_id)
-            if record is None or now_s - record.pace_at_s > PACE_STALE_S:
-                continue
-            paces[engine_id] = record.pace_s
-        if len(paces) < 3:
-            return frozenset()
-        limit_s = SLOW_FACTOR * statistics.median(paces.values())
-        return frozenset(
-            engine_id for engine_id, pace in paces.items() if pace > limit_s
-        )
-
     def is_avoided(self, engine_id, now_s):
         """Whether an engine gets no run now."""
         if engine_id not in self.suspects:
--- a/packages/samphirepost/src/samphirepost/poolview.py
+++ b/packages/samphirepost/src/samphirepost/poolview.py
@@ -1,10 +1,13 @@
 """The free slots of one pool's engines, kept up to date run by run.
 
-The cost of a choice does not grow with the number of engines.
+Free slots are weighed by the speed of their engine. The cost of a choice does
+not grow with the number of engines.
 """
 
-# Engines with the same number of free slots that are looked at, to find an
-# allowed one of the right zone.
+from samphirepost import enginetimes
+
+# Engines of the same room that are looked at, to find an allowed one of the
+# right zone.
 SCAN_MAX = 64
 
 
@@ -33,22 +36,26 @@
 
 
 class PoolView:
-    """Engines of a pool by their number of free slots.
+    """Engines of a pool by their room: the free slots that they have.
 
-    `online` counts the online requests at all engines, `items` has the keys
+    A slot of a fast engine is more room than one of a slow engine. `online`
+    counts the online requests at all engines, `items` has the keys
     of all batch items that are not preempted. `refreshed_s` is the monotonic
     instant of the last refresh.
     """
 
     __slots__ = (
         "_buckets",
+        "_capacity",
         "_free",
+        "_rooms",
         "engines",
+        "free_total",
         "items",
         "online",
         "refreshed_s",
         "slots",
-        "slow",
+        "speeds",
     )
 
     def __init__(self):
@@ -56,20 +63,29 @@
         self.items = set()
         self.online = 0
         self.slots = 0
-        self.slow = frozenset()
+        self.speeds = enginetimes.UNKNOWN_SPEEDS
         self.refreshed_s = None
+        self.free_total = 0
+        self._capacity = 0.0
         self._free = {}
+        self._rooms = {}
         self._buckets = {}
 
-    def refresh(self, engines, loads, slow, now_s):
-        """Replaces the engines, with their EngineLoads by id."""
+    def refresh(self, engines, loads, speeds, now_s):
+        """Replaces the engines, with their EngineLoads by id.
+
+        `speeds` are their enginetimes.Speeds.
+        """
         self.engines = {engine.id: engine for engine in engines}
         self.slots = sum(engine.slots for engine in engines)
-        self.slow = slow
+        self.speeds = speeds
         self.refreshed_s = now_s
+        self._capacity = sum(self._capacity_of(one) for one in self.engines)
         self.online = 0
         self.items = set()
+        self.free_total = 0
         self._free = {}
+        self._rooms = {}
         self._buckets = {}
         for engine in engines:
             load = loads.get(engine.id)
@@ -82,13 +98,21 @@
         """Applies the EngineLoad of an engine; None if nothing runs there."""
         engine = self.engines[engine_id]
         free = engine.slots - (load.occupied if load else 0)
-        known = self._free.get(engine_id)
-        if known == free:
+        if self._free.get(engine_id) == free:
             return
-        if known is not None:
-            self._buckets[known].discard(engine_id)
+        self.free_total += max(0, free) - self.free(engine_id)
         self._free[engine_id] = free
-        self._buckets.setdefault(free, set()).add(engine_id)
+        self._move(engine_id, _room(free, self.speeds.of(engine_id)))
+
+    def _move(self, engine_id, room):
+        known = self._rooms.get(engine_id)
+        if known is not None:
+            bucket = self._buckets[known]
+            bucket.discard(engine_id)
+            if not bucket:
+                del self._buckets[known]
+        self._rooms[engine_id] = room
+        self._buckets.setdefault(room, set()).add(engine_id)
 
     def is_eligible(self, engine_id, req):
         """Whether an engine will do for a slotmessages.SlotRequest."""
@@ -101,32 +125,49 @@
         return max(0, self._free.get(engine_id, 0))
 
     @property
-    def free_total(self):
-        """The free slots of all engines."""
-        return sum(
-            free * len(bucket)
-            for free, bucket in self._buckets.items()
-            if free > 0
-        )
+    def slow(self):
+        """The ids of the slow engines."""
+        return self.speeds.slow
+
+    def wait_s(self, ahead, excluded, limits):
+        """Returns how long a request waits behind `ahead` others (s).
+
+        The set `excluded` has the ids of engines that serve none of them,
+        `limits` the rates (requests a second) that engines of the pool named.
+        """
+        service_s = self.speeds.service_time_s
+        capacity = self._capacity
+        capacity -= sum(self._capacity_of(one) for one in excluded)
+        for engine_id, per_s in limits.items():
+            if engine_id not in excluded:
+                unused = self._capacity_of(engine_id) - per_s * service_s
+                capacity -= max(0.0, unused)
+        if capacity <= 0:
+            return 0.0
+        return (ahead + 1) * service_s / capacity
+
+    def _capacity_of(self, engine_id):
+        """Returns the slots of an engine, in slots at the median speed."""
+        return self.engines[engine_id].slots * self.speeds.of(engine_id)
 
     def most_free(self, is_allowed, zone):
-        """Returns an allowed engine with the most free slots, or None.
+        """Returns an allowed engine with the most room, or None.
 
         Among equals, one of the zone if there is one; an empty zone means
-        any.
+        any. An engine without a free slot has no room.
         """
-        for free in sorted(self._buckets, reverse=True):
-            if free <= 0:
+        for room in sorted(self._buckets, reverse=True):
+            if room <= 0:
                 return None
-            engine = self._choose(self._buckets[free], is_allowed, zone)
+            engine = self._choose(self._buckets[room], is_allowed, zone)
             if engine is not None:
                 return engine
         return None
 
     def least_occupied(self, is_allowed):
-        """Returns an allowed engine with the most free slots, free or not."""
-        for free in sorted(self._buckets, reverse=True):
-            engine = self._choose(self._buckets[free], is_allowed, "")
+        """Returns an allowed engine with the most room, if any or not."""
+        for room in sorted(self._buckets, reverse=True):
+            engine = self._choose(self._buckets[room], is_allowed, "")
             if engine is not None:
                 return engine
         return None
@@ -144,3 +185,14 @@
             if found is None:
                 found = engine
         return found
+
+
+def _room(free, speed):
+    """Returns the room of an engine: above 0 if it has a free slot.
+
+    At the speed of the median, more free slots are more room, and fewer
+    requests beyond the slots.
+    """
+    if free > 0:
+        return free * speed
+    return (free - 1) / speed
--- a/packages/samphirepost/src/samphirepost/slotmessages.py
+++ b/packages/samphirepost/src/samphirepost/slotmessages.py
@@ -49,13 +49,15 @@
 
     `pace_s` is the mean time between two events of its stream, or 0 if
     there were too few. If `is_unused`, nothing was sent for the grant, and
-    the charge of its organisation is given back.
+    the charge of its organisation is given back. `first_s` is the time from
+    sending the request to its first event, or 0 if there was none.
     """
 
     id: int
     outcome: Outcome
     pace_s: float = 0.0
     is_unused: bool = False
+    first_s: float = 0.0
 
 
 class WantedSlot(msgspec.Struct, frozen=True, array_like=True):
