Reuse prompts that engines still hold

The hub infers from its grants which parts of prompts each engine holds, and weighs for each request with a prompt the time saved against the room at the engine, its speed and its zone. Requests with prompts are not granted beyond an engine's memory. hub.loads has the prompt tokens expected to be reused, the failing and the slow engines.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
@@ -4,6 +4,7 @@
 thread of slots.SlotExchange, which receives the messages.
 """
 
+import itertools
 import time
 
 import msgspec
@@ -40,6 +41,8 @@
 # two lines about suspect engines.
 LOG_INTERVAL_S = 2.0
 SUSPECTS_LOG_INTERVAL_S = 0.25
+# Engines of one kind that a line about loads names.
+LOGGED_MAX = 64
 
 
 class HubServer:
@@ -244,7 +247,10 @@
     def _refresh_engines(self, pool, now_s):
         if self._allocator.needs_engines(pool, now_s):
             engines = self._state.engines(pool)
-            self._allocator.set_engines(pool, engines, now_s)
+            table = self._state.table
+            known = table.pools.get(pool) if table else None
+            kv_tokens = known.kv_tokens if known else 0
+            self._allocator.set_engines(pool, engines, now_s, kv_tokens)
 
     def announce_and_log(self, now_s):
         """Announces the hub and logs its loads, each at its interval."""
@@ -315,6 +321,8 @@
             self._send(address, message)
 
     def _log_loads(self):
+        prompts = self._allocator.prompts
+        speeds = self._allocator.uneven_speeds()
         self._log.event(
             "hub.loads",
             engines=self._allocator.totals_of_others(None),
@@ -324,4 +332,9 @@
             preempted=self._allocator.preempted,
             service_s=round(self._allocator.service_time_s, 3),
             over_quota=self._allocator.quotas.refused,
+            prompt_tokens=prompts.prompt_tokens,
+            reused_tokens=prompts.reused_tokens,
+            failing=sorted(self._allocator.health.suspects)[:LOGGED_MAX],
+            slow=self._allocator.slow_engines()[:LOGGED_MAX],
+            speeds=dict(itertools.islice(speeds.items(), LOGGED_MAX)),
         )
--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -13,6 +13,7 @@
 from samphirepost import enginehealth
 from samphirepost import enginetimes
 from samphirepost import poolview
+from samphirepost import promptcache
 from samphirepost import quotas
 from samphirepost import ratelimit
 from samphirepost import relays
@@ -59,7 +60,8 @@
     `confirmed` once its daemon has reported it; `preempted_s` is the instant
     of its preemption, or None. A batch item's job is due at `deadline_s`.
     `relay` is the VM id of the daemon that relays the run, or None.
-    `charged_to` is the organisation whose quota its grant was charged to.
+    `charged_to` is the organisation whose quota its grant was charged to,
+    `hold` the promptcache.Hold of its prompt, or None.
     """
 
     __slots__ = (
@@ -69,6 +71,7 @@
         "deadline_s",
         "engine",
         "granted_s",
+        "hold",
         "late",
         "preempted_s",
         "relay",
@@ -77,6 +80,7 @@
     def __init__(self, engine, batch, granted_s, confirmed):
         self.relay = None
         self.charged_to = ""
+        self.hold = None
         self.engine = engine
         self.batch = batch
         self.granted_s = granted_s
@@ -145,6 +149,7 @@
         "health",
         "limits",
         "preempted",
+        "prompts",
         "quotas",
         "relays",
         "service_time_s",
@@ -164,6 +169,7 @@
         self.health = enginehealth.FleetHealth()
         self.times = enginetimes.EngineTimes()
         self.limits = ratelimit.HubLimits()
+        self.prompts = promptcache.PromptCaches()
         self.relays = relays.Relays()
         self.quotas = quotas.HubQuotas(quota_bounds or quotas.Bounds())
         self.service_time_s = SERVICE_TIME_INITIAL_S
@@ -208,7 +214,7 @@
         reporter.wanted = {
             wanted.id: (wanted, now_s + wanted.left_s)
             for wanted in report.wanted
-            if wanted.id not in reporter.run_ids
+            if wanted.id not in reporter.run_ids and self._may_fit(wanted)
         }
         reporter.pools = frozenset(
             wanted.pool for wanted, _ in reporter.wanted.values()
@@ -225,6 +231,8 @@
             return
         if end.is_unused and run.charged_to:
             self.quotas.refund(run.charged_to)
+        if run.hold is not None:
+            run.hold.is_unused = end.is_unused
         if end.outcome is slotmessages.Outcome.OK:
             self.health.record_success(run.engine, now_s)
             if not run.batch:
@@ -275,6 +283,8 @@
         run = self._runs.pop((vm, run_id))
         reporter.run_ids.discard(run_id)
         self.relays.record_end(run.relay)
+        if run.hold is not None:
+            run.hold.release()
         load = self._engines[run.engine]
         if not run.batch:
             load.online -= 1
@@ -366,17 +376,22 @@
         )
         return now_s - view.refreshed_s >= interval_s
 
-    def set_engines(self, pool, engines, now_s):
-        """Sets the engines of a pool that accept new work."""
+    def set_engines(self, pool, engines, now_s, kv_tokens=0):
+        """Sets the engines of a pool that accept new work.
+
+        See routing.Pool for `kv_tokens`.
+        """
         view = self._views.setdefault(pool, poolview.PoolView())
         engine_ids = [engine.id for engine in engines]
         for engine_id in view.engines.keys() - set(engine_ids):
             self._pool_names.pop(engine_id, None)
             self.health.remove(engine_id)
             self.times.remove(engine_id)
+            self.prompts.remove(engine_id)
             self.limits.remove(engine_id)
         self.health.set_engines(engines)
         self.times.set_engines(engines)
+        self.prompts.set_engines(pool, engines, kv_tokens)
         self.limits.set_engines(engines)
         self._pool_names |= dict.fromkeys(engine_ids, pool)
         speeds = self.times.speeds(pool, engine_ids, now_s)
@@ -393,7 +408,7 @@
         if req.id in reporter.run_ids:
             return []
         view = self._views[req.pool]
-        if _has_none_left(view, req):
+        if _has_none_left(view, req) or not self._may_fit(req):
             denial = slotmessages.Denial(self._me, req.id, None)
             return [(address, denial)]
         over_quota = self._check_quota(req, now_s)
@@ -411,6 +426,14 @@
                     return [self._grant_request(req, engine, now_s)]
         return self._queue(queue, req, address, view, now_s)
 
+    def _may_fit(self, req):
+        """Whether an idle engine's memory holds a SlotRequest or WantedSlot.
+
+        The engine itself tells why one that is too large cannot run.
+        """
+        needed = promptcache.tokens_needed(req)
+        return self.prompts.may_fit(req.pool, needed)
+
     def _check_quota(self, req, now_s):
         """Returns the Denial of a request over its quota, or None."""
         if not req.organisation or req.is_charged:
@@ -461,6 +484,9 @@
         for is_allowed in self._preferences(req, view, now_s):
             engine = view.most_free(is_allowed, req.zone)
             if engine is not None:
+                engine = self.prompts.choose(
+                    req, engine, view, is_allowed, req.zone
+                )
                 return [self._grant_request(req, engine, now_s)]
             sent = self._preempt(req, view, is_allowed, now_s)
             if sent:
@@ -472,8 +498,10 @@
 
         Engines that are reliable, not slow, and reached by the daemon itself
         come first. If all engines of the pool are avoided, any one is better
-        than none. None gets more than the limit that it named.
+        than none. None gets more than the limit that it named, or than its
+        memory holds.
         """
+        needed = promptcache.tokens_needed(req)
         unreached = ()
         if not req.relay:
             unreached = self._reporters[req.vm].paths.unreached
@@ -492,8 +520,10 @@
             )
 
         def is_untried(engine_id):
-            return view.is_eligible(engine_id, req) and self.limits.allows(
-                engine_id, now_s
+            return (
+                view.is_eligible(engine_id, req)
+                and self.limits.allows(engine_id, now_s)
+                and self.prompts.fits(engine_id, needed)
             )
 
         if len(self._avoided(view, now_s)) == len(view.engines):
@@ -505,10 +535,13 @@
 
         An engine that fails has the most free slots, as it is avoided.
         """
+        needed = promptcache.tokens_needed(req)
 
         def is_allowed(engine_id):
-            return view.is_eligible(engine_id, req) and self.limits.allows(
-                engine_id, now_s
+            return (
+                view.is_eligible(engine_id, req)
+                and self.limits.allows(engine_id, now_s)
+                and self.prompts.fits(engine_id, needed)
             )
 
         def is_healthy(engine_id):
@@ -559,7 +592,7 @@
             )
         charged_to = "" if req.is_charged else req.organisation
         return self._grant(
-            req.vm, req.id, engine, False, now_s, relay, charged_to
+            req.vm, req.id, engine, False, now_s, relay, charged_to, req
         )
 
     def _needs_relay(self, vm, engine_id):
@@ -568,10 +601,21 @@
         return paths.doubtful or engine_id in paths.unreached
 
     def _grant(
-        self, vm, run_id, engine, batch, now_s, relay=None, charged_to=""
+        self,
+        vm,
+        run_id,
+        engine,
+        batch,
+        now_s,
+        relay=None,
+        charged_to="",
+        req=None,
     ):
+        """Grants a slot; `req` is the SlotRequest or WantedSlot."""
         reporter = self._reporters[vm]
         run = AllocatedRun(engine.id, batch, now_s, False)
+        if req is not None:
+            run.hold = self.prompts.start(engine.id, req)
         if charged_to:
             run.charged_to = charged_to
             self.quotas.charge(charged_to, now_s)
@@ -649,9 +693,10 @@
                 break
             wanted, _ = self._reporters[vm].wanted[wanted_id]
             paths = self._reporters[vm].paths
-            engine = self._engine_for_item(view, wanted.version, vm, now_s)
+            engine = self._engine_for_item(view, wanted, vm, now_s)
             reaches_all = not (paths.doubtful or paths.unreached)
-            if engine is None and wanted.version is None and reaches_all:
+            is_choosy = wanted.version is not None or wanted.prompt
+            if engine is None and not is_choosy and reaches_all:
                 break
             if engine is None:
                 continue
@@ -659,7 +704,11 @@
             if self._needs_relay(vm, engine.id):
                 relay = self.relays.choose(vm, paths.zone, engine.id)
             del self._reporters[vm].wanted[wanted_id]
-            sent.append(self._grant(vm, wanted_id, engine, True, now_s, relay))
+            sent.append(
+                self._grant(
+                    vm, wanted_id, engine, True, now_s, relay, req=wanted
+                )
+            )
         return sent
 
     def _most_urgent(self, pool, budget):
@@ -677,17 +726,20 @@
         count = math.ceil(budget) + PASSED_ITEMS_MAX
         return heapq.nsmallest(count, wanted_slots)
 
-    def _engine_for_item(self, view, version, vm, now_s):
+    def _engine_for_item(self, view, wanted, vm, now_s):
         """Returns an engine with a free slot, a suspect one first.
 
         An item tells whether a suspect engine works again at the least cost.
         The item's daemon, or a peer of it, reaches the engine.
         """
+        version = wanted.version
+        needed = promptcache.tokens_needed(wanted)
 
         def is_usable(engine_id):
             return (
                 version in (None, view.engines[engine_id].version)
                 and self.limits.allows(engine_id, now_s)
+                and self.prompts.fits(engine_id, needed)
                 and not self.health.is_avoided(engine_id, now_s)
                 and (
                     not self._needs_relay(vm, engine_id)
@@ -698,7 +750,10 @@
         for engine_id in self.health.suspects:
             if view.free(engine_id) and is_usable(engine_id):
                 return view.engines[engine_id]
-        return view.most_free(is_usable, "")
+        engine = view.most_free(is_usable, "")
+        if engine is None:
+            return None
+        return self.prompts.choose(wanted, engine, view, is_usable, "")
 
     # Totals.
 
@@ -726,6 +781,21 @@
             if online[key] or batch[key]
         }
 
+    def slow_engines(self):
+        """Returns the ids of all slow engines, sorted."""
+        return sorted(
+            engine_id
+            for view in self._views.values()
+            for engine_id in view.slow
+        )
+
+    def uneven_speeds(self):
+        """Returns the speeds of engines that differ from the median, by id."""
+        found = {}
+        for view in self._views.values():
+            found |= view.speeds.uneven()
+        return found
+
     @property
     def reporter_count(self):
         """The number of daemons that report to this hub."""
--- a/packages/samphirepost/src/samphirepost/enginetimes.py
+++ b/packages/samphirepost/src/samphirepost/enginetimes.py
@@ -6,7 +6,10 @@
 seconds.
 """
 
+import bisect
 import collections
+import itertools
+import math
 import statistics
 
 # Times outside of these bounds (s) are no measurements.
@@ -26,6 +29,9 @@
 # The speeds that are told apart: smaller differences are noise.
 SPEEDS = (0.5, 0.63, 0.79, 1.0, 1.26, 1.59, 2.0)
 MEDIAN_SPEED = 1.0
+_SPEED_BOUNDS = tuple(
+    math.sqrt(lower * upper) for lower, upper in itertools.pairwise(SPEEDS)
+)
 # Initial estimate of the time that an online request occupies a slot of the
 # median engine (s), and the weight of each completed request in its moving
 # average.
@@ -196,4 +202,4 @@
 
 def _nearest_speed(speed):
     """Returns the one of SPEEDS whose ratio to a speed is nearest to 1."""
-    return min(SPEEDS, key=lambda one: max(one / speed, speed / one))
+    return SPEEDS[bisect.bisect(_SPEED_BOUNDS, speed)]
--- a/packages/samphirepost/src/samphirepost/poolview.py
+++ b/packages/samphirepost/src/samphirepost/poolview.py
@@ -124,6 +124,10 @@
         """Returns the free slots of an engine; none if it is unknown."""
         return max(0, self._free.get(engine_id, 0))
 
+    def room(self, engine_id):
+        """Returns the room of an engine, above 0 if it has a free slot."""
+        return self._rooms[engine_id]
+
     @property
     def slow(self):
         """The ids of the slow engines."""
