--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -14,9 +14,11 @@
 
 from samphirepost import demandpeaks
 from samphirepost import enginehealth
+from samphirepost import enginetimes
 from samphirepost import expendability
 from samphirepost import fairqueue
 from samphirepost import poolview
+from samphirepost import promptcache
 from samphirepost import quotas
 from samphirepost import ratelimit
 from samphirepost import relays
@@ -67,7 +69,8 @@
     of its preemption, or None. `claim` is the expendability.Claim of an item.
     `relay` is the VM id of the daemon that relays the run, or None.
     `charged_to` is the organisation whose quota its grant was charged to,
-    `charge` the fairqueue.Charge of its slot; None if another hub granted it.
+    `charge` the fairqueue.Charge of its slot (None if another hub granted it)
+    and `hold` the promptcache.Hold of its prompt, or None.
     """
 
     __slots__ = (
@@ -78,6 +81,7 @@
         "confirmed",
         "engine",
         "granted_s",
+        "hold",
         "preempted_s",
         "relay",
     )
@@ -86,6 +90,7 @@
         self.relay = None
         self.charge = None
         self.charged_to = ""
+        self.hold = None
         self.engine = engine
         self.batch = batch
         self.granted_s = granted_s
@@ -144,9 +149,11 @@
         "health",
         "limits",
         "preempted",
+        "prompts",
         "quotas",
         "relays",
         "service_time_s",
+        "times",
     )
 
     def __init__(self, me, quota_bounds=None):
@@ -162,7 +169,9 @@
         self._wanting = set()
         self._first_report_s = None
         self.health = enginehealth.FleetHealth()
+        self.times = enginetimes.EngineTimes()
         self.limits = ratelimit.HubLimits()
+        self.prompts = promptcache.PromptCaches()
         self.relays = relays.Relays()
         self.quotas = quotas.HubQuotas(quota_bounds or quotas.Bounds())
         self.service_time_s = SERVICE_TIME_INITIAL_S
@@ -208,7 +217,7 @@
         reporter.wanted = {
             wanted.id: (wanted, now_s + wanted.left_s)
             for wanted in report.wanted
-            if wanted.id not in reporter.run_ids
+            if wanted.id not in reporter.run_ids and self._may_fit(wanted)
         }
         reporter.pools = frozenset(
             wanted.pool for wanted, _ in reporter.wanted.values()
@@ -225,19 +234,28 @@
             return
         if end.is_unused and run.charged_to:
             self.quotas.refund(run.charged_to)
+        if run.hold is not None:
+            run.hold.is_unused = end.is_unused
         if end.outcome is slotmessages.Outcome.OK:
             self.health.record_success(run.engine, now_s)
             if not run.batch:
-                self.service_time_s += SERVICE_TIME_SAMPLE_SHARE * (
-                    now_s - run.granted_s - self.service_time_s
-                )
+                self._record_service(run, now_s)
         elif end.outcome is slotmessages.Outcome.FAILED:
             self.health.record_failure(run.engine, vm, now_s)
-        if end.pace_s:
-            self.health.record_pace(run.engine, end.pace_s, now_s)
+        self.times.record_end(run.engine, end, now_s)
         self._settle(run, 0.0 if end.is_unused else now_s - run.granted_s)
         self._remove_run(vm, reporter, end.id)
 
+    def _record_service(self, run, now_s):
+        service_s = now_s - run.granted_s
+        self.service_time_s += SERVICE_TIME_SAMPLE_SHARE * (
+            service_s - self.service_time_s
+        )
+        view = self._view_of(run.engine)
+        if view is not None:
+            speed = view.speeds.of(run.engine)
+            self.times.record_service(run.engine, service_s, speed)
+
     def _settle(self, run, used_s):
         """Corrects what a run's organisation is charged for its slot."""
         if run.charge is not None:
@@ -279,6 +297,8 @@
         run = self._runs.pop((vm, run_id))
         reporter.run_ids.discard(run_id)
         self.relays.record_end(run.relay)
+        if run.hold is not None:
+            run.hold.release()
         load = self._engines[run.engine]
         if not run.batch:
             load.online -= 1
@@ -387,19 +407,26 @@
         )
         return now_s - view.refreshed_s >= interval_s
 
-    def set_engines(self, pool, engines, now_s):
-        """Sets the engines of a pool that accept new work."""
+    def set_engines(self, pool, engines, now_s, kv_tokens=0):
+        """Sets the engines of a pool that accept new work.
+
+        See routing.Pool for `kv_tokens`.
+        """
         view = self._views.setdefault(pool, poolview.PoolView())
         engine_ids = [engine.id for engine in engines]
         for engine_id in view.engines.keys() - set(engine_ids):
             self._pool_names.pop(engine_id, None)
             self.health.remove(engine_id)
+            self.times.remove(engine_id)
+            self.prompts.remove(engine_id)
             self.limits.remove(engine_id)
         self.health.set_engines(engines)
+        self.times.set_engines(engines)
+        self.prompts.set_engines(pool, engines, kv_tokens)
         self.limits.set_engines(engines)
         self._pool_names |= dict.fromkeys(engine_ids, pool)
-        slow = self.health.slow_engines(engine_ids, now_s)
-        view.refresh(engines, self._engines, slow, now_s)
+        speeds = self.times.speeds(pool, engine_ids, now_s)
+        view.refresh(engines, self._engines, speeds, now_s)
 
     # Requests.
 
@@ -412,7 +439,7 @@
         if req.id in reporter.run_ids:
             return []
         view = self._views[req.pool]
-        if _has_none_left(view, req):
+        if _has_none_left(view, req) or not self._may_fit(req):
             denial = slotmessages.Denial(self._me, req.id, None)
             return [(address, denial)]
         over_quota = self._check_quota(req, now_s)
@@ -432,6 +459,14 @@
                     return [self._grant_request(req, engine, now_s)]
         return self._queue(queue, req, address, view, now_s)
 
+    def _may_fit(self, req):
+        """Whether an idle engine's memory holds a SlotRequest or WantedSlot.
+
+        The engine itself tells why one that is too large cannot run.
+        """
+        needed = promptcache.tokens_needed(req)
+        return self.prompts.may_fit(req.pool, needed)
+
     def _check_quota(self, req, now_s):
         """Returns the Denial of a request over its quota, or None."""
         if not req.organisation or req.is_charged:
@@ -489,16 +524,10 @@
     def _queue_wait_s(self, ahead, view, now_s):
         """Returns how long a request waits behind `ahead` others (s)."""
         avoided = set(self._avoided(view, now_s))
-        slots = view.slots - sum(view.engines[one].slots for one in avoided)
         rates = self.limits.rates(view.engines.keys() - avoided)
         if rates and len(rates) == len(view.engines) - len(avoided):
             return self.limits.wait_s(rates, ahead + 1, now_s)
-        for engine_id, per_s in rates.items():
-            usable = per_s * self.service_time_s
-            slots -= max(0.0, view.engines[engine_id].slots - usable)
-        if not slots:
-            return 0.0
-        return (ahead + 1) * self.service_time_s / slots
+        return view.wait_s(ahead, avoided, rates)
 
     def _avoided(self, view, now_s):
         """Returns the ids of a pool's engines that get no run now."""
@@ -514,6 +543,9 @@
         for is_allowed in self._preferences(req, view, now_s):
             engine = view.most_free(is_allowed, req.zone)
             if engine is not None:
+                engine = self.prompts.choose(
+                    req, engine, view, is_allowed, req.zone
+                )
                 return [self._grant_request(req, engine, now_s)]
             sent = self._preempt(req, view, is_allowed, now_s)
             if sent:
@@ -525,8 +557,10 @@
 
         Engines that are reliable, not slow, and reached by the daemon itself
         come first. If all engines of the pool are avoided, any one is better
-        than none. None gets more than the limit that it named.
+        than none. None gets more than the limit that it named, or than its
+        memory holds.
         """
+        needed = promptcache.tokens_needed(req)
         unreached = ()
         if not req.relay:
             unreached = self._reporters[req.vm].paths.unreached
@@ -545,8 +579,10 @@
             )
 
         def is_untried(engine_id):
-            return view.is_eligible(engine_id, req) and self.limits.allows(
-                engine_id, now_s
+            return (
+                view.is_eligible(engine_id, req)
+                and self.limits.allows(engine_id, now_s)
+                and self.prompts.fits(engine_id, needed)
             )
 
         if len(self._avoided(view, now_s)) == len(view.engines):
@@ -558,10 +594,13 @@
 
         An engine that fails has the most free slots, as it is avoided.
         """
+        needed = promptcache.tokens_needed(req)
 
         def is_allowed(engine_id):
-            return view.is_eligible(engine_id, req) and self.limits.allows(
-                engine_id, now_s
+            return (
+                view.is_eligible(engine_id, req)
+                and self.limits.allows(engine_id, now_s)
+                and self.prompts.fits(engine_id, needed)
             )
 
         def is_healthy(engine_id):
@@ -612,13 +651,15 @@
             )
         charged_to = "" if req.is_charged else req.organisation
         sent = self._grant(
-            req.vm, req.id, engine, False, now_s, relay, charged_to
+            req.vm, req.id, engine, False, now_s, relay, charged_to, req
         )
         self._runs[req.vm, req.id].charge = self._queue_of(req.pool).start(req)
         return sent
 
     def _grant_item(self, vm, wanted, engine, now_s, relay):
-        sent = self._grant(vm, wanted.id, engine, True, now_s, relay)
+        sent = self._grant(
+            vm, wanted.id, engine, True, now_s, relay, req=wanted
+        )
         shares = self._item_shares_of(wanted.pool)
         charge = shares.start_at_once(wanted.organisation)
         run = self._runs[vm, wanted.id]
@@ -632,10 +673,21 @@
         return paths.doubtful or engine_id in paths.unreached
 
     def _grant(
-        self, vm, run_id, engine, batch, now_s, relay=None, charged_to=""
+        self,
+        vm,
+        run_id,
+        engine,
+        batch,
+        now_s,
+        relay=None,
+        charged_to="",
+        req=None,
     ):
+        """Grants a slot; `req` is the SlotRequest or WantedSlot."""
         reporter = self._reporters[vm]
         run = AllocatedRun(engine.id, batch, now_s, False)
+        if req is not None:
+            run.hold = self.prompts.start(engine.id, req)
         if charged_to:
             run.charged_to = charged_to
             self.quotas.charge(charged_to, now_s)
@@ -754,9 +806,10 @@
                 break
             wanted, _ = self._reporters[vm].wanted[wanted_id]
             paths = self._reporters[vm].paths
-            engine = self._engine_for_item(view, wanted.version, vm, now_s)
+            engine = self._engine_for_item(view, wanted, vm, now_s)
             reaches_all = not (paths.doubtful or paths.unreached)
-            if engine is None and wanted.version is None and reaches_all:
+            is_choosy = wanted.version is not None or wanted.prompt
+            if engine is None and not is_choosy and reaches_all:
                 break
             if engine is None:
                 continue
@@ -794,17 +847,20 @@
             found += itertools.islice(in_turn, count - len(found))
         return found
 
-    def _engine_for_item(self, view, version, vm, now_s):
+    def _engine_for_item(self, view, wanted, vm, now_s):
         """Returns an engine with a free slot, a suspect one first.
 
         An item tells whether a suspect engine works again at the least cost.
         The item's daemon, or a peer of it, reaches the engine.
         """
+        version = wanted.version
+        needed = promptcache.tokens_needed(wanted)
 
         def is_usable(engine_id):
             return (
                 version in (None, view.engines[engine_id].version)
                 and self.limits.allows(engine_id, now_s)
+                and self.prompts.fits(engine_id, needed)
                 and not self.health.is_avoided(engine_id, now_s)
                 and (
                     not self._needs_relay(vm, engine_id)
@@ -815,7 +871,10 @@
         for engine_id in self.health.suspects:
             if view.free(engine_id) and is_usable(engine_id):
                 return view.engines[engine_id]
-        return view.most_free(is_usable, "")
+        engine = view.most_free(is_usable, "")
+        if engine is None:
+            return None
+        return self.prompts.choose(wanted, engine, view, is_usable, "")
 
     # Totals.
 
@@ -843,6 +902,21 @@
             if online[key] or batch[key]
         }
 
+    def slow_engines(self):
+        """Returns the ids of all slow engines, sorted."""
+        return sorted(
+            engine_id
+            for view in self._views.values()
+            for engine_id in view.slow
+        )
+
+    def uneven_speeds(self):
+        """Returns the speeds of engines that differ from the median, by id."""
+        found = {}
+        for view in self._views.values():
+            found |= view.speeds.uneven()
+        return found
+
     @property
     def reporter_count(self):
         """The number of daemons that report to this hub."""
--- a/packages/samphirepost/src/samphirepost/dryallocator.py
+++ b/packages/samphirepost/src/samphirepost/dryallocator.py
@@ -79,7 +79,7 @@
     )
     if ahead >= budget:
         return whereabouts.SlotOutlook(waits, f"{ahead} items wait")
-    engine = live._engine_for_item(view, wanted.version, vm, now_s)
+    engine = live._engine_for_item(view, wanted, vm, now_s)
     if engine is None:
         return whereabouts.SlotOutlook(waits, "no engine takes an item")
     state = engine_state(live, view, vm, engine.id, now_s)
