Engines' answers and items' outputs: bounded and counted

Each answer was kept up to 16 MiB, however many there were: 32 plain answers without end took a daemon to 389 MB (status 200) and 391 MB (500), items for 40 tokens whose events have no end to 151 MB. An answer now has a bound by the tokens that were asked for, and what is kept of it is taken from the memory budget first. An engine over the bound counts as failing; a request or item that finds the budget empty fails alone.

--- a/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
@@ -109,17 +109,20 @@
 class Daemon:
     """One entry daemon; its ports and settings survive a restart.
 
-    `program` is what the next start runs.
+    `program` is what the next start runs, `more` has settings besides those
+    that each daemon needs.
     """
 
-    def __init__(self, name, store_proxy, folder):
+    def __init__(self, name, store_proxy, folder, more=None):
         self.name = name
         self.store_proxy = store_proxy
         self.callers_port = fleet.free_port()
         self.readiness_port = fleet.free_port()
+        self.peer_port = fleet.free_port()
         self._folder = folder
         self._path = folder / f"{name}.json"
-        self._path.write_text(json.dumps(self._settings()))
+        settings = {**self._settings(), **(more or {})}
+        self._path.write_text(json.dumps(settings))
         self.process = None
         self.program = ENTRY_PROGRAM
 
@@ -135,7 +138,7 @@
                 "address": f"{fleet.HOST}:{self.store_proxy.port}",
             },
             "peer_address": fleet.HOST,
-            "peer_port": fleet.free_port(),
+            "peer_port": self.peer_port,
             "stop_s": STOP_GRACE_S,
         }
 
@@ -255,11 +258,17 @@
 class Fleet:
     """A store, engines and daemons; a context manager that stops them.
 
-    See Engine for `new_engine`.
+    See Engine for `new_engine`. `settings` are the daemons' settings besides
+    those that each needs.
     """
 
     def __init__(
-        self, daemons, engines, folder=None, new_engine=streamengine.Engine
+        self,
+        daemons,
+        engines,
+        folder=None,
+        new_engine=streamengine.Engine,
+        settings=None,
     ):
         self.folder = pathlib.Path(folder or tempfile.mkdtemp("-soak"))
         self.store = storeserver.StoreServer()
@@ -277,6 +286,7 @@
                 f"vm-{number}",
                 self.proxies.open_proxy(self.store.address),
                 self.folder,
+                settings,
             )
             for number in range(daemons)
         ]
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineattempt.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineattempt.py
@@ -6,8 +6,10 @@
 
 from samphirepost import attempts
 from samphirepost import events
+from samphirepost import memorybudget
 from samphirepost import roster
 from samphirepost import slotmessages
+from samphirepost_daemon.entry import answermemory
 from samphirepost_daemon.entry import engineclient
 
 # Events of a stream from which an engine's pace is judged.
@@ -17,6 +19,7 @@
     attempts.AttemptFailure.REFUSED,
     attempts.AttemptFailure.UNRECORDED,
     attempts.AttemptFailure.PEER,
+    attempts.AttemptFailure.NO_MEMORY,
 )
 # Failed attempts after which the engine or the path to it may be at fault.
 PATH_FAILURES = (
@@ -53,7 +56,7 @@
     follow; None before the first event of a stream that was not resumed.
     `after_id` is what it was before the first event of the present answer.
     `asking_s` is the time since `began_s` that went by with questions about
-    its end.
+    its end. `account` is what its body takes of the memory budget.
     """
 
     call: engineclient.Call
@@ -69,6 +72,7 @@
     last_id: int | None = None
     after_id: int | None = None
     asking_s: float = 0.0
+    account: memorybudget.Account | None = None
 
     @property
     def engine(self):
@@ -83,8 +87,18 @@
         found = self.parser.feed(data)
         if self.parser.is_unsound:
             return UNSOUND_EVENT
+        memory = self.call.memory
+        excess = memory.keep(
+            len(self.parser.incomplete)
+            + answermemory.EVENT_OBJECT_BYTES * len(found)
+        )
+        if excess is not None:
+            return engineclient.excess_failure(excess)
         self.events = found
         found = [event for event in found if not event.is_remark]
+        excess = memory.count_events(len(found))
+        if excess is not None:
+            return engineclient.excess_failure(excess)
         if found and self.last_id is None and found[0].id is not None:
             if not events.may_be_first(found[0].id):
                 return NOT_THE_BEGINNING
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineclient.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineclient.py
@@ -4,6 +4,7 @@
 to another request.
 """
 
+import http
 import select
 import socket
 import time
@@ -11,13 +12,16 @@
 import h11
 import msgspec
 
+from samphirepost import answerbounds
+from samphirepost_daemon.entry import answermemory
 from samphirepost_daemon.entry import tunnel
 
-RECEIVE_BYTES_MAX = 65536
+RECEIVE_BYTES_MAX = 16_384
 SEND_TIMEOUT_S = 2.0
-# Largest response, and the number of informational ones before it.
-RESPONSE_BYTES_MAX = 16_777_216
+RESPONSE_BYTES_MAX = answerbounds.ANSWER_BYTES_MAX
+# Number of informational responses before a response.
 INFORMATIONAL_MAX = 8
+LENGTH_DIGITS_MAX = 18
 
 
 class ResponseHead(msgspec.Struct, frozen=True):
@@ -31,6 +35,14 @@
         values = self.headers.get(name)
         return values[-1] if values else None
 
+    @property
+    def length(self):
+        """The body's length that it names, or 0."""
+        text = self.get("content-length") or ""
+        if not (text.isascii() and text.isdigit()):
+            return 0
+        return int(text[:LENGTH_DIGITS_MAX])
+
     @property
     def is_unframed(self):
         """Whether the body has no length and ends with the connection."""
@@ -65,7 +77,8 @@
     `sent` is False if the engine cannot have run the request. `lost` if the
     connection ended, as it does when an engine crashes. `unreached` if no
     connection to the engine could be opened. `at_peer` if the peer that was to
-    relay the request failed, which tells nothing of the engine.
+    relay the request failed, which tells nothing of the engine. `excess` if
+    the answer exceeds its bound, or the memory that is free.
     """
 
     reason: str
@@ -73,6 +86,29 @@
     lost: bool = False
     unreached: bool = False
     at_peer: bool = False
+    excess: answermemory.Excess | None = None
+
+    @property
+    def is_without_memory(self):
+        """Whether this process had no memory free for the answer."""
+        return self.excess is answermemory.Excess.MEMORY
+
+
+TOO_LONG = CallFailure(
+    "the answer exceeds its bound", excess=answermemory.Excess.BOUND
+)
+NO_MEMORY = CallFailure(
+    "no memory is free for the answer", excess=answermemory.Excess.MEMORY
+)
+
+
+def excess_failure(excess):
+    """Returns the CallFailure of an Excess, or None without one."""
+    if excess is None:
+        return None
+    if excess is answermemory.Excess.BOUND:
+        return TOO_LONG
+    return NO_MEMORY
 
 
 ABORTED = CallFailure("aborted", sent=False)
@@ -90,8 +126,8 @@
     """One request, sent to an engine or through a peer that relays it.
 
     connect() and send(), or connect_peer() and send_relayed(), then read()
-    until the response ends. Used by one thread, except that any thread may
-    call abort().
+    until the response ends. `memory` is the AnswerMemory of the response.
+    Used by one thread, except that any thread may call abort().
     """
 
     __slots__ = (
@@ -101,17 +137,19 @@
         "_is_aborted",
         "_is_ended",
         "_is_unframed",
-        "_received_bytes",
+        "_method",
         "_sock",
         "_tunnel",
+        "memory",
     )
 
-    def __init__(self):
+    def __init__(self, memory=None):
+        self.memory = memory or answermemory.AnswerMemory()
         self._informational = 0
         self._is_aborted = False
         self._is_ended = False
         self._is_unframed = False
-        self._received_bytes = 0
+        self._method = ""
         self._sock = None
         self._tunnel = None
         self._conn = h11.Connection(h11.CLIENT)
@@ -185,6 +223,7 @@
 
     def _encode(self, method, path, headers, body):
         """Returns the request's bytes, or CallFailure."""
+        self._method = method
         try:
             data = self._conn.send(
                 h11.Request(method=method, target=path, headers=headers)
@@ -241,13 +280,23 @@
         if isinstance(event, h11.Response):
             head = _response_head(event)
             self._is_unframed = head.is_unframed
-            return head
+            return self._check_length(head) or head
         if isinstance(event, h11.Data):
             return BodyData(bytes(event.data))
         if isinstance(event, h11.EndOfMessage):
             return EndOfResponse(self._is_unframed)
         return CallFailure("the engine closed the connection", lost=True)
 
+    def _check_length(self, head):
+        """Returns the CallFailure of a body that is too long, or None."""
+        if (
+            self._method == "HEAD"
+            or head.status == http.HTTPStatus.NOT_MODIFIED
+        ):
+            # It names the length of a body that does not follow.
+            return None
+        return excess_failure(self.memory.announce(head.length))
+
     def _receive(self, left_s):
         """Feeds received bytes to the parser; returns False on timeout."""
         poller = select.poll()
@@ -271,9 +320,9 @@
             # This side ended the connection, not the engine.
             self._failures.append(CallFailure("aborted"))
             return True
-        self._received_bytes += len(data)
-        if self._received_bytes > RESPONSE_BYTES_MAX:
-            self._failures.append(CallFailure("the response is too long"))
+        failure = excess_failure(self.memory.receive(len(data)))
+        if failure is not None:
+            self._failures.append(failure)
         elif self._tunnel is None:
             self._feed(data)
         else:
@@ -324,7 +373,11 @@
             return
 
     def close(self):
-        """Closes the connection, upon which the engine drops the request."""
+        """Closes the connection, upon which the engine drops the request.
+
+        What the response keeps is given back, unless it was handed over.
+        """
+        self.memory.close()
         if self._sock is not None:
             self._sock.close()
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/enginestatus.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/enginestatus.py
@@ -6,6 +6,7 @@
 
 import time
 
+from samphirepost import answerbounds
 from samphirepost import enginepaths
 from samphirepost_daemon.entry import engineclient
 from samphirepost_daemon.entry import tunnel
@@ -16,9 +17,10 @@
 # Peers that are asked if this daemon does not reach the engine.
 PEERS_ASKED_MAX = 2
 REPORT_BYTES_MAX = 1_048_576
+REPORT_BOUND = answerbounds.Bound(REPORT_BYTES_MAX, REPORT_BYTES_MAX)
 
 
-def find_way(paths, engine, through, timeout_s):
+def find_way(parts, engine, through, timeout_s):
     """Returns the way on which an incarnation of an engine gave its report.
 
     That is the address of a peer, or "" without one; None if the incarnation
@@ -28,30 +30,30 @@
     """
     deadline_s = time.monotonic() + min(timeout_s, REPORT_TIMEOUT_S)
     asked = {through}
-    sight = _ask(paths, engine, through, deadline_s)
+    sight = _ask(parts, engine, through, deadline_s)
     while (
         sight is enginepaths.Sight.UNKNOWN
         and len(asked) <= PEERS_ASKED_MAX
         and time.monotonic() < deadline_s
     ):
-        address = paths.choose_peer(asked)
+        address = parts.paths.choose_peer(asked)
         if not address:
             break
         asked.add(address)
         through = address
-        sight = _ask(paths, engine, through, deadline_s)
+        sight = _ask(parts, engine, through, deadline_s)
     return through if sight is enginepaths.Sight.REACHED else None
 
 
-def _ask(paths, engine, through, deadline_s):
+def _ask(parts, engine, through, deadline_s):
     """Returns the Sight that an engine's report gives on one way to it."""
-    call = engineclient.Call()
+    call = engineclient.Call(parts.answers.of(engine.id, REPORT_BOUND))
     order = tunnel.RelayOrder(engine.id, REPORT_TIMEOUT_S)
     request = wire.report_request(engine)
     try:
-        failure = paths.open(call, engine, through, order, request)
+        failure = parts.paths.open(call, engine, through, order, request)
         if failure is None:
-            return _read_report(call, engine, deadline_s)
+            return _read_report(parts, call, engine, deadline_s)
     finally:
         call.close()
     if failure.unreached and through:
@@ -62,20 +64,24 @@
     return enginepaths.Sight.UNREACHED
 
 
-def _read_report(call, engine, deadline_s):
+def _read_report(parts, call, engine, deadline_s):
     head, body = None, b""
-    while len(body) <= REPORT_BYTES_MAX:
+    while True:
         part = call.read(max(0.0, deadline_s - time.monotonic()))
         if isinstance(part, engineclient.ResponseHead):
             head = part
         elif isinstance(part, engineclient.BodyData):
             body += part.data
+            if call.memory.keep(len(body)) is not None:
+                return enginepaths.Sight.UNKNOWN
         elif isinstance(part, engineclient.EndOfResponse):
             if wire.is_report_of(head, body, engine):
                 return enginepaths.Sight.REACHED
             return enginepaths.Sight.UNREACHED
-        elif part is None or part.at_peer:
+        elif part is None or part.at_peer or part.is_without_memory:
             return enginepaths.Sight.UNKNOWN
         else:
+            if part.excess is not None:
+                parts.load_tracker.record_failure(engine.id, time.monotonic())
+                parts.slots.record_engine_failure(engine.id)
             return enginepaths.Sight.UNREACHED
-    return enginepaths.Sight.UNKNOWN
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from samphirepost import answerbounds
 from samphirepost import attempts
 from samphirepost import events
 from samphirepost import quarantine
@@ -36,7 +37,8 @@
 QUOTA_WAIT_MAX_S = 60.0
 # Longest Retry-After (s) of a request that crashes engines.
 RETRY_AFTER_MAX_S = 3600.0
-
+# A body's copies: the pieces that were read, and all of it.
+BODY_COPIES = 2
 
 CUT_HEAD = engineclient.CallFailure("the head has no seal")
 ANOTHER_ANSWER = engineclient.CallFailure("another answer is in the body")
@@ -54,6 +56,8 @@
         self._paths = parts.paths
         self._slots = parts.slots
         self._state = parts.state
+        self._answers = parts.answers
+        self._bound = answerbounds.bound_of(req.output_tokens)
         self._quarantine = parts.quarantine
         self._observations = parts.observations
         self._limits = parts.limits
@@ -479,7 +483,7 @@
     def _attempt(self, slot, resume_after):
         self.engines_tried.append(slot.engine.id)
         self.versions_tried.append(slot.engine.version)
-        call = engineclient.Call()
+        call = self.new_call(slot.engine)
         self._slots.start_run(
             slot.run_id,
             slot.engine.id,
@@ -495,6 +499,10 @@
                 self._slots.end_run(slot.run_id, _outcome(result))
         return result
 
+    def new_call(self, engine):
+        """Returns a Call whose answer has the request's bound."""
+        return engineclient.Call(self._answers.of(engine.id, self._bound))
+
     def _send(self, call, slot, resume_after):
         engine = slot.engine
         req = self._req
@@ -526,8 +534,11 @@
                 lost=True,
                 has_head=True,
             )
+        seen = attempts.AttemptFailure.BROKEN
+        if part.is_without_memory:
+            seen = attempts.AttemptFailure.NO_MEMORY
         return engineattempt.FailedAttempt(
-            attempts.AttemptFailure.BROKEN,
+            seen,
             part.reason,
             lost=part.lost,
             has_head=has_head,
@@ -599,9 +610,17 @@
 
     def _read_body(self, response):
         chunks = []
+        size = 0
+        memory = response.call.memory
         while True:
             part = self.receive(response.call)
             if isinstance(part, engineclient.BodyData):
+                size += len(part.data)
+                failure = engineclient.excess_failure(
+                    memory.keep(BODY_COPIES * size)
+                )
+                if failure is not None:
+                    return self._failed_attempt(failure)
                 chunks.append(part.data)
                 self.record_progress()
             elif isinstance(part, engineclient.EndOfResponse):
@@ -616,6 +635,7 @@
             else:
                 return self._failed_attempt(part)
         response.body = b"".join(chunks)
+        chunks.clear()
         if response.head.status == 200 and wire.holds_another_answer(
             response.body, self._req
         ):
@@ -623,14 +643,17 @@
         response.done = True
         if response.head.status == 200:
             self._record_begun()
+        memory.keep(size)
         if response.head.status < 500:
             self._load_tracker.record_success(response.engine.id)
+            response.account = memory.hand_over()
             return response
         if response.head.status == 503 or not self.history.is_last_execution:
             reason = f"status {response.head.status}"
             return engineattempt.FailedAttempt(
                 attempts.AttemptFailure.FAILED, reason
             )
+        response.account = memory.hand_over()
         return response
 
     def record_progress(self):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -10,11 +10,14 @@
 
 import pykka
 
+from samphirepost import answerbounds
 from samphirepost import batchjob
 from samphirepost import errors
+from samphirepost import memorybudget
 from samphirepost import quarantine
 from samphirepost import routing
 from samphirepost import slotmessages
+from samphirepost_daemon.entry import engineclient
 from samphirepost_daemon.entry import exchange
 from samphirepost_daemon.entry import holdermessages
 from samphirepost_daemon.entry import items
@@ -183,8 +186,11 @@
             open_job.revision,
             open_job.store_ms,
             time.monotonic(),
+            lambda: self._parts.budget.account(memorybudget.Kind.ITEM, key),
+        )
+        held_job.take_over_outputs(
+            partial_outputs or {}, jobstore.new_output_id
         )
-        held_job.partial_outputs.update(partial_outputs or {})
         self._held_jobs[key] = held_job
         self._count_jobs()
         self._parts.log.event(
@@ -204,6 +210,7 @@
         held_job = self._held_jobs.pop(key, None)
         if held_job is None:
             return
+        held_job.close()
         self._count_jobs()
         self._parts.log.event(
             "job.dropped", job=message.job_id, reason=message.reason
@@ -471,10 +478,9 @@
         route = self._find_route(held_job)
         if route is None or engine.pool not in route.pools:
             return False
-        partial = held_job.partial_outputs.get(index)
-        if partial is None:
-            partial = batchjob.PartialOutput(jobstore.new_output_id())
-            held_job.partial_outputs[index] = partial
+        if self._is_refusing(held_job, index, engine):
+            return False
+        partial = held_job.begin_output(index, jobstore.new_output_id())
         if not partial.can_go_on(engine.version, engine.pool):
             return False
         if not partial.texts:
@@ -483,8 +489,18 @@
         del self._wanted[key, index]
         held_job.running.add(index)
         late = self._is_late(held_job, index, now_s)
+        tokens = wire.output_tokens_of(held_job.record.items[index])
+        bound = answerbounds.bound_of(tokens)
         run = holdermessages.ItemRun(
-            run_id, key, index, engine, partial, through
+            run_id,
+            key,
+            index,
+            engine,
+            partial,
+            through,
+            lambda: engineclient.Call(
+                self._parts.answers.of(engine.id, bound)
+            ),
         )
         self._item_runs[run_id] = run
         self._parts.slots.start_run(
@@ -501,6 +517,14 @@
         )
         return True
 
+    def _is_refusing(self, held_job, index, engine):
+        """Whether an engine put out without end and another is there."""
+        refusing = held_job.refusing_engines.get(index, ())
+        return engine.id in refusing and any(
+            other.id not in refusing
+            for other in self._parts.state.engines(engine.pool)
+        )
+
     def _stop_preempted_runs(self, message):
         """Stops items whose slots the hub gave to online requests."""
         for run_id in message.run_ids:
@@ -575,9 +599,11 @@
             held_job is None
             or held_job.partial_outputs.get(run.index) is not run.partial
         ):
+            run.partial.close()
             return
         item = held_job.record.items[run.index]
         self._apply_outcome(held_job, run, item, outcome)
+        held_job.end_run(run.index, run.partial)
         if isinstance(outcome, items.CompletedRun):
             self._record_done(held_job, run, item, outcome)
         else:
@@ -634,8 +660,17 @@
             held_job.give_up_item(index)
         elif isinstance(outcome, items.FailedRun):
             self._count_failure(held_job, index)
+        elif isinstance(outcome, items.EndlessRun):
+            self._parts.load_tracker.record_failure(run.engine, now_s)
+            refusing = held_job.refusing_engines.setdefault(index, set())
+            refusing.add(run.engine)
+            held_job.restart_item(index, jobstore.new_output_id())
+            self._count_failure(held_job, index)
         else:
             held_job.running.discard(index)
+            if outcome.is_without_memory:
+                # What it has would keep others from their ends.
+                held_job.restart_item(index, jobstore.new_output_id())
             if outcome.is_engine_failure:
                 self._parts.load_tracker.record_failure(run.engine, now_s)
         if not run.stop_requested:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holdermessages.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holdermessages.py
@@ -51,7 +51,8 @@
 
     `call` is its connection to the engine, through a peer at the address
     `through` unless empty. The run occupies a slot under `id`. `last_event_s`
-    is when the output's last event came.
+    is when the output's last event came. `new_call()` returns a Call for one
+    more request.
     """
 
     __slots__ = (
@@ -63,13 +64,23 @@
         "index",
         "key",
         "last_event_s",
+        "new_call",
         "partial",
         "stop_requested",
         "through",
         "version",
     )
 
-    def __init__(self, run_id, key, index, engine, partial, through=""):
+    def __init__(
+        self,
+        run_id,
+        key,
+        index,
+        engine,
+        partial,
+        through="",
+        new_call=engineclient.Call,
+    ):
         self.id = run_id
         self.began_s = time.monotonic()
         self.last_event_s = self.began_s
@@ -81,7 +92,8 @@
         self.partial = partial
         self.through = through
         self.stop_requested = False
-        self._call = engineclient.Call()
+        self.new_call = new_call
+        self._call = new_call()
 
     @property
     def call(self):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
@@ -6,6 +6,7 @@
 
 from samphirepost import events
 from samphirepost import slotmessages
+from samphirepost_daemon.entry import answermemory
 from samphirepost_daemon.entry import engineclient
 from samphirepost_daemon.entry import exchange
 from samphirepost_daemon.entry import tunnel
@@ -42,6 +43,16 @@
     reason: str
 
 
+class EndlessRun(msgspec.Struct, frozen=True):
+    """The engine's answer exceeded its bound; its output is not sound.
+
+    It counts as an attempt, as the item itself may be the cause.
+    """
+
+    label = "endless"
+    reason: str
+
+
 class UnprocessableItem(msgspec.Struct, frozen=True):
     """The engine reported that no attempt can complete the item."""
 
@@ -54,7 +65,7 @@
     `is_engine_failure` is true if it is attributed to the engine, unless
     `may_be_path`: the path to it may be at fault. `unreached` if no connection
     could be opened, `lost` if it ended, and `has_head` if the response's head
-    had arrived.
+    had arrived. `is_without_memory` if none was free for the output.
     """
 
     label = "interrupted"
@@ -64,6 +75,7 @@
     has_head: bool = False
     unreached: bool = False
     silent: bool = False
+    is_without_memory: bool = False
 
     @property
     def may_be_path(self):
@@ -71,6 +83,11 @@
         return self.lost or self.unreached or self.silent
 
 
+NO_MEMORY = InterruptedRun(
+    "no memory is free for the output", False, is_without_memory=True
+)
+
+
 class UnframedEnd(msgspec.Struct, frozen=True):
     """The answer ended with its connection, and had whole events until then.
 
@@ -89,6 +106,8 @@
     """Returns what the outcome of a run shows about its engine."""
     if isinstance(outcome, (CompletedRun, UnprocessableItem)):
         return slotmessages.Outcome.OK
+    if isinstance(outcome, EndlessRun):
+        return slotmessages.Outcome.FAILED
     if (
         isinstance(outcome, InterruptedRun)
         and outcome.is_engine_failure
@@ -132,8 +151,8 @@
     `exchange.READ_POLL_S` seconds; once it is true, the run is interrupted.
     `observer` is a RunObserver.
 
-    Returns a CompletedRun, FailedRun, UnprocessableItem or InterruptedRun,
-    whose `label` is the outcome in logs and metrics.
+    Returns a CompletedRun, FailedRun, EndlessRun, UnprocessableItem or
+    InterruptedRun, whose `label` is the outcome in logs and metrics.
     """
     outcome = _run_until_certain(
         paths, run, record, item, engine, should_stop, observer
@@ -180,7 +199,7 @@
             return outcome
         if should_stop() or not observer.may_ask_again():
             break
-        run.call = engineclient.Call()
+        run.call = run.new_call()
     return InterruptedRun("the end is not certain", False)
 
 
@@ -223,6 +242,10 @@
         """Whether the output has events after its last one."""
         return self.end < len(self._partial.texts)
 
+    def try_keep(self, found):
+        """Takes memory for events; returns whether it was free."""
+        return self._is_repeat or self._partial.try_keep(found)
+
     def add(self, event):
         """Adds the next event.
 
@@ -278,6 +301,8 @@
         return InterruptedRun("the head has no seal", True, True, True)
     if answer.resume_after is not None and wire.is_other_content(head):
         return InterruptedRun("not the rest of the output", True)
+    # The bound holds for the whole output, over all its answers.
+    call.memory.count_events(answer.start)
     return _collect_events(call, head, answer, should_stop, observer)
 
 
@@ -292,6 +317,9 @@
         if not isinstance(part, engineclient.BodyData):
             return _interruption(part)
         found = parser.feed(part.data)
+        refused = _refuse_events(call, parser, found, answer)
+        if refused is not None:
+            return refused
         for event in found:
             ended = answer.add(event)
             if ended is not None:
@@ -308,6 +336,19 @@
             observer.begun()
 
 
+def _refuse_events(call, parser, found, answer):
+    """Returns what ends a run that may keep no more, or None."""
+    count = sum(not event.is_remark for event in found)
+    excess = call.memory.count_events(count) or call.memory.keep(
+        len(parser.incomplete) + answermemory.EVENT_OBJECT_BYTES * len(found)
+    )
+    if excess is not None:
+        return _interruption(engineclient.excess_failure(excess))
+    if found and not answer.try_keep(found):
+        return NO_MEMORY
+    return None
+
+
 def _end_of_answer(part, answer, parser, observer):
     if parser.incomplete or not answer.end:
         return InterruptedRun("the stream ended early", True, True, True)
@@ -321,6 +362,10 @@
 
 def _interruption(part, has_head=True):
     if isinstance(part, engineclient.CallFailure):
+        if part.is_without_memory:
+            return NO_MEMORY
+        if part.excess is not None:
+            return EndlessRun(part.reason)
         return InterruptedRun(
             part.reason,
             not part.at_peer,
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
@@ -79,7 +79,11 @@
     def _send_body(self, response):
         self._exchange.close(response)
         self._finish("answered")
-        yield response.body
+        try:
+            yield response.body
+        finally:
+            if response.account is not None:
+                response.account.close()
 
     def _relay_stream(self, response):
         outcome, reason = "cut", None
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/streamend.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/streamend.py
@@ -112,7 +112,7 @@
             return End.UNCERTAIN
         engine = response.engine
         through = enginestatus.find_way(
-            self._parts.paths,
+            self._parts,
             engine,
             response.slot.through,
             self._calls.left_s(),
@@ -197,7 +197,7 @@
         """Sends a Question; returns what its answer shows."""
         self._calls.check_caller()
         self._calls.record_progress()
-        call = engineclient.Call()
+        call = self._calls.new_call(response.engine)
         found = None
         try:
             found = self._send_call(call, response, question, through)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -12,6 +12,7 @@
 from samphirepost import relays
 from samphirepost import selection
 from samphirepost import streamversions
+from samphirepost_daemon.entry import answermemory
 from samphirepost_daemon.entry import batch
 from samphirepost_daemon.entry import boundedhttp
 from samphirepost_daemon.entry import engineclient
@@ -60,13 +61,15 @@
 class SharedParts:
     """Objects that most parts share.
 
-    `budget` is the memorybudget.Budget of all that is kept for others.
+    `budget` is the memorybudget.Budget of all that is kept for others, and
+    `answers` the AnswerMemories of what engines send.
     `dialer` opens connections to engines, see engineclient.dial(). `slots` is
     the SlotExchange, `paths` the PathMonitor and `streams` the StreamTable,
     set once they are created.
     """
 
     __slots__ = (
+        "answers",
         "bases",
         "budget",
         "dialer",
@@ -101,6 +104,7 @@
             quota_bounds or quotas.Bounds(), time.monotonic()
         )
         self.budget = memorybudget.Budget(memorybudget.budget_bytes(memory_mb))
+        self.answers = answermemory.AnswerMemories(self.budget, self.log)
         self.bases = streamversions.Bases()
         self.dialer = engineclient.dial
         self.slots = None
--- a/packages/samphirepost/src/samphirepost/attempts.py
+++ b/packages/samphirepost/src/samphirepost/attempts.py
@@ -35,8 +35,8 @@
     """Why an attempt gave no usable response.
 
     UNRECORDED: the daemon could not record where the stream begins. PEER: a
-    peer that was to relay the request did not send it. Neither is a failure of
-    the engine.
+    peer that was to relay the request did not send it. NO_MEMORY: the daemon
+    has no memory free for the answer. None of them is a failure of the engine.
     """
 
     UNREACHABLE = "unreachable"
@@ -46,6 +46,7 @@
     FAILED = "failed"
     UNRECORDED = "unrecorded"
     PEER = "peer"
+    NO_MEMORY = "no-memory"
 
 
 NOT_EXECUTED = frozenset(
@@ -94,6 +95,9 @@
         self.attempts += 1
         if failure not in NOT_EXECUTED:
             self.executions += 1
+        if failure is AttemptFailure.NO_MEMORY:
+            # Another answer would need memory too.
+            self._repeatable = False
 
     @property
     def can_execute_again(self):
--- a/packages/samphirepost/src/samphirepost/batchjob.py
+++ b/packages/samphirepost/src/samphirepost/batchjob.py
@@ -37,6 +37,8 @@
 CHECKPOINTS_BYTES_MAX = 250_000
 # Checkpoints of one item, which are deleted in one commit.
 CHECKPOINTS_PER_ITEM_MAX = 40
+# Memory of an event's text beside its bytes.
+TEXT_OBJECT_BYTES = 64
 # Weight of a new sample in the moving averages of item durations.
 DURATION_SAMPLE_SHARE = 0.2
 
@@ -161,10 +163,12 @@
     checkpoints; `row_count` rows may be stored, of former outputs too.
     `ending` is the EndEvidence of answers without a length. The thread that
     runs the item records there and appends events; the holder's thread does
-    the rest.
+    the rest. `account` is a memorybudget.Account of what is kept, or None if
+    nothing is counted.
     """
 
     __slots__ = (
+        "account",
         "checkpoint_count",
         "durable_count",
         "ending",
@@ -176,7 +180,8 @@
         "version",
     )
 
-    def __init__(self, output_id="", row_count=0):
+    def __init__(self, output_id="", row_count=0, account=None):
+        self.account = account
         self.output_id = output_id
         self.row_count = row_count
         self.pool = None
@@ -201,6 +206,25 @@
             return None
         return self.first_id + number - 1
 
+    def count_kept(self):
+        """Takes from the account what is kept; returns whether it was free."""
+        if self.account is None:
+            return True
+        size = sum(len(text) for text in self.texts)
+        return self.account.take(size + TEXT_OBJECT_BYTES * len(self.texts))
+
+    def try_keep(self, found):
+        """Takes from the account for events; returns whether it was free."""
+        if self.account is None:
+            return True
+        size = sum(len(event.data) for event in found)
+        return self.account.take(size + TEXT_OBJECT_BYTES * len(found))
+
+    def close(self):
+        """Gives back what the account has."""
+        if self.account is not None:
+            self.account.close()
+
     def append_event(self, event_id, data):
         """Appends an event; returns False if it is not the next one."""
         if event_id is None:
@@ -298,10 +322,13 @@
     `retry_at_s` the instants before which items are not started again, and
     `lost_counts` the runs in a row that lost their engine before their answer
     began, by index. `pending_commit` is the commit whose outcome is unknown,
-    or None.
+    or None. `refusing_engines` has the engines that put out without end for
+    an item. `new_account()` returns a memorybudget.Account of the job.
     """
 
     __slots__ = (
+        "_accounts",
+        "_new_account",
         "commit_started_s",
         "deadline_s",
         "give_up_s",
@@ -312,6 +339,7 @@
         "pending_failures",
         "progress",
         "record",
+        "refusing_engines",
         "retry_at_s",
         "revision",
         "running",
@@ -319,7 +347,11 @@
         "unlisted_results",
     )
 
-    def __init__(self, record, progress, revision, store_ms, now_s):
+    def __init__(
+        self, record, progress, revision, store_ms, now_s, new_account=None
+    ):
+        self._new_account = new_account or (lambda: None)
+        self._accounts = {}
         self.deadline_s = now_s + (progress.due_ms - store_ms) / 1000
         self.give_up_s = now_s + (progress.give_up_ms - store_ms) / 1000
         self.commit_started_s = now_s
@@ -329,6 +361,7 @@
         self.running = set()
         self.unlisted_results = {}
         self.partial_outputs = {}
+        self.refusing_engines = {}
         self.stale_checkpoints = {}
         self.retry_at_s = {}
         self.lost_counts = {}
@@ -398,12 +431,42 @@
             )
         ]
         for index in found:
-            old = self.partial_outputs[index]
-            self.partial_outputs[index] = PartialOutput(
-                new_id(), old.row_count
-            )
+            self.restart_item(index, new_id())
         return found
 
+    def begin_output(self, index, output_id):
+        """Returns an item's PartialOutput, a new one if it has none."""
+        partial = self.partial_outputs.get(index)
+        if partial is None:
+            partial = PartialOutput(output_id, account=self._new_account())
+            self.partial_outputs[index] = partial
+        return partial
+
+    def restart_item(self, index, output_id):
+        """Drops the output of an item, which begins again."""
+        old = self.partial_outputs[index]
+        old.close()
+        self.partial_outputs[index] = PartialOutput(
+            output_id, old.row_count, self._new_account()
+        )
+
+    def take_over_outputs(self, partial_outputs, new_id):
+        """Goes on with stored outputs, as far as memory is free for them."""
+        for index, partial in partial_outputs.items():
+            partial.account = self._new_account()
+            self.partial_outputs[index] = partial
+            if not partial.count_kept():
+                self.restart_item(index, new_id())
+
+    def close(self):
+        """Gives back the memory of all items that do not run."""
+        for index, partial in self.partial_outputs.items():
+            if index not in self.running:
+                partial.close()
+        for account in self._accounts.values():
+            account.close()
+        self._accounts.clear()
+
     def failure_count(self, index):
         """Returns the number of failed attempts of an item."""
         durable = self.progress.failures.get(index, 0)
@@ -411,13 +474,34 @@
 
     def finish_item(self, index, result):
         """Records the result of an item; a second result is ignored."""
+        is_running = index in self.running
         self.running.discard(index)
         partial = self.partial_outputs.pop(index, None)
         if partial is not None and partial.row_count:
             self.stale_checkpoints[index] = partial.row_count
+        if partial is not None and partial.account is not None:
+            self._settle_account(index, partial, result, is_running)
         if index not in self.progress.listed:
             self.unlisted_results.setdefault(index, result)
 
+    def _settle_account(self, index, partial, result, is_running):
+        """Gives back what the result of an item does not keep."""
+        if result.text:
+            spare = partial.account.held - len(result.text)
+            partial.account.give_back(max(0, spare))
+            self._accounts[index] = partial.account
+        elif not is_running:
+            partial.close()
+
+    def end_run(self, index, partial):
+        """Gives back the output of a run that has ended, unless it is kept.
+
+        Until then the thread of the run may add to an item that was given up.
+        """
+        is_result = self._accounts.get(index) is partial.account
+        if self.partial_outputs.get(index) is not partial and not is_result:
+            partial.close()
+
     def fail_item(self, index, attempts_max):
         """Counts a failed attempt; gives the item up at `attempts_max`."""
         self.running.discard(index)
@@ -522,6 +606,9 @@
         self.pending_commit = None
         for index in commit.progress.listed[commit.first :]:
             self.unlisted_results.pop(index, None)
+            account = self._accounts.pop(index, None)
+            if account is not None:
+                account.close()
             self.stale_checkpoints.pop(index, None)
         for checkpoint in commit.checkpoints:
             self._apply_checkpoint(checkpoint)
--- /dev/null
+++ b/tests/test_answerbounds.py
@@ -0,0 +1,275 @@
+"""Tests the bounds of single answers of engines."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from samphirepost import answerbounds
+from samphirepost import batchjob
+from samphirepost import events
+from samphirepost import memorybudget
+from samphirepost import roster
+from samphirepost import slotmessages
+from samphirepost_bench import entryfleet
+from samphirepost_daemon.entry import answermemory
+from samphirepost_daemon.entry import engineclient
+from samphirepost_daemon.entry import holdermessages
+from samphirepost_daemon.entry import items
+from tests import entryhelper
+from tests import test_answermemory
+from tests import test_itemanswers
+
+TOTAL_BYTES = 10_000_000
+EVENT_COUNTS = strategies.integers(0, 10**18)
+OPERATIONS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(("receive", "keep", "count_events")),
+        strategies.integers(0, 2_000_000),
+    )
+)
+
+
+@hypothesis.given(EVENT_COUNTS, EVENT_COUNTS)
+def test_more_tokens_allow_no_less(tokens, more):
+    fewer, many = sorted((max(1, tokens), max(1, more)))
+    low, high = map(answerbounds.bound_of, (fewer, many))
+    assert low.bytes <= high.bytes <= answerbounds.UNKNOWN.bytes
+    assert low.events <= high.events <= answerbounds.UNKNOWN.events
+
+
+def test_an_answer_of_unknown_tokens_has_the_largest_bound():
+    assert answerbounds.bound_of(0) == answerbounds.UNKNOWN
+
+
+# A count that is not given back would shrink the budget for ever.
+@hypothesis.given(OPERATIONS)
+def test_all_memory_of_an_answer_is_given_back(operations):
+    budget = memorybudget.Budget(TOTAL_BYTES)
+    kind = memorybudget.Kind.ENGINE
+    answer = answermemory.AnswerMemory(budget.account(kind, "e"))
+    for name, count in operations:
+        getattr(answer, name)(count)
+        assert 0 <= budget.held(kind) <= budget.size(kind)
+    answer.close()
+    assert budget.held(kind) == 0
+
+
+def test_a_body_keeps_its_memory_after_its_call():
+    budget = memorybudget.Budget(TOTAL_BYTES)
+    kind = memorybudget.Kind.ENGINE
+    answer = answermemory.AnswerMemory(budget.account(kind, "e"))
+    assert answer.receive(100) is None
+    assert answer.keep(1000) is None
+    account = answer.hand_over()
+    answer.close()
+    assert budget.held(kind) == 1000
+    account.close()
+    assert budget.held(kind) == 0
+
+
+class ItemRuns:
+    """Runs items at a server, with a bound and a budget of items."""
+
+    def __init__(self, server, total_bytes=TOTAL_BYTES, tokens=40):
+        self.budget = memorybudget.Budget(total_bytes)
+        self._engine = roster.Engine("e1", "plants", server.address, "a", 8)
+        self._answers = answermemory.AnswerMemories(self.budget, None)
+        self._bound = answerbounds.bound_of(tokens)
+        self.partial = batchjob.PartialOutput(
+            account=self.budget.account(memorybudget.Kind.ITEM, "job")
+        )
+
+    def _new_call(self):
+        return engineclient.Call(self._answers.of("e1", self._bound))
+
+    def run(self):
+        """Runs the item; returns the outcome."""
+        item = batchjob.Item("i1", "/evening/1", {}, b"body", 10)
+        record = batchjob.Record("job", "h", "r", item.path, (item,))
+        run = holdermessages.ItemRun(
+            1,
+            ("h", "job"),
+            0,
+            self._engine,
+            self.partial,
+            new_call=self._new_call,
+        )
+        return items.run_item(
+            entryhelper.DirectPaths(),
+            record,
+            item,
+            self._engine,
+            run,
+            lambda: False,
+            items.RunObserver(),
+        )
+
+
+def answer_of(count, text=b"w"):
+    """Returns an answer of some events without a length."""
+    return (
+        test_itemanswers.HEAD
+        + b"\r\n"
+        + b"".join(
+            b"id: %d\ndata: %s\n\n" % (number, text)
+            for number in range(1, count + 1)
+        )
+    )
+
+
+server = test_itemanswers.server
+
+
+# Such a run is interrupted without a count, so it would go on for ever.
+def test_an_item_with_too_many_events_is_the_engines_failure(server):
+    runs = ItemRuns(server)
+    server.answer = answer_of(1000)
+    outcome = runs.run()
+    assert isinstance(outcome, items.EndlessRun)
+    assert items.engine_outcome(outcome) is slotmessages.Outcome.FAILED
+    assert len(runs.partial.texts) <= answerbounds.bound_of(40).events
+
+
+# The bound of each answer alone lets an output grow with each run.
+def test_the_bound_holds_over_all_answers_to_an_item(server):
+    runs = ItemRuns(server)
+    server.answer = answer_of(300) + b"id: 301\ndata: "
+    assert isinstance(runs.run(), items.InterruptedRun)
+    server.answer = answer_of(600)[
+        : len(test_itemanswers.HEAD) + 2
+    ] + b"".join(b"id: %d\ndata: w\n\n" % number for number in range(301, 600))
+    assert isinstance(runs.run(), items.EndlessRun)
+
+
+def test_an_announced_length_is_refused_at_the_head(server):
+    runs = ItemRuns(server)
+    length = answerbounds.bound_of(40).bytes + 1
+    server.answer = (
+        test_itemanswers.HEAD + b"Content-Length: %d\r\n\r\n" % length
+    )
+    assert isinstance(runs.run(), items.EndlessRun)
+
+
+# An engine must not count as failing where this process has no memory.
+def test_an_item_without_memory_is_interrupted(server):
+    runs = ItemRuns(server, total_bytes=400_000, tokens=100_000)
+    server.answer = answer_of(100, b"w" * 1000)
+    outcome = runs.run()
+    assert isinstance(outcome, items.InterruptedRun)
+    assert outcome.is_without_memory
+    assert items.engine_outcome(outcome) is slotmessages.Outcome.UNKNOWN
+    runs.partial.close()
+    assert runs.budget.held(memorybudget.Kind.ITEM) == 0
+    assert runs.budget.held(memorybudget.Kind.ENGINE) == 0
+
+
+def held_job(budget):
+    """Returns a HeldJob of two items whose outputs the budget counts."""
+    record = batchjob.Record(
+        "j",
+        "h",
+        "r",
+        "/evening/",
+        tuple(batchjob.Item(f"i{i}", "/", {}, b"", 1) for i in range(2)),
+    )
+    progress = batchjob.Progress("r", "vm", 0, 2, 60_000, 90_000)
+    return batchjob.HeldJob(
+        record,
+        progress,
+        1,
+        0,
+        0.0,
+        lambda: budget.account(memorybudget.Kind.ITEM, "j"),
+    )
+
+
+# Results that wait for the store are kept as well.
+def test_an_outputs_memory_is_given_back_once_the_result_is_durable():
+    budget = memorybudget.Budget(TOTAL_BYTES)
+    job = held_job(budget)
+    partial = job.begin_output(0, "o")
+    event = events.Event(b"", 1, b"text")
+    assert partial.try_keep([event])
+    partial.append_event(1, b"text")
+    job.finish_item(
+        0, batchjob.Result("i0", batchjob.FinalStatus.DONE, partial.text)
+    )
+    assert budget.held(memorybudget.Kind.ITEM) == len(b"text")
+    job.next_commit(20, 10_000, 0.0)
+    job.apply_commit(2)
+    assert budget.held(memorybudget.Kind.ITEM) == 0
+
+
+# The thread of a run may still add to the output of an item given up.
+def test_an_item_given_up_gives_its_memory_back_after_its_run():
+    budget = memorybudget.Budget(TOTAL_BYTES)
+    job = held_job(budget)
+    partial = job.begin_output(0, "o")
+    job.running.add(0)
+    event = events.Event(b"", 1, b"text")
+    assert partial.try_keep([event])
+    job.give_up_item(0)
+    assert partial.try_keep([event])
+    job.end_run(0, partial)
+    assert budget.held(memorybudget.Kind.ITEM) == 0
+
+
+def test_a_job_that_is_released_gives_its_memory_back():
+    budget = memorybudget.Budget(TOTAL_BYTES)
+    job = held_job(budget)
+    event = events.Event(b"", 1, b"text")
+    for index in range(2):
+        assert job.begin_output(index, "o").try_keep([event])
+    job.running.add(1)
+    job.close()
+    # The thread that runs an item may still add to its output.
+    running = job.partial_outputs[1]
+    assert budget.held(memorybudget.Kind.ITEM) == running.account.held > 0
+    running.close()
+    assert budget.held(memorybudget.Kind.ITEM) == 0
+
+
+# A taken over output that there is no memory for begins again.
+def test_stored_outputs_are_taken_over_as_far_as_memory_is_free():
+    budget = memorybudget.Budget(10_000)
+    job = held_job(budget)
+    stored = {index: batchjob.PartialOutput(f"o{index}") for index in (0, 1)}
+    for partial, size in zip(stored.values(), (100, 100_000), strict=True):
+        partial.append_event(1, b"w" * size)
+    job.take_over_outputs(stored, lambda: "new")
+    assert [job.partial_outputs[i].output_id for i in (0, 1)] == ["o0", "new"]
+    job.close()
+    assert budget.held(memorybudget.Kind.ITEM) == 0
+
+
+@pytest.fixture
+def fleet():
+    """One daemon with one engine."""
+    new_fleet = entryhelper.Fleet(engines=1)
+    yield new_fleet
+    new_fleet.stop()
+
+
+# A stream for 40 tokens was passed on up to 16 MiB.
+def test_a_stream_over_its_bound_is_broken_off(fleet):
+    endless = test_answermemory.EndlessEngine(
+        test_answermemory.numbered_events
+    )
+    daemon = fleet.daemons[0]
+    name = fleet.engines[0].name
+    entry = fleet.engines[0].entry(entryfleet.POOL)
+    fleet.store.put_row("servers", name, entry | {"address": endless.address})
+    entryhelper.wait_until(
+        lambda: daemon.state.roster.get(name).address == endless.address,
+        "the endless engine is listed",
+    )
+    reply = fleet.send_online("r1", "/bills/1", **{"Token-Count": "10,40"})
+    # The first bytes that are read may be over the bound already.
+    assert (reply.status, reply.complete) in ((200, False), (502, True))
+    assert reply.body.count(b"\n\n") <= answerbounds.bound_of(40).events
+    kinds = (memorybudget.Kind.ENGINE, memorybudget.Kind.ITEM)
+    entryhelper.wait_until(
+        lambda: not any(map(daemon.parts.budget.held, kinds)),
+        "the memory is given back",
+    )
+    endless.stop()
