Relays to slow peers: the rest stays at the engine

The listener kept up to 16 MB for each peer that reads slowly, and what it had sent: 24 such runs took a daemon to 382 MB. An engine is not read now while 16 KiB wait for the peer, and each run takes its buffers from the memory budget when it begins.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/enginerelay.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/enginerelay.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from samphirepost import codec
+from samphirepost import memorybudget
 from samphirepost import relays
 from samphirepost_daemon.entry import engineclient
 from samphirepost_daemon.entry import tunnel
@@ -19,6 +20,13 @@
 ITEM_RUNS_MAX = relays.RUNS_MAX // 2
 # Longest run that is relayed (s).
 RUN_MAX_S = 60.0
+# The engine is not read while the peer has yet to take this many bytes.
+PENDING_BYTES_MAX = 16_384
+PENDING_POLL_S = 0.005
+# A buffer of the listener holds this many bytes, sent or not.
+OUTPUT_BYTES_MAX = 2 * PENDING_BYTES_MAX
+# Bytes that one run keeps of its answer.
+RUN_BYTES = OUTPUT_BYTES_MAX + engineclient.RECEIVE_BYTES_MAX
 _order_decoder = msgspec.msgpack.Decoder(tunnel.RelayOrder)
 
 
@@ -80,12 +88,13 @@
 
     def __call__(self, environ, start_response):
         """Answers one order; see tunnel for the response."""
+        peer = environ.get("REMOTE_ADDR")
         try:
             order = _order_decoder.decode(environ["wsgi.input"].read())
         except codec.UNREADABLE:
             return self._refuse(start_response, "unreadable", 400)
         engine = self._parts.state.roster.get(order.engine)
-        if not self._is_member(environ.get("REMOTE_ADDR")):
+        if not self._is_member(peer):
             return self._refuse(start_response, "not-member", 403)
         is_test = not order.data
         if engine is None or not (
@@ -96,7 +105,16 @@
             return self._refuse(start_response, "stopping")
         if not self._counter.try_start(order.item):
             return self._refuse(start_response, "full")
-        run = RelayedRun(environ, order, lambda: self._counter.end(order.item))
+        memory = RelayMemory(self._parts.budget, peer)
+        if not memory.take(len(order.data)):
+            self._counter.end(order.item)
+            return self._refuse(start_response, "no-memory")
+
+        def end_run(is_item=order.item):
+            self._counter.end(is_item)
+            memory.close()
+
+        run = RelayedRun(environ, order, memory, end_run)
         try:
             run.open(self._parts.paths, engine)
         except OSError:
@@ -133,17 +151,48 @@
         )
 
 
+class RelayMemory:
+    """What one relayed run keeps, of the request and of the answer.
+
+    The request's bytes are the caller's of the peer, and kept until they are
+    sent.
+    """
+
+    def __init__(self, budget, peer):
+        self._request = budget.account(memorybudget.Kind.CALLER, peer)
+        self._answer = budget.account(memorybudget.Kind.RELAY, peer)
+
+    def take(self, request_bytes):
+        """Takes what the run needs; returns whether it was free."""
+        if self._answer.take(RUN_BYTES) and self._request.take(request_bytes):
+            return True
+        self.close()
+        return False
+
+    def request_sent(self):
+        """Gives back what the request needed."""
+        self._request.close()
+
+    def close(self):
+        """Gives everything back."""
+        self._request.close()
+        self._answer.close()
+
+
 class RelayedRun:
     """A run at an engine for a peer; iterates over the response's body.
 
-    `ended()` is called once, by close().
+    `memory` is its RelayMemory. `ended()` is called once, by close().
     """
 
-    def __init__(self, environ, order, ended):
+    def __init__(self, environ, order, memory, ended):
         self._is_disconnected = environ.get(
             "waitress.client_disconnected", lambda: False
         )
-        self._order = order
+        # The method of a waitress channel, outside of tests.
+        self._channel = getattr(self._is_disconnected, "__self__", None)
+        self._data = order.data
+        self._memory = memory
         self._ended = ended
         self._deadline_s = time.monotonic() + min(order.left_s, RUN_MAX_S)
         self._sock = None
@@ -155,17 +204,22 @@
     def __iter__(self):
         # From here on the engine may have the request.
         yield tunnel.OPENED
-        if not self._order.data:
+        if not self._data:
             return
         self._send()
         poller = select.poll()
         poller.register(self._sock, select.POLLIN)
+        pause = threading.Event()
         received = 0
         while received <= engineclient.RESPONSE_BYTES_MAX:
             if self._is_disconnected():
                 raise RelayCut("the peer has left")
             if time.monotonic() > self._deadline_s:
                 raise RelayCut("the peer's deadline has passed")
+            if self._pending_bytes() > PENDING_BYTES_MAX:
+                # What is not read waits at the engine.
+                pause.wait(PENDING_POLL_S)
+                continue
             if not poller.poll(PEER_POLL_S * 1000):
                 continue
             data = self._receive()
@@ -175,10 +229,18 @@
             yield data
         raise RelayCut("the response is too long")
 
+    def _pending_bytes(self):
+        """Returns how many bytes the peer has yet to take."""
+        if self._channel is None:
+            return 0
+        return self._channel.total_outbufs_len
+
     def _send(self):
         try:
             self._sock.settimeout(engineclient.SEND_TIMEOUT_S)
-            self._sock.sendall(self._order.data)
+            self._sock.sendall(self._data)
+            self._data = b""
+            self._memory.request_sent()
             self._sock.setblocking(False)
         except OSError as exc:
             raise RelayCut(f"send: {exc}") from exc
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -166,6 +166,7 @@
             ),
             f"{cfg.peer_address}:{cfg.peer_port}",
             STORE_RELAY_THREADS + relays.RUNS_MAX,
+            output_bytes_max=enginerelay.OUTPUT_BYTES_MAX,
         )
         self.membership = members.MembershipWriter(
             store_client, me, cfg.peer_address, cfg.peer_port, parts.log
@@ -243,7 +244,7 @@
         self.log.failure("fault", where=where, error=repr(args.exc_value))
 
 
-def _make_listener(app, address, threads):
+def _make_listener(app, address, threads, **bounds):
     return listener.Listener(
         app,
         address,
@@ -252,4 +253,5 @@
         CONNECTIONS_MAX,
         IDLE_TIMEOUT_S,
         keep_proxy_headers=True,
+        **bounds,
     )
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/listener.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/listener.py
@@ -12,6 +12,8 @@
 CLOSE_POLL_S = 0.01
 # Connections that may wait for accept: those of a burst of one second.
 BACKLOG = 1024
+# Bytes of responses that wait for one connection.
+OUTPUT_BYTES_MAX = 16_777_216
 
 
 class GrowingDispatcher(task.ThreadedTaskDispatcher):
@@ -45,7 +47,8 @@
 
     Each kind of request has a listener of its own, so that one kind cannot
     occupy the threads of another. `idle_s` is the time after which an idle
-    connection is closed.
+    connection is closed. A response waits while more than `output_bytes_max`
+    are to be sent; a buffer keeps that many that were sent.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         connections_max,
         idle_s,
         keep_proxy_headers=False,
+        output_bytes_max=OUTPUT_BYTES_MAX,
     ):
         host, _, port = address.rpartition(":")
         self._server = waitress.create_server(
@@ -68,6 +72,7 @@
             max_request_body_size=body_bytes_max,
             inbuf_overflow=body_bytes_max,
             outbuf_overflow=body_bytes_max,
+            outbuf_high_watermark=output_bytes_max,
             connection_limit=connections_max,
             channel_timeout=idle_s,
             cleanup_interval=5,
--- a/tests/test_answermemory.py
+++ b/tests/test_answermemory.py
@@ -11,12 +11,14 @@
 import json
 import os
 import re
+import socket
 import threading
 
 import pytest
 
 from samphirepost_bench import entryfleet
 from samphirepost_bench import fleet as fleet_module
+from samphirepost_daemon.entry import tunnel
 from tests import entryhelper
 
 MEMORY_MB = 160
@@ -24,8 +26,10 @@
 RESIDENT_MAX_MB = 100
 DESCRIPTORS_MAX = 300
 REQUESTS = 32
+RELAYS = 24
 ITEMS = 4
 ITEM_RUNS = 6
+STILL_POLLS = 100
 REQUEST_ID = re.compile(rb"^request-id: *(\S+)\r$", re.I | re.M)
 STREAM_PATH = "/bills/1"
 PLAIN_PATH = "/plain/"
@@ -92,6 +96,16 @@
         with self._lock:
             self.closed += 1
 
+    def wait_still(self):
+        """Waits until nothing was sent for STILL_POLLS polls."""
+        seen = []
+
+        def is_still():
+            seen.append(sum(self.sent))
+            return seen[-STILL_POLLS:] == [seen[-1]] * STILL_POLLS
+
+        entryhelper.wait_until(is_still, "no more is read")
+
 
 class Host:
     """One daemon process with one engine, which a test may replace."""
@@ -168,6 +182,18 @@
             thread.join()
         return found
 
+    def open_relay(self, number):
+        """Returns a connection on which a peer has a run relayed."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.settimeout(entryhelper.WAIT_S)
+        sock.connect((fleet_module.HOST, self.daemon.peer_port))
+        request = b"POST / HTTP/1.1\r\nRequest-Id: p%d\r\n\r\n" % number
+        name = self.fleet.engines[0].name
+        order = tunnel.RelayOrder(name, entryhelper.WAIT_S, data=request)
+        sock.sendall(tunnel.Tunnel("peer").encode(order))
+        return sock
+
     def submit(self, job):
         """Submits a job of items of 40 tokens each."""
         items = [
@@ -241,6 +267,20 @@
     host.check()
 
 
+# The listener kept up to 16 MB for each peer that reads slowly.
+def test_relays_to_peers_that_do_not_read(host):
+    server = host.list_endless(plain(200))
+    before = len(server.sent)
+    with contextlib.ExitStack() as stack:
+        for number in range(RELAYS):
+            stack.enter_context(host.open_relay(number))
+        entryhelper.wait_until(
+            lambda: len(server.sent) >= before + RELAYS, "the runs began"
+        )
+        server.wait_still()
+        host.check()
+
+
 # An item for 40 tokens kept every event of an engine that did not stop.
 def test_items_whose_events_have_no_end(host):
     server = host.list_endless(numbered_events)
