--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/boundedhttp.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/boundedhttp.py
@@ -32,6 +32,10 @@
     """The body of a response exceeds BODY_BYTES_MAX."""
 
 
+class NoMemoryError(ValueError):
+    """No memory is free for the body of a response."""
+
+
 class Watchdog:
     """Ends connections whose response has not arrived by its deadline."""
 
@@ -71,10 +75,12 @@
                 sock.shutdown(socket.SHUT_RDWR)
 
 
-def request(conn, watchdog, method, path, body, headers):
+def request(conn, watchdog, method, path, body, headers, account=None):
     """Sends a request on a connected urllib3 HTTPConnection.
 
-    Returns the status and the body. Raises one of FAILURES.
+    Returns the status and the body. Raises one of FAILURES. `account` is a
+    memorybudget.Account, from which the body's bytes are taken unless it is
+    None; the caller closes it.
     """
     deadline_s = time.monotonic() + conn.timeout + TRANSFER_MAX_S
     with watchdog.guard(conn.sock, deadline_s):
@@ -82,10 +88,10 @@
             method, path, body=body, headers=headers, preload_content=False
         )
         resp = conn.getresponse()
-        return resp.status, _read_body(resp)
+        return resp.status, _read_body(resp, account)
 
 
-def _read_body(resp):
+def _read_body(resp, account):
     chunks = []
     size = 0
     while True:
@@ -95,6 +101,8 @@
         size += len(chunk)
         if size > BODY_BYTES_MAX:
             raise BodyTooLongError(f"a body of over {BODY_BYTES_MAX} bytes")
+        if account is not None and not account.take(len(chunk)):
+            raise NoMemoryError(f"no memory is free after {size} bytes")
         chunks.append(chunk)
 
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/metrics.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/metrics.py
@@ -1,7 +1,11 @@
 """Prometheus metrics of the entry daemon."""
 
+import functools
+
 import prometheus_client
 
+from samphirepost import memorybudget
+
 # Organisations with a label of their own; others are counted together.
 ORGANISATION_LABELS_MAX = 200
 OTHER_ORGANISATIONS = "(other)"
@@ -92,6 +96,18 @@
             buckets=_BUCKETS_S,
             registry=self.registry,
         )
+        self.memory_held = prometheus_client.Gauge(
+            "samphirepost_memory_held_bytes",
+            "Bytes that are kept for others, by kind",
+            ["kind"],
+            registry=self.registry,
+        )
+        self.memory_refusals = prometheus_client.Gauge(
+            "samphirepost_memory_refusals",
+            "Times that no memory was free, by kind",
+            ["kind"],
+            registry=self.registry,
+        )
         self.running = self._gauge("running", "Online requests in progress")
         self.held_jobs = self._gauge("held_jobs", "Batch jobs held")
         self.revision = self._gauge("revision", "Revision of the tables")
@@ -100,6 +116,16 @@
             "registry_age_seconds", "Age of the list of engines"
         )
 
+    def show_budget(self, budget):
+        """Shows what a memorybudget.Budget holds and has refused."""
+        for kind in memorybudget.Kind:
+            self.memory_held.labels(kind.value).set_function(
+                functools.partial(budget.held, kind)
+            )
+            self.memory_refusals.labels(kind.value).set_function(
+                functools.partial(budget.refused.get, kind)
+            )
+
     def count_organisation(self, organisation, outcome):
         """Counts a request; many organisations share one label."""
         names = self._organisations
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/storerelay.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/storerelay.py
@@ -17,6 +17,7 @@
 
 from samphirepost import codec
 from samphirepost import errors
+from samphirepost import memorybudget
 from samphirepost_daemon.entry import boundedhttp
 from samphirepost_daemon.entry import store
 from samphirepost_daemon.entry import web
@@ -169,8 +170,11 @@
     addresses of all daemons by VM id.
     """
 
-    def __init__(self, me, client, members, log, metrics, watchdog):
+    def __init__(
+        self, me, client, members, log, metrics, watchdog, budget=None
+    ):
         self._me = me
+        self._budget = budget
         self._watchdog = watchdog
         self._client = client
         self._members = members
@@ -248,7 +252,7 @@
     def _request(self, request):
         was_unavailable = self._unavailable
         answer = self.request_directly(request)
-        if not isinstance(answer, errors.Failure):
+        if not isinstance(answer, errors.Failure) or _lacks_memory(answer):
             return answer
         for peer, address in self._choose_peers():
             relayed = self._relay(address, request)
@@ -289,12 +293,17 @@
         conn = urllib3.connection.HTTPConnection(
             address[0], address[1], timeout=CONNECT_TIMEOUT_S
         )
+        account = None
+        if self._budget is not None:
+            account = self._budget.account(memorybudget.Kind.STORE, address[0])
         try:
-            return self._request_peer(conn, request)
+            return self._request_peer(conn, request, account)
         finally:
             conn.close()
+            if account is not None:
+                account.close()
 
-    def _request_peer(self, conn, request):
+    def _request_peer(self, conn, request, account):
         try:
             conn.connect()
         except (OSError, urllib3.exceptions.HTTPError) as exc:
@@ -309,8 +318,13 @@
                 PATH,
                 codec.pack(request),
                 headers,
+                account,
             )
             answer = _answer_decoder.decode(data)
+        except boundedhttp.NoMemoryError as exc:
+            return errors.Failure(
+                errors.Kind.NO_MEMORY, str(exc), errors.Outcome.UNKNOWN
+            )
         except (*boundedhttp.FAILURES, *codec.UNREADABLE) as exc:
             return self._relay_failure(
                 f"a peer did not answer: {exc!r}"
@@ -329,7 +343,15 @@
     A feed that times out does not: the store drops pending feeds when it
     compacts its change history.
     """
-    if not isinstance(answer, errors.Failure):
+    if not isinstance(answer, errors.Failure) or _lacks_memory(answer):
         return False
     timed_out = answer.outcome is errors.Outcome.UNKNOWN
     return not (timed_out and isinstance(request, ReadChanges))
+
+
+def _lacks_memory(answer):
+    """Whether an answer did not fit in memory; other requests may succeed."""
+    return (
+        isinstance(answer, errors.Failure)
+        and answer.kind is errors.Kind.NO_MEMORY
+    )
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -104,6 +104,7 @@
             quota_bounds or quotas.Bounds(), time.monotonic()
         )
         self.budget = memorybudget.Budget(memorybudget.budget_bytes(memory_mb))
+        self.metrics.show_budget(self.budget)
         self.answers = answermemory.AnswerMemories(self.budget, self.log)
         self.bases = streamversions.Bases()
         self.dialer = engineclient.dial
@@ -140,12 +141,13 @@
         self.store = storerelay.FailoverStore(
             me,
             client.StoreClient(
-                cfg.store.address, parts.metrics, self.watchdog
+                cfg.store.address, parts.metrics, self.watchdog, parts.budget
             ),
             lambda: self.slots.hub_selector.members,
             parts.log,
             parts.metrics,
             self.watchdog,
+            parts.budget,
         )
         store_client = self.store
         job_store = jobstore.JobStore(
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/client.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/client.py
@@ -12,6 +12,7 @@
 
 from samphirepost import codec
 from samphirepost import errors
+from samphirepost import memorybudget
 from samphirepost_daemon.entry import boundedhttp
 from samphirepost_daemon.entry import store
 
@@ -46,8 +47,9 @@
 class StoreClient:
     """Implements `store.Store` with HTTP requests; thread-safe."""
 
-    def __init__(self, address, metrics, watchdog):
+    def __init__(self, address, metrics, watchdog, budget=None):
         self._watchdog = watchdog
+        self._budget = budget
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._metrics = metrics
@@ -167,12 +169,18 @@
         conn = urllib3.connection.HTTPConnection(
             self._host, self._port, timeout=CONNECT_TIMEOUT_S
         )
+        account = None
+        if self._budget is not None:
+            # Large answers to one operation leave room for the others.
+            account = self._budget.account(memorybudget.Kind.STORE, operation)
         try:
             answer = self._send_on_connection(
-                conn, method, path, body, headers, timeout_s
+                conn, method, path, body, headers, timeout_s, account
             )
         finally:
             conn.close()
+            if account is not None:
+                account.close()
         result = "failed"
         if not isinstance(answer, errors.Failure):
             result = str(answer[0])
@@ -180,7 +188,7 @@
         return answer
 
     def _send_on_connection(
-        self, conn, method, path, body, headers, timeout_s
+        self, conn, method, path, body, headers, timeout_s, account
     ):
         try:
             conn.connect()
@@ -194,7 +202,17 @@
         all_headers.update(headers or {})
         try:
             status, data = boundedhttp.request(
-                conn, self._watchdog, method, path, body, all_headers
+                conn,
+                self._watchdog,
+                method,
+                path,
+                body,
+                all_headers,
+                account,
+            )
+        except boundedhttp.NoMemoryError as exc:
+            return errors.Failure(
+                errors.Kind.NO_MEMORY, str(exc), errors.Outcome.UNKNOWN
             )
         except boundedhttp.FAILURES as exc:
             reason = f"the store's answer was lost: {exc!r}"
--- a/packages/samphirepost/src/samphirepost/errors.py
+++ b/packages/samphirepost/src/samphirepost/errors.py
@@ -30,6 +30,7 @@
     ATTEMPTS_EXHAUSTED = "attempts-exhausted"
     KEY_REUSED = "key-reused"
     LEAVING = "leaving"
+    NO_MEMORY = "no-memory"
     NOT_FINISHED = "not-finished"
     NOT_FOUND = "not-found"
     NOT_OPERATOR = "not-operator"
--- a/tests/test_answerbounds.py
+++ b/tests/test_answerbounds.py
@@ -1,20 +1,28 @@
 """Tests the bounds of single answers of engines."""
 
+import contextlib
+
 import hypothesis
 from hypothesis import strategies
 import pytest
 
 from samphirepost import answerbounds
 from samphirepost import batchjob
+from samphirepost import errors
 from samphirepost import events
 from samphirepost import memorybudget
 from samphirepost import roster
 from samphirepost import slotmessages
 from samphirepost_bench import entryfleet
 from samphirepost_daemon.entry import answermemory
+from samphirepost_daemon.entry import boundedhttp
 from samphirepost_daemon.entry import engineclient
 from samphirepost_daemon.entry import holdermessages
 from samphirepost_daemon.entry import items
+from samphirepost_daemon.entry import log
+from samphirepost_daemon.entry import metrics
+from samphirepost_daemon.entry import storerelay
+from samphirepost_daemon.platform import client
 from tests import entryhelper
 from tests import test_answermemory
 from tests import test_itemanswers
@@ -273,3 +281,50 @@
         "the memory is given back",
     )
     endless.stop()
+
+
+class LargeStore(entryhelper.RawServer):
+    """A store whose answers have `size` bytes; counts the requests."""
+
+    def __init__(self, size):
+        self._size = size
+        self.requests = 0
+        super().__init__()
+
+    def serve(self, conn):
+        """Answers one request."""
+        conn.recv(65_536)
+        self.requests += 1
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % self._size
+        with contextlib.suppress(OSError):
+            conn.sendall(head + b"x" * self._size)
+
+
+# The store would count as out, and all other requests go to peers.
+def test_an_object_without_memory_fails_alone():
+    budget = memorybudget.Budget(TOTAL_BYTES)
+    large = LargeStore(TOTAL_BYTES)
+    count = metrics.Metrics()
+    guard = boundedhttp.Watchdog(log.Log("vm"))
+    direct = client.StoreClient(large.address, count, guard, budget)
+    failover = storerelay.FailoverStore(
+        "me", direct, dict, log.Log("me"), count, guard, budget
+    )
+    for number in (1, 2):
+        found = failover.get_object("o")
+        assert found.kind is errors.Kind.NO_MEMORY
+        assert large.requests == number
+    assert budget.held(memorybudget.Kind.STORE) == 0
+    large.stop()
+
+
+def test_what_is_held_and_refused_is_shown():
+    budget = memorybudget.Budget(TOTAL_BYTES)
+    shown = metrics.Metrics()
+    shown.show_budget(budget)
+    account = budget.account(memorybudget.Kind.RELAY, "peer")
+    assert account.take(100)
+    assert not account.take(TOTAL_BYTES)
+    text = shown.render().decode()
+    assert 'samphirepost_memory_held_bytes{kind="relay"} 100.0' in text
+    assert 'samphirepost_memory_refusals{kind="relay"} 1.0' in text
