--- a/tests/test_answerbounds.py
+++ b/tests/test_answerbounds.py
@@ -7,6 +7,7 @@
 import pytest
 
 from samphirepost import answerbounds
+from samphirepost import attempts
 from samphirepost import batchjob
 from samphirepost import errors
 from samphirepost import events
@@ -16,7 +17,9 @@
 from samphirepost_bench import entryfleet
 from samphirepost_daemon.entry import answermemory
 from samphirepost_daemon.entry import boundedhttp
+from samphirepost_daemon.entry import engineattempt
 from samphirepost_daemon.entry import engineclient
+from samphirepost_daemon.entry import enginestatus
 from samphirepost_daemon.entry import holdermessages
 from samphirepost_daemon.entry import items
 from samphirepost_daemon.entry import log
@@ -250,6 +253,73 @@
     assert budget.held(memorybudget.Kind.ITEM) == 0
 
 
+class ReportParts:
+    """What a question for an engine's report needs, without a daemon."""
+
+    def __init__(self, total_bytes):
+        budget = memorybudget.Budget(total_bytes)
+        self.answers = answermemory.AnswerMemories(budget, None)
+        self.paths = self
+        self.load_tracker = self
+        self.slots = self
+        self.failed = []
+
+    @staticmethod
+    def open(*args):
+        """Sends a request; see PathMonitor.open()."""
+        return entryhelper.DirectPaths.open(*args)
+
+    @staticmethod
+    def choose_peer(_excluded):
+        """Returns "", as there are no peers."""
+        return ""
+
+    def record_failure(self, engine_id, _now_s):
+        """Records that an engine failed."""
+        self.failed.append(engine_id)
+
+    def record_engine_failure(self, engine_id):
+        """Reports that an engine failed."""
+        self.failed.append(engine_id)
+
+
+def ask_report(server, total_bytes):
+    """Asks a server for its report; returns the way to it and who failed."""
+    parts = ReportParts(total_bytes)
+    engine = roster.Engine("e1", "plants", server.address, "a", 8)
+    way = enginestatus.find_way(parts, engine, "", entryhelper.WAIT_S)
+    return way, set(parts.failed)
+
+
+# An engine that does not stop was taken for one that is not seen.
+def test_a_report_without_end_is_the_engines_failure(server):
+    length = enginestatus.REPORT_BYTES_MAX + 1
+    server.request_end = b"\r\n\r\n"
+    server.answer = test_itemanswers.HEAD + b"\r\n" + b"x" * length
+    assert ask_report(server, 100_000_000) == (None, {"e1"})
+    server.answer = (
+        test_itemanswers.HEAD + b"Content-Length: %d\r\n\r\n" % length
+    )
+    assert ask_report(server, 100_000_000) == (None, {"e1"})
+
+
+def test_a_report_without_memory_tells_nothing_of_the_engine(server):
+    server.request_end = b"\r\n\r\n"
+    server.answer = test_itemanswers.HEAD + b"\r\n" + b"x" * 500_000
+    assert ask_report(server, 1_000_000) == (None, set())
+
+
+# An engine must not be avoided where this process has no memory.
+def test_an_attempt_without_memory_tells_nothing_of_the_engine():
+    attempt = engineattempt.FailedAttempt(
+        attempts.AttemptFailure.NO_MEMORY, "reason"
+    )
+    assert attempt.outcome is slotmessages.Outcome.UNKNOWN
+    history = attempts.History(True, 3)
+    history.record_failure("e1", attempt.seen)
+    assert history.next_action(1.0) is attempts.NextAction.FAIL
+
+
 @pytest.fixture
 def fleet():
     """One daemon with one engine."""
--- a/tests/test_itemanswers.py
+++ b/tests/test_itemanswers.py
@@ -1,5 +1,7 @@
 """Tests what an item makes of the bytes of an engine's answer."""
 
+import contextlib
+
 import pytest
 
 from samphirepost import batchjob
@@ -15,21 +17,26 @@
 
 
 class BytesServer(entryhelper.RawServer):
-    """Sends `answer` for each request and closes the connection."""
+    """Sends `answer` for each request and closes the connection.
+
+    A request ends with `request_end`.
+    """
 
     def __init__(self, answer):
         super().__init__()
         self.answer = answer
+        self.request_end = b"\r\n\r\nbody"
 
     def serve(self, conn):
         """Answers one request, once it has been read."""
         data = b""
-        while b"\r\n\r\nbody" not in data:
+        while self.request_end not in data:
             received = conn.recv(65_536)
             if not received:
                 return
             data += received
-        conn.sendall(self.answer)
+        with contextlib.suppress(OSError):
+            conn.sendall(self.answer)
 
 
 @pytest.fixture
