--- a/packages/samphirepost-daemon/src/samphirepost_daemon/boundedchannel.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/boundedchannel.py
@@ -234,9 +234,10 @@
     # Writing.
 
     def write_soon(self, data):
-        """Queues bytes of an answer within the budget; does not wait.
+        """Queues bytes of an answer within the budget.
 
-        Raises OutputRefused if the budget has no room for them, and closes
+        Waits only while more than the listener's `output_bytes_max` are to be
+        sent, which relayed answers reach: the rest stays at the engine. Raises OutputRefused if the budget has no room for them, and closes
         the connection, so that the answer does not look whole.
         """
         if not self.connected:
@@ -244,6 +245,7 @@
         if not data:
             return 0
         with self.outbuf_lock:
+            self._flush_outbufs_below_high_watermark()
             if not self.connected:
                 raise channel.ClientDisconnected
             if not self._output.take(len(data)):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -15,6 +15,7 @@
 from samphirepost import selection
 from samphirepost import streamversions
 from samphirepost_daemon import callerguard
+from samphirepost_daemon.entry import answermemory
 from samphirepost_daemon.entry import batch
 from samphirepost_daemon.entry import boundedhttp
 from samphirepost_daemon.entry import engineclient
@@ -69,13 +70,15 @@
 class SharedParts:
     """Objects that most parts share.
 
-    `budget` is the memorybudget.Budget of all that is kept for others.
+    `budget` is the memorybudget.Budget of all that is kept for others, and
+    `answers` the AnswerMemories of what engines send.
     `dialer` opens connections to engines, see engineclient.dial(). `slots` is
     the SlotExchange, `paths` the PathMonitor and `streams` the StreamTable,
     set once they are created.
     """
 
     __slots__ = (
+        "answers",
         "bases",
         "budget",
         "dialer",
@@ -110,6 +113,8 @@
             quota_bounds or quotas.Bounds(), time.monotonic()
         )
         self.budget = memorybudget.Budget(memorybudget.budget_bytes(memory_mb))
+        self.metrics.show_budget(self.budget)
+        self.answers = answermemory.AnswerMemories(self.budget, self.log)
         self.bases = streamversions.Bases()
         self.dialer = engineclient.dial
         self.slots = None
@@ -145,12 +150,13 @@
         self.store = storerelay.FailoverStore(
             me,
             client.StoreClient(
-                cfg.store.address, parts.metrics, self.watchdog
+                cfg.store.address, parts.metrics, self.watchdog, parts.budget
             ),
             lambda: self.slots.hub_selector.members,
             parts.log,
             parts.metrics,
             self.watchdog,
+            parts.budget,
         )
         store_client = self.store
         job_store = jobstore.JobStore(
@@ -177,6 +183,7 @@
             PEER_CONNECTIONS_MAX,
             memorybudget.Kind.RELAY,
             msgspec.structs.replace(limits, body_copies=RELAY_BODY_COPIES),
+            output_bytes_max=enginerelay.OUTPUT_BYTES_MAX,
         )
         self.membership = members.MembershipWriter(
             store_client, me, cfg.peer_address, cfg.peer_port, parts.log
@@ -279,7 +286,7 @@
 
 
 def _make_listener(
-    parts, name, app, address, threads, connections, kind, limits
+    parts, name, app, address, threads, connections, kind, limits, **bounds
 ):
     return listener.Listener(
         app,
@@ -292,4 +299,5 @@
         guard=callerguard.Guard(
             parts.budget, kind, limits, refusals.RefusalReport(parts, name)
         ),
+        **bounds,
     )
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/listener.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/listener.py
@@ -17,6 +17,8 @@
 BACKLOG = 1024
 # Interval at which a guarded listener checks the times of its connections.
 CHECK_INTERVAL_S = 1
+# Bytes of responses that wait for one connection.
+OUTPUT_BYTES_MAX = 16_777_216
 
 
 class GrowingDispatcher(task.ThreadedTaskDispatcher):
@@ -50,7 +52,8 @@
 
     Each kind of request has a listener of its own, so that one kind cannot
     occupy the threads of another. `idle_s` is the time after which an idle
-    connection is closed. With a callerguard.Guard, connections keep within its
+    connection is closed. A response waits while more than `output_bytes_max`
+    are to be sent. With a callerguard.Guard, connections keep within its
     limits and its memory.
     """
 
@@ -63,6 +66,7 @@
         connections_max,
         idle_s,
         keep_proxy_headers=False,
+        output_bytes_max=OUTPUT_BYTES_MAX,
         guard=None,
     ):
         host, _, port = address.rpartition(":")
@@ -72,6 +76,7 @@
             "max_request_body_size": body_bytes_max,
             "inbuf_overflow": body_bytes_max,
             "outbuf_overflow": body_bytes_max,
+            "outbuf_high_watermark": output_bytes_max,
             "connection_limit": connections_max,
             "channel_timeout": idle_s,
             "cleanup_interval": 5,
