--- a/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
@@ -321,8 +321,8 @@
     Mutation(
         "stop an item again while another can give way",
         f"{_CORE}/expendability.py",
-        "            -self.preemptions,\n",
-        "            self.preemptions,\n",
+        "-self.preemptions",
+        "self.preemptions",
         "tests/test_expendability.py",
     ),
     Mutation(
--- a/packages/samphirepost/src/samphirepost/expendability.py
+++ b/packages/samphirepost/src/samphirepost/expendability.py
@@ -5,8 +5,6 @@
 the output again. All instants are monotonic seconds.
 """
 
-import enum
-
 import msgspec
 
 # An item is at risk if less than twice the time that it needs, and this (s),
@@ -15,15 +13,11 @@
 # A run that is expected to end within this time (s) leaves its slot as soon as
 # a stopped one would.
 ENDING_S = 0.1
-
-
-class Standing(enum.IntEnum):
-    """What stopping an item would do, the worst first."""
-
-    AT_RISK = 0
-    ENDING = 1
-    ON_TIME = 2
-    LATE = 3
+# What stopping an item would do, the worst first.
+AT_RISK = 0
+ENDING = 1
+ON_TIME = 2
+LATE = 3
 
 
 class Claim(msgspec.Struct, frozen=True):
@@ -45,24 +39,21 @@
         Items that are late anyway come first, those at risk last; then those
         that were stopped least often, then those that can wait longest.
         """
-        needs_s = 0.0
-        if self.end_s is not None:
-            needs_s = max(0.0, self.end_s - now_s)
+        # Hundreds of items are compared for one request.
         left_s = self.due_s - now_s
-        return (
-            self._standing(needs_s, left_s),
-            -self.preemptions,
-            left_s - needs_s,
-        )
-
-    def _standing(self, needs_s, left_s):
+        needs_s = 0.0
+        standing = ON_TIME
+        end_s = self.end_s
+        if end_s is not None:
+            needs_s = end_s - now_s
+            if needs_s < ENDING_S:
+                standing = ENDING
+                needs_s = max(0.0, needs_s)
         if self.late:
-            return Standing.LATE
-        if left_s < 2 * needs_s + WAIT_ALLOWANCE_S:
-            return Standing.AT_RISK
-        if self.end_s is not None and needs_s < ENDING_S:
-            return Standing.ENDING
-        return Standing.ON_TIME
+            standing = LATE
+        elif left_s < 2 * needs_s + WAIT_ALLOWANCE_S:
+            standing = AT_RISK
+        return (standing, -self.preemptions, left_s - needs_s)
 
 
 # Of an item of which nothing is known but that it runs.
