--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -8,8 +8,6 @@
 """
 
 import collections
-import heapq
-import itertools
 import math
 
 from samphirepost import enginehealth
@@ -36,11 +34,6 @@
 # Wanted items that are passed over in one allocation, as no engine of their
 # version has a free slot.
 PASSED_ITEMS_MAX = 64
-# Waiting requests that are passed over in one allocation, as no free slot will
-# do for them, and those of them that are tried of each version and excluded
-# engines: what all the others of these need is not free either.
-PASSED_REQUESTS_MAX = 256
-TRIED_REQUESTS_MAX = 4
 # Totals of a larger fleet would fill the hub's link; its daemons choose among
 # so many engines that they rarely meet without them.
 TOTALS_ENGINES_MAX = 64
@@ -156,8 +149,8 @@
         self._reporters = {}
         self._runs = {}
         self._engines = {}
-        self._queues = {}
-        self._item_shares = {}
+        self._queues = collections.defaultdict(waitqueue.WaitQueue)
+        self._item_shares = collections.defaultdict(fairqueue.FairQueue)
         self._views = {}
         self._pool_names = {}
         self._wanting = set()
@@ -399,7 +392,7 @@
         over_quota = self._check_quota(req, now_s)
         if over_quota is not None:
             return [(address, over_quota)]
-        queue = self._queue_of(req.pool)
+        queue = self._queues[req.pool]
         if queue.has(req):
             return [(address, slotmessages.Queued(self._me, req.id))]
         if not queue or req.never_deny:
@@ -427,49 +420,24 @@
         self.quotas.refused += 1
         return slotmessages.Denial(self._me, req.id, wait_s, over_quota=True)
 
-    def _queue_of(self, pool):
-        queue = self._queues.get(pool)
-        if queue is None:
-            queue = self._queues[pool] = waitqueue.WaitQueue()
-        return queue
-
-    def _item_shares_of(self, pool):
-        shares = self._item_shares.get(pool)
-        if shares is None:
-            shares = self._item_shares[pool] = fairqueue.FairQueue()
-        return shares
-
     def _queue(self, queue, req, address, view, now_s):
         waiting = waitqueue.WaitingRequest(
             req, address, now_s + req.wait_max_s
         )
-        ahead = queue.add(waiting)
-        if self._queue_wait_s(ahead, view, now_s) > req.wait_max_s:
-            return [self._deny(queue, waiting, view, now_s)]
-        sent = [(address, slotmessages.Queued(self._me, req.id))]
-        return sent + self._deny_displaced(queue, view, now_s)
-
-    def _deny(self, queue, waiting, view, now_s):
-        """Denies a waiting request; tells how long it waits if it returns."""
-        queue.remove(waiting)
-        return self._denial(queue, waiting, view, now_s)
-
-    def _denial(self, queue, waiting, view, now_s):
-        ahead = queue.ahead_if_returning(waiting.req)
-        wait_s = self._queue_wait_s(ahead, view, now_s)
-        denial = slotmessages.Denial(self._me, waiting.req.id, wait_s)
+        refused = queue.admit(waiting, now_s, self._wait_of(view, now_s))
+        sent = [self._deny(one) for one in refused]
+        if not waiting.has_left:
+            sent.append((address, slotmessages.Queued(self._me, req.id)))
+        return sent
+
+    def _deny(self, refused):
+        waiting = refused.waiting
+        denial = slotmessages.Denial(self._me, waiting.req.id, refused.wait_s)
         return (waiting.address, denial)
 
-    def _deny_displaced(self, queue, view, now_s):
-        """Denies those at the end that would now wait too long."""
-        sent = []
-        while queue:
-            waiting = queue.last()
-            wait_s = self._queue_wait_s(len(queue) - 1, view, now_s)
-            if now_s + wait_s <= waiting.expires_s:
-                break
-            sent.append(self._deny(queue, waiting, view, now_s))
-        return sent
+    def _wait_of(self, view, now_s):
+        """Returns a function from the number ahead to the time to wait."""
+        return lambda ahead: self._queue_wait_s(ahead, view, now_s)
 
     def _queue_wait_s(self, ahead, view, now_s):
         """Returns how long a request waits behind `ahead` others (s)."""
@@ -581,12 +549,12 @@
         sent = self._grant(
             req.vm, req.id, engine, False, now_s, relay, charged_to
         )
-        self._runs[req.vm, req.id].charge = self._queue_of(req.pool).start(req)
+        self._runs[req.vm, req.id].charge = self._queues[req.pool].start(req)
         return sent
 
     def _grant_item(self, vm, wanted, engine, now_s, relay):
         sent = self._grant(vm, wanted.id, engine, True, now_s, relay)
-        shares = self._item_shares_of(wanted.pool)
+        shares = self._item_shares[wanted.pool]
         charge = shares.start_at_once(wanted.organisation)
         self._runs[vm, wanted.id].charge = charge
         return sent
@@ -634,20 +602,18 @@
         return sent
 
     def _serve_queue(self, pool, view, now_s):
-        queue = self._queues.get(pool)
+        queue = self._queues[pool]
         if not queue:
             return []
         sent = self._grant_waiting(queue, view, now_s)
-        for waiting in queue.expired(now_s):
-            if self._is_waiting(waiting.req):
-                sent.append(self._denial(queue, waiting, view, now_s))
-        return sent
+        expired = queue.expired(now_s, self._wait_of(view, now_s))
+        return sent + [
+            self._deny(one) for one in expired if self._is_waiting(one.req)
+        ]
 
     def _grant_waiting(self, queue, view, now_s):
         """Grants the slots that are free, or that items have, in order."""
         sent = []
-        passed = 0
-        failures = collections.Counter()
         charged = {}
         for waiting in queue.in_order():
             if not view.free_total and not view.items:
@@ -661,18 +627,10 @@
                 queue.remove(waiting)
                 sent.append((waiting.address, over_quota))
                 continue
-            needs = (req.version, req.excluded)
-            granted = []
-            if failures[needs] < TRIED_REQUESTS_MAX:
-                granted = self._grant_online(req, view, now_s)
+            granted = self._grant_online(req, view, now_s)
             if granted:
                 sent += granted
                 charged[req.priority, req.organisation] = None
-                continue
-            failures[needs] += 1
-            passed += 1
-            if passed >= PASSED_REQUESTS_MAX:
-                break
         for priority, name in charged:
             sent += self._deny_over_quota(queue, priority, name, now_s)
         return sent
@@ -735,25 +693,18 @@
         they have used, and each one's items are ordered by their due time.
         Some may find no engine of their version.
         """
-        in_time, late = {}, {}
-        for vm in self._wanting:
-            for wanted, deadline_s in self._reporters[vm].wanted.values():
-                if wanted.pool == pool:
-                    lines = late if wanted.late else in_time
-                    lines.setdefault(wanted.organisation, []).append(
-                        (wanted.late, deadline_s, vm, wanted.id)
-                    )
+        wanted_slots = (
+            waitqueue.WaitingItem(
+                wanted.late, deadline_s, vm, wanted.id, wanted.organisation
+            )
+            for vm in self._wanting
+            for wanted, deadline_s in self._reporters[vm].wanted.values()
+            if wanted.pool == pool
+        )
         count = math.ceil(budget) + PASSED_ITEMS_MAX
-        shares = self._item_shares_of(pool)
-        found = []
-        for lines in (in_time, late):
-            shortened = {
-                name: heapq.nsmallest(count - len(found), line)
-                for name, line in lines.items()
-            }
-            in_turn = shares.in_turn(shortened)
-            found += itertools.islice(in_turn, count - len(found))
-        return found
+        shares = self._item_shares[pool]
+        found = waitqueue.most_urgent_items(wanted_slots, shares, count)
+        return [(one.late, one.deadline_s, one.vm, one.id) for one in found]
 
     def _engine_for_item(self, view, version, vm, now_s):
         """Returns an engine with a free slot, a suspect one first.
--- a/packages/samphirepost/src/samphirepost/waitqueue.py
+++ b/packages/samphirepost/src/samphirepost/waitqueue.py
@@ -7,11 +7,20 @@
 """
 
 import bisect
+import collections
 import heapq
 import itertools
 
+import msgspec
+
 from samphirepost import fairqueue
 
+# Waiting requests that are passed over in one look for free slots, as none
+# will do for them, and those of them that are tried of each version and
+# excluded engines: what all others of these need is not free either.
+PASSED_MAX = 256
+TRIED_MAX = 4
+
 
 class WaitingRequest:
     """An online request that waits for a slot until `expires_s`.
@@ -43,6 +52,21 @@
         return (self.req.vm, self.req.id)
 
 
+class Refused:
+    """A request that gets no slot; it would wait `wait_s` if it returned."""
+
+    __slots__ = ("wait_s", "waiting")
+
+    def __init__(self, waiting, wait_s):
+        self.waiting = waiting
+        self.wait_s = wait_s
+
+    @property
+    def req(self):
+        """The slotmessages.SlotRequest."""
+        return self.waiting.req
+
+
 class WaitQueue:
     """The waiting requests of a pool, and what organisations have used."""
 
@@ -62,6 +86,28 @@
         """Whether a slotmessages.SlotRequest waits already."""
         return (req.vm, req.id) in self._waiting
 
+    def admit(self, waiting, now_s, wait_of):
+        """Adds a WaitingRequest unless it would wait too long.
+
+        `wait_of` returns the time to wait (s) behind a number of others.
+        Returns the Refused: the request itself, or those at the end that
+        would now wait too long.
+        """
+        ahead = self.add(waiting)
+        if wait_of(ahead) > waiting.req.wait_max_s:
+            return [self._refuse(waiting, wait_of)]
+        refused = []
+        while self._waiting:
+            last = self.last()
+            if now_s + wait_of(len(self) - 1) <= last.expires_s:
+                break
+            refused.append(self._refuse(last, wait_of))
+        return refused
+
+    def _refuse(self, waiting, wait_of):
+        self.remove(waiting)
+        return Refused(waiting, wait_of(self._ahead_if_returning(waiting.req)))
+
     def add(self, waiting):
         """Adds a WaitingRequest; returns how many are ahead of it."""
         req = waiting.req
@@ -79,8 +125,7 @@
             req.organisation, place
         )
 
-    def ahead_if_returning(self, req):
-        """Returns how many are ahead of a SlotRequest that returned now."""
+    def _ahead_if_returning(self, req):
         level = self._level(req.priority)
         return self._more_urgent(req.priority) + level.ahead_of_next(
             req.organisation
@@ -104,10 +149,12 @@
         return level.start(req.organisation)
 
     def in_order(self):
-        """Yields the waiting requests in order.
+        """Yields the waiting requests that are worth a try, in order.
 
-        Each may be started or removed before the next one is asked for.
+        Each may be started or removed before the next one is asked for; else
+        it is taken to have failed.
         """
+        failures = collections.Counter()
         for priority in sorted(self._levels):
             level = self._levels[priority]
             passed = {}
@@ -115,10 +162,16 @@
             while index < len(level):
                 name = level.name_at(index)
                 waiting = self._lines[priority, name][passed.get(name, 0)]
-                yield waiting
-                if not waiting.has_left:
-                    passed[name] = passed.get(name, 0) + 1
-                    index += 1
+                needs = (waiting.req.version, waiting.req.excluded)
+                if failures[needs] < TRIED_MAX:
+                    yield waiting
+                if waiting.has_left:
+                    continue
+                failures[needs] += 1
+                if failures.total() >= PASSED_MAX:
+                    return
+                passed[name] = passed.get(name, 0) + 1
+                index += 1
 
     def last(self):
         """Returns the request that gets a slot last, or None."""
@@ -133,14 +186,13 @@
         """Returns the waiting requests of an organisation."""
         return list(self._lines.get((priority, name), ()))
 
-    def expired(self, now_s):
-        """Returns the requests whose time to wait is over; removes them."""
+    def expired(self, now_s, wait_of):
+        """Removes those whose time to wait is over; returns the Refused."""
         found = []
         while self._expiries and self._expiries[0][0] <= now_s:
             _, _, waiting = heapq.heappop(self._expiries)
             if not waiting.has_left:
-                self.remove(waiting)
-                found.append(waiting)
+                found.append(self._refuse(waiting, wait_of))
         return found
 
     def _leave(self, waiting):
@@ -169,3 +221,32 @@
 
 def _urgency(waiting):
     return waiting.urgency
+
+
+class WaitingItem(msgspec.Struct, frozen=True, order=True):
+    """A slot that is wanted for a batch item, ordered by urgency."""
+
+    late: bool
+    deadline_s: float
+    vm: str
+    id: int
+    organisation: str
+
+
+def most_urgent_items(items, shares, count):
+    """Returns the `count` WaitingItems to serve first.
+
+    Late ones come last; organisations take turns by a FairQueue `shares`.
+    """
+    in_time, late = {}, {}
+    for item in items:
+        lines = late if item.late else in_time
+        lines.setdefault(item.organisation, []).append(item)
+    found = []
+    for lines in (in_time, late):
+        left = count - len(found)
+        shortened = {
+            name: heapq.nsmallest(left, line) for name, line in lines.items()
+        }
+        found += itertools.islice(shares.in_turn(shortened), left)
+    return found
