--- a/packages/samphirepost-daemon/src/samphirepost_daemon/boundedchannel.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/boundedchannel.py
@@ -237,7 +237,8 @@
         """Queues bytes of an answer within the budget.
 
         Waits only while more than the listener's `output_bytes_max` are to be
-        sent, which relayed answers reach: the rest stays at the engine. Raises OutputRefused if the budget has no room for them, and closes
+        sent, which relayed answers reach: the rest stays at the engine.
+        Raises OutputRefused if the budget has no room for them, and closes
         the connection, so that the answer does not look whole.
         """
         if not self.connected:
--- a/packages/samphirepost/src/samphirepost/dryallocator.py
+++ b/packages/samphirepost/src/samphirepost/dryallocator.py
@@ -5,10 +5,12 @@
 by the thread that owns the Allocator.
 """
 
+import collections
 import copy
 
 from samphirepost import allocator
 from samphirepost import slotmessages
+from samphirepost import waitqueue
 from samphirepost import whereabouts
 
 
@@ -30,7 +32,7 @@
     for name in allocator.Allocator.__slots__:
         setattr(dry, name, getattr(live, name))
     queue = live._queues.get(req.pool)
-    dry._queues = {}
+    dry._queues = collections.defaultdict(waitqueue.WaitQueue)
     if queue is not None:
         dry._queues[req.pool] = copy.deepcopy(queue)
     dry.quotas = live.quotas.dry_copy(req.organisation)
