--- a/packages/samphirepost-bench/src/samphirepost_bench/soakorganisations.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/soakorganisations.py
@@ -78,7 +78,11 @@
         with self._lock:
             # The second key may not be known everywhere yet.
             sent = Sent(name, organisation, self._keys[organisation][0])
-            withdrawn = list(self._withdrawn_s)
+            withdrawn = [
+                key
+                for key in self._withdrawn_s
+                if key.startswith(f"{organisation}-")
+            ]
         if withdrawn and rng.random() < 0.1:
             sent.key = rng.choice(withdrawn)
         self.sent.append(sent)
