--- a/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
@@ -374,6 +374,24 @@
         return 1 if any(one.violations for one in found) else 0
 
 
+@cappa.command(
+    name="answerload",
+    help="Answers without end beside ordinary callers; checks memory.",
+)
+@dataclasses.dataclass
+class AnswerLoad:
+    """Engines, items and relays that put out without end, by seed."""
+
+    seed: _Seed = 0
+    runs: _Runs = 1
+
+    def __call__(self):
+        from samphirepost_bench import answerload
+
+        found = answerload.run(_seeds(self.seed, self.runs))
+        return 1 if any(one.violations for one in found) else 0
+
+
 Command = (
     Platform
     | Engine
@@ -391,6 +409,7 @@
     | Upgrade
     | Kills
     | BrokenAnswers
+    | AnswerLoad
 )
 
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/enginerelay.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/enginerelay.py
@@ -22,7 +22,9 @@
 RUN_MAX_S = 60.0
 # The engine is not read while the peer has yet to take this many bytes.
 PENDING_BYTES_MAX = 16_384
-PENDING_POLL_S = 0.005
+# First wait for a slow peer (s); each further one is twice as long, up to
+# PEER_POLL_S.
+PENDING_POLL_S = 0.002
 # A buffer of the listener holds this many bytes, sent or not.
 OUTPUT_BYTES_MAX = 2 * PENDING_BYTES_MAX
 # Bytes that one run keeps of its answer.
@@ -210,6 +212,7 @@
         poller = select.poll()
         poller.register(self._sock, select.POLLIN)
         pause = threading.Event()
+        pause_s = PENDING_POLL_S
         received = 0
         while received <= engineclient.RESPONSE_BYTES_MAX:
             if self._is_disconnected():
@@ -218,8 +221,10 @@
                 raise RelayCut("the peer's deadline has passed")
             if self._pending_bytes() > PENDING_BYTES_MAX:
                 # What is not read waits at the engine.
-                pause.wait(PENDING_POLL_S)
+                pause.wait(pause_s)
+                pause_s = min(PEER_POLL_S, 2 * pause_s)
                 continue
+            pause_s = PENDING_POLL_S
             if not poller.poll(PEER_POLL_S * 1000):
                 continue
             data = self._receive()
--- /dev/null
+++ b/tests/test_answerload.py
@@ -0,0 +1,13 @@
+"""One run of the rig that loads daemons with answers without end."""
+
+from samphirepost_bench import answerload
+
+# Its draw has all four kinds at once.
+SEED = 6
+
+
+# Each bound alone may hold while what all of them keep does not fit.
+def test_daemons_stay_within_their_memory_under_mixed_load(tmp_path):
+    report = answerload.run_seed(SEED, tmp_path)
+    assert sorted(report.crowds) == ["items", "plain", "relay", "stream"]
+    assert not report.violations
