--- a/tests/test_answerbounds.py
+++ b/tests/test_answerbounds.py
@@ -328,29 +328,79 @@
     new_fleet.stop()
 
 
+def list_in_place(fleet, server):
+    """Lists a server in place of the fleet's engine."""
+    name = fleet.engines[0].name
+    entry = fleet.engines[0].entry(entryfleet.POOL)
+    fleet.store.put_row("servers", name, entry | {"address": server.address})
+    entryhelper.wait_until(
+        lambda: (
+            fleet.daemons[0].state.roster.get(name).address == server.address
+        ),
+        "the server is listed",
+    )
+
+
+def wait_given_back(fleet):
+    """Waits until a daemon keeps nothing of engines and items."""
+    budget = fleet.daemons[0].parts.budget
+    kinds = (memorybudget.Kind.ENGINE, memorybudget.Kind.ITEM)
+    entryhelper.wait_until(
+        lambda: not any(map(budget.held, kinds)), "the memory is given back"
+    )
+
+
 # A stream for 40 tokens was passed on up to 16 MiB.
 def test_a_stream_over_its_bound_is_broken_off(fleet):
     endless = test_answermemory.EndlessEngine(
         test_answermemory.numbered_events
     )
-    daemon = fleet.daemons[0]
-    name = fleet.engines[0].name
-    entry = fleet.engines[0].entry(entryfleet.POOL)
-    fleet.store.put_row("servers", name, entry | {"address": endless.address})
-    entryhelper.wait_until(
-        lambda: daemon.state.roster.get(name).address == endless.address,
-        "the endless engine is listed",
-    )
+    list_in_place(fleet, endless)
     reply = fleet.send_online("r1", "/bills/1", **{"Token-Count": "10,40"})
     # The first bytes that are read may be over the bound already.
     assert (reply.status, reply.complete) in ((200, False), (502, True))
     assert reply.body.count(b"\n\n") <= answerbounds.bound_of(40).events
-    kinds = (memorybudget.Kind.ENGINE, memorybudget.Kind.ITEM)
+    wait_given_back(fleet)
+    endless.stop()
+
+
+class GivingUpEngine(entryhelper.RawServer):
+    """Breaks its first answer off after an event; then answers 422."""
+
+    def __init__(self):
+        self.answers = 0
+        super().__init__()
+
+    def serve(self, conn):
+        """Answers one request."""
+        data = b""
+        while b"\r\n\r\n" not in data:
+            data += conn.recv(65_536)
+        found = test_answermemory.REQUEST_ID.search(data)
+        head = b"Request-Id: %s\r\nResponse-Seal: s\r\n" % found[1]
+        self.answers += 1
+        if self.answers == 1:
+            conn.sendall(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n%s\r\n"
+                b"id: 1\ndata: w\n\n" % head
+            )
+        else:
+            conn.sendall(
+                b"HTTP/1.1 422 X\r\nContent-Length: 0\r\n%s\r\n" % head
+            )
+
+
+# What an item has put out was counted for ever.
+def test_an_item_that_no_attempt_can_complete_gives_its_memory_back(fleet):
+    engine = GivingUpEngine()
+    list_in_place(fleet, engine)
+    assert fleet.submit("j", 1).status == 202
     entryhelper.wait_until(
-        lambda: not any(map(daemon.parts.budget.held, kinds)),
-        "the memory is given back",
+        lambda: fleet.complete_results("j"), "the item is given up"
     )
-    endless.stop()
+    assert engine.answers == 2
+    wait_given_back(fleet)
+    engine.stop()
 
 
 class LargeStore(entryhelper.RawServer):
@@ -380,10 +430,10 @@
     failover = storerelay.FailoverStore(
         "me", direct, dict, log.Log("me"), count, guard, budget
     )
-    for number in (1, 2):
-        found = failover.get_object("o")
-        assert found.kind is errors.Kind.NO_MEMORY
-        assert large.requests == number
+    assert failover.get_object("o").kind is errors.Kind.NO_MEMORY
+    found = failover.request_directly(storerelay.GetObject("o"))
+    assert found.kind is errors.Kind.NO_MEMORY
+    assert large.requests == 2
     assert budget.held(memorybudget.Kind.STORE) == 0
     large.stop()
 
