--- a/packages/samphirepost-daemon/src/samphirepost_daemon/boundedchannel.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/boundedchannel.py
@@ -5,11 +5,13 @@
 """
 
 import collections
+import errno
 import socket
 import time
 
 from waitress import channel
 from waitress import server
+from waitress import task
 
 from samphirepost_daemon import boundedparser
 from samphirepost_daemon import callerguard
@@ -33,6 +35,16 @@
     """
 
 
+class BoundedTask(task.WSGITask):
+    """Answers a request; tells the application why the answer has ended."""
+
+    def get_environment(self):
+        """Returns the WSGI environment; ANSWER_CUT is a callable in it."""
+        environ = super().get_environment()
+        environ[callerguard.ANSWER_CUT] = self.channel.is_answer_cut
+        return environ
+
+
 class BoundedChannel(channel.HTTPChannel):
     """One connection; it reads one request and sends one answer.
 
@@ -40,6 +52,8 @@
     the connection after the answer.
     """
 
+    task_class = BoundedTask
+
     def __init__(self, bounded_server, sock, addr, adj, map=None):
         self._guard = bounded_server.guard
         self._holder = f"{addr[0]}:{addr[1]}"
@@ -47,6 +61,7 @@
         self._own = self._guard.account(self._holder)
         self._is_read = False
         self._is_refused = False
+        self._is_cut = False
         self._empty_line_bytes = 0
         self._first_byte_s = None
         self._last_byte_s = None
@@ -55,8 +70,9 @@
         super().__init__(bounded_server, sock, addr, adj, map=map)
         self.sendbuf_len = min(self.sendbuf_len, SEND_BYTES)
         self.outbufs = [outputbuffer.OutputBuffer()]
-        if not self._take(self._own, CONNECTION_BYTES):
-            self._guard.report(callerguard.Refusal.MEMORY, self._holder)
+        refusal = self._take(self._own, CONNECTION_BYTES)
+        if refusal is not None:
+            self._guard.report(refusal, self._holder)
             self.will_close = True
 
     @property
@@ -78,13 +94,17 @@
         return self.request.held_bytes
 
     def _take(self, account, count):
-        """Takes bytes, if need be those of requests that are late."""
-        if account.held + count > self._guard.largest_bytes:
-            return False
+        """Takes bytes, if need be those of requests that are late.
+
+        Returns None, or a Refusal. What does not fit into an unused budget
+        either is too large: its caller must not try again.
+        """
+        if not self._guard.may_hold(self._holder, count):
+            return callerguard.Refusal.BODY_SIZE
         while not account.take(count):
             if not self.server.evict(self):
-                return False
-        return True
+                return callerguard.Refusal.MEMORY
+        return None
 
     # Reading.
 
@@ -160,12 +180,11 @@
             self.server.add_task(self)
 
     def service(self):
-        """Answers the request; if the connection stays open, reads again."""
+        """Answers the request; the connection is closed after the answer."""
         super().service()
         if not self.close_when_flushed:
-            self._first_byte_s = None
-            self._empty_line_bytes = 0
-            self._is_read = False
+            self.close_when_flushed = True
+            self.server.pull_trigger()
 
     # Refusing.
 
@@ -258,9 +277,14 @@
 
     def _cut(self):
         self._guard.report(callerguard.Refusal.OUTPUT, self._holder)
+        self._is_cut = True
         self.will_close = True
         self.server.close_soon(self)
 
+    def is_answer_cut(self):
+        """Whether the answer was cut as the budget had no room for it."""
+        return self._is_cut
+
     def _flush_some(self, do_close=True):
         with self.outbuf_lock:
             before = self.total_outbufs_len
@@ -320,6 +344,19 @@
         self.guard.report(callerguard.Refusal.CONNECTIONS, oldest.addr[0])
         oldest.handle_close()
 
+    def accept(self):
+        """Returns a new connection and its address, or None.
+
+        Without a free descriptor, a connection without a complete request is
+        closed, and the next one is accepted in the following poll.
+        """
+        try:
+            return super().accept()
+        except OSError as exc:
+            if exc.errno in (errno.EMFILE, errno.ENFILE):
+                self._close_oldest()
+            raise
+
     def close_soon(self, one):
         """Has the listener's thread close a connection; for any thread.
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/boundedparser.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/boundedparser.py
@@ -3,8 +3,6 @@
 from waitress import parser
 from waitress import utilities
 
-from samphirepost_daemon import callerguard
-
 # Copies of a head while its request is in progress: received, decoded, in the
 # WSGI environment and in the request to the engine.
 HEAD_COPIES = 4
@@ -18,7 +16,8 @@
 class BoundedParser(parser.HTTPRequestParser):
     """Parses one request; `refusal` is set if there is no memory for it.
 
-    `take(account, count)` takes bytes for an account if it can.
+    `take(account, count)` takes bytes for an account; it returns None, or the
+    callerguard.Refusal if it cannot.
     """
 
     refusal = None
@@ -84,19 +83,10 @@
         self.completed = True
 
     def _take(self, count):
-        """Takes bytes; otherwise sets `refusal` and returns False.
-
-        A request that would not get the bytes from an unused budget either is
-        too large: its caller must not try again.
-        """
-        if self._take_bytes(self._account, count):
-            return True
-        if self._account.held + count > self._guard.largest_bytes:
-            self.refusal = callerguard.Refusal.BODY_SIZE
-        else:
-            self.refusal = callerguard.Refusal.MEMORY
-        self.completed = True
-        return False
+        """Takes bytes; otherwise sets `refusal` and returns False."""
+        self.refusal = self._take_bytes(self._account, count)
+        self.completed = self.completed or self.refusal is not None
+        return self.refusal is None
 
     def get_body_stream(self):
         """Returns the body as a file whose read() makes no copy.
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/callerguard.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/callerguard.py
@@ -6,6 +6,9 @@
 
 # Retry-After of a caller that found the memory budget empty (s).
 MEMORY_RETRY_AFTER_S = 1
+# Key in the WSGI environment of a callable that tells whether the answer was
+# cut as the budget had no room for it.
+ANSWER_CUT = "samphirepost.answer_cut"
 
 
 class Limits(msgspec.Struct, frozen=True):
@@ -79,10 +82,10 @@
         """Returns a new account of a connection."""
         return self._budget.account(self._kind, holder)
 
-    @property
-    def largest_bytes(self):
-        """The most that one connection gets while there is no other."""
-        return self._budget.largest(self._kind)
+    def may_hold(self, holder, count):
+        """Whether a connection could get more bytes if there was no other."""
+        held = self._budget.held_by(self._kind, holder)
+        return held + count <= self._budget.largest(self._kind)
 
 
 def refusal_of_error(error):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
@@ -3,6 +3,7 @@
 import time
 
 from samphirepost import attempts
+from samphirepost_daemon import callerguard
 from samphirepost_daemon.entry import engineclient
 from samphirepost_daemon.entry import exchange
 from samphirepost_daemon.entry import streamend
@@ -48,6 +49,9 @@
         self._exchange = exchange.Exchange(
             parts, req, route, pool, self._began_s + limit_s, is_disconnected
         )
+        self._is_answer_cut = environ.get(
+            callerguard.ANSWER_CUT, lambda: False
+        )
         self._last_id = req.resume_after
         self._first_response_s = None
         self._resume_count = 0
@@ -99,6 +103,8 @@
             raise
         except GeneratorExit:
             outcome = "caller-gone"
+            if self._is_answer_cut():
+                outcome, reason = "cut", "no memory for an unread answer"
             raise
         except exchange.CallerDisconnected:
             outcome = "caller-gone"
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -47,6 +47,9 @@
 # request and each relayed run needs a second one, to an engine.
 PEER_CONNECTIONS_MAX = 200
 READINESS_CONNECTIONS_MAX = 50
+# Budget of the listener for readiness checks and metrics: a crowd of callers
+# must not make the VM look unready.
+READINESS_BUDGET_BYTES = 4_000_000
 # A relayed order keeps its body once.
 RELAY_BODY_COPIES = 1
 # A connection without a request is closed after this time (s).
@@ -164,6 +167,7 @@
         limits = _caller_limits(cfg.listen)
         self.relay = _make_listener(
             parts,
+            parts.budget,
             "peers",
             web.PathDispatcher(
                 {
@@ -233,6 +237,7 @@
         )
         self.callers = _make_listener(
             parts,
+            parts.budget,
             "callers",
             app,
             cfg.listen.callers,
@@ -243,6 +248,7 @@
         )
         self.readiness = _make_listener(
             parts,
+            memorybudget.Budget(READINESS_BUDGET_BYTES),
             "readiness",
             web.ReadinessApp(parts),
             cfg.listen.readiness,
@@ -278,7 +284,7 @@
 
 
 def _make_listener(
-    parts, name, app, address, threads, connections, kind, limits
+    parts, budget, name, app, address, threads, connections, kind, limits
 ):
     return listener.Listener(
         app,
@@ -289,6 +295,6 @@
         IDLE_TIMEOUT_S,
         keep_proxy_headers=True,
         guard=callerguard.Guard(
-            parts.budget, kind, limits, refusals.RefusalReport(parts, name)
+            budget, kind, limits, refusals.RefusalReport(parts, name)
         ),
     )
