--- a/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
@@ -88,7 +88,8 @@
     events only below `cut_paths`, and inside an event elsewhere. If
     `says_leaving`, its answers say that it leaves. `born` tells incarnations
     of an engine apart. Each event has `padding` bytes more; `sent_ids` are the
-    requests whose answers were sent whole.
+    requests whose answers were sent whole, `broken_ids` those whose connection
+    broke before.
     """
 
     daemon_threads = True
@@ -121,6 +122,7 @@
         self.born = 0
         self.padding = 0
         self.sent_ids = []
+        self.broken_ids = []
         self.has_crashed = False
         self._connections = set()
 
@@ -244,6 +246,7 @@
         try:
             return self.send_stream(arrival, fault)
         except OSError:
+            self.server.broken_ids.append(arrival.id)
             self.server.disconnected.set()
             return None
 
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -9,6 +9,7 @@
 import http.client
 import json
 import pathlib
+import select
 import socket
 import threading
 
@@ -17,6 +18,7 @@
 from samphirepost_bench import entryfleet
 from samphirepost_bench import fleet as fleet_module
 from samphirepost_bench import streamengine
+from samphirepost_daemon.entry import tunnel
 from tests import entryhelper
 
 MEMORY_MB = 160
@@ -427,6 +429,41 @@
     crowd.close()
 
 
+# 64 relays to slow peers took a daemon to 829 MB.
+def test_relayed_answers_that_are_not_read_stay_in_the_budget(start):
+    """A peer that reads slowly must not fill the VM that relays for it."""
+    fleet = start(LargeEngine)
+    (daemon,) = fleet.daemons
+    engine = fleet.engines[0].newest_incarnation
+
+    def send(sock, number):
+        head = body_head(number, "Content-Length: 2")
+        named = b"Target-Instance: " + engine.name.encode() + b"\r\nHost: "
+        data = head.replace(b"Host: ", named, 1) + b"ab"
+        order = tunnel.RelayOrder(engine.name, 20.0, data=data)
+        sock.sendall(tunnel.Tunnel("peer").encode(order))
+
+    crowd = Crowd(daemon.peer_port, LARGE_CROWD, send)
+    entryhelper.wait_until(
+        lambda: len(readable(crowd.socks)) == LARGE_CROWD,
+        "each order is answered or refused",
+    )
+    entryhelper.wait_until(
+        lambda: (
+            len(engine.sent_ids) + len(engine.broken_ids)
+            == arrived_count(fleet)
+        ),
+        "all answers of the engine were read or cut",
+    )
+    check_daemon(fleet, CROWD_SHARE, 200)
+    crowd.close()
+
+
+def readable(socks):
+    """Returns the sockets on which something has arrived."""
+    return select.select(socks, [], [], 0)[0]
+
+
 def running_count(daemon):
     """Returns the number of online requests in progress, by the metrics."""
     conn = http.client.HTTPConnection(
