--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -49,6 +49,9 @@
 # request and each relayed run needs a second one, to an engine.
 PEER_CONNECTIONS_MAX = 200
 READINESS_CONNECTIONS_MAX = 50
+# Budget of the listener for readiness checks and metrics: a crowd of callers
+# must not make the VM look unready.
+READINESS_BUDGET_BYTES = 4_000_000
 # A relayed order keeps its body once.
 RELAY_BODY_COPIES = 1
 # A connection without a request is closed after this time (s).
@@ -171,6 +174,7 @@
         limits = _caller_limits(cfg.listen)
         self.relay = _make_listener(
             parts,
+            parts.budget,
             "peers",
             web.PathDispatcher(
                 {
@@ -241,6 +245,7 @@
         )
         self.callers = _make_listener(
             parts,
+            parts.budget,
             "callers",
             app,
             cfg.listen.callers,
@@ -251,6 +256,7 @@
         )
         self.readiness = _make_listener(
             parts,
+            memorybudget.Budget(READINESS_BUDGET_BYTES),
             "readiness",
             web.ReadinessApp(parts, where.WhereApp(parts)),
             cfg.listen.readiness,
@@ -286,7 +292,16 @@
 
 
 def _make_listener(
-    parts, name, app, address, threads, connections, kind, limits, **bounds
+    parts,
+    budget,
+    name,
+    app,
+    address,
+    threads,
+    connections,
+    kind,
+    limits,
+    **bounds,
 ):
     return listener.Listener(
         app,
@@ -297,7 +312,7 @@
         IDLE_TIMEOUT_S,
         keep_proxy_headers=True,
         guard=callerguard.Guard(
-            parts.budget, kind, limits, refusals.RefusalReport(parts, name)
+            budget, kind, limits, refusals.RefusalReport(parts, name)
         ),
         **bounds,
     )
