--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -7,6 +7,7 @@
 
 from samphirepost import attempts
 from samphirepost import events
+from samphirepost import promptcache
 from samphirepost import quarantine
 from samphirepost import routing
 from samphirepost import slotmessages
@@ -329,12 +330,17 @@
             not_through=tuple(self._peers_failed),
             organisation=self._req.organisation,
             is_charged=self._is_charged,
-            prompt=self._req.prompt if self._route.sticky else (),
+            prompt=self._prompt,
             output_tokens=self._req.output_tokens,
             is_repeatable=not self.history.is_last_execution,
         )
         return self._slots.request(req, self._is_disconnected)
 
+    @property
+    def _prompt(self):
+        """The parts of the prompt, on routes that name them."""
+        return self._req.prompt if self._route.sticky else ()
+
     def _priority(self):
         """Returns that of the organisation, or else of the route."""
         if self._req.priority is None:
@@ -486,6 +492,9 @@
             slot.engine.id,
             slot.granted,
             organisation=self._req.organisation,
+            tokens=promptcache.tokens_held(
+                self._prompt, self._req.output_tokens
+            ),
         )
         result = None
         try:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -13,6 +13,7 @@
 from samphirepost import batchjob
 from samphirepost import errors
 from samphirepost import leaving
+from samphirepost import promptcache
 from samphirepost import quarantine
 from samphirepost import routing
 from samphirepost import slotmessages
@@ -496,6 +497,7 @@
             late=late,
             deadline_s=held_job.deadline_s,
             organisation=held_job.record.organisation,
+            tokens=self._tokens_of(held_job, index),
         )
         self._item_executor.submit(
             self._call_logged, self._run_item, run, held_job, engine
@@ -517,6 +519,16 @@
         left_s = self._duration_estimator.remaining_s(item.tokens, events)
         return now_s + FEASIBLE_SHARE * left_s > held_job.deadline_s
 
+    def _tokens_of(self, held_job, index):
+        """Returns the tokens that an item holds at an engine; 0 if unknown."""
+        route = self._find_route(held_job)
+        if route is None or not route.sticky:
+            return 0
+        item = held_job.record.items[index]
+        return promptcache.tokens_held(
+            wire.prompt_of(item), wire.output_tokens_of(item)
+        )
+
     def _find_route(self, held_job):
         table = self._parts.state.table
         if table is None:
--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -61,7 +61,8 @@
     of its preemption, or None. A batch item's job is due at `deadline_s`.
     `relay` is the VM id of the daemon that relays the run, or None.
     `charged_to` is the organisation whose quota its grant was charged to,
-    `hold` the promptcache.Hold of its prompt, or None.
+    `hold` the promptcache.Hold of its prompt, or None. `tokens` are those of a
+    run that its daemon reported and this hub has not granted.
     """
 
     __slots__ = (
@@ -75,12 +76,14 @@
         "late",
         "preempted_s",
         "relay",
+        "tokens",
     )
 
     def __init__(self, engine, batch, granted_s, confirmed):
         self.relay = None
         self.charged_to = ""
         self.hold = None
+        self.tokens = 0
         self.engine = engine
         self.batch = batch
         self.granted_s = granted_s
@@ -256,6 +259,8 @@
         known = self._runs.get((vm, run.id))
         if known is None:
             known = AllocatedRun(run.engine, run.batch, now_s, True)
+            known.tokens = run.tokens
+            known.hold = self.prompts.start_reported(run.engine, run.tokens)
             self._add_run(vm, reporter, run.id, known)
             self.limits.take(run.engine, now_s)
             if run.organisation and not run.batch:
@@ -381,6 +386,7 @@
 
         See routing.Pool for `kv_tokens`.
         """
+        is_new = pool not in self._views
         view = self._views.setdefault(pool, poolview.PoolView())
         engine_ids = [engine.id for engine in engines]
         for engine_id in view.engines.keys() - set(engine_ids):
@@ -396,6 +402,14 @@
         self._pool_names |= dict.fromkeys(engine_ids, pool)
         speeds = self.times.speeds(pool, engine_ids, now_s)
         view.refresh(engines, self._engines, speeds, now_s)
+        if is_new:
+            self._hold_reported(view)
+
+    def _hold_reported(self, view):
+        """Records what runs hold that were reported before a pool was read."""
+        for run in self._runs.values():
+            if run.hold is None and run.engine in view.engines:
+                run.hold = self.prompts.start_reported(run.engine, run.tokens)
 
     # Requests.
 
--- a/packages/samphirepost/src/samphirepost/promptcache.py
+++ b/packages/samphirepost/src/samphirepost/promptcache.py
@@ -51,9 +51,14 @@
     `req` is a slotmessages.SlotRequest or WantedSlot. Returns 0 for one
     without a prompt, whose tokens are unknown.
     """
-    if not req.prompt:
+    return tokens_held(req.prompt, req.output_tokens)
+
+
+def tokens_held(parts, output_tokens):
+    """Returns the tokens of a prompt's parts and its output; 0 if unknown."""
+    if not parts:
         return 0
-    return sum(part.tokens for part in req.prompt) + req.output_tokens
+    return sum(part.tokens for part in parts) + output_tokens
 
 
 class _Part:
@@ -287,6 +292,17 @@
         self.reused_tokens += cache.reused_tokens(prompt)
         return Hold(cache, prompt)
 
+    def start_reported(self, engine_id, tokens):
+        """Records a run that this hub has not granted; returns its Hold.
+
+        It holds so many tokens, of parts that are not known. Returns None if
+        the tokens or the engine are not known.
+        """
+        cache = self._caches.get(engine_id)
+        if cache is None or not tokens:
+            return None
+        return Hold(cache, Prompt((), tokens))
+
     def choose(self, req, engine, view, is_allowed, zone):
         """Returns an engine for a request, by what it holds of its prompt.
 
--- a/packages/samphirepost/src/samphirepost/selection.py
+++ b/packages/samphirepost/src/samphirepost/selection.py
@@ -60,9 +60,19 @@
     A batch item's job is due at `deadline_s`.
     """
 
-    __slots__ = ("batch", "deadline_s", "engine_id", "late", "organisation")
+    __slots__ = (
+        "batch",
+        "deadline_s",
+        "engine_id",
+        "late",
+        "organisation",
+        "tokens",
+    )
 
-    def __init__(self, engine_id, batch, late, deadline_s, organisation):
+    def __init__(
+        self, engine_id, batch, late, deadline_s, organisation, tokens
+    ):
+        self.tokens = tokens
         self.organisation = organisation
         self.engine_id = engine_id
         self.batch = batch
@@ -102,10 +112,11 @@
         late=False,
         deadline_s=0.0,
         organisation="",
+        tokens=0,
     ):
-        """Records a request that is sent to an engine."""
+        """Records a request that is sent to an engine; see Run."""
         self._runs[run_id] = OwnRun(
-            engine_id, batch, late, deadline_s, organisation
+            engine_id, batch, late, deadline_s, organisation, tokens
         )
 
     def end_run(self, run_id):
@@ -126,6 +137,7 @@
                 run.late,
                 round(run.deadline_s - now_s, 2) if run.batch else 0.0,
                 run.organisation,
+                run.tokens,
             )
             for run_id, run in list(self._runs.items())
         )
--- a/packages/samphirepost/src/samphirepost/slotmessages.py
+++ b/packages/samphirepost/src/samphirepost/slotmessages.py
@@ -33,7 +33,8 @@
 
     For a batch item, `late` tells that it is unlikely to meet its job's
     deadline, which is `left_s` away. `organisation` is the name of the one
-    whose request it is, empty if there is none.
+    whose request it is, empty if there is none. Its prompt and output have
+    `tokens`, or 0 if that is unknown.
     """
 
     id: int
@@ -42,6 +43,7 @@
     late: bool = False
     left_s: float = 0.0
     organisation: str = ""
+    tokens: int = 0
 
 
 class RunEnd(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_promptcache.py
+++ b/tests/test_promptcache.py
@@ -183,6 +183,25 @@
     assert message.engine == found[0]
 
 
+def test_a_new_hub_counts_what_runs_hold_already():
+    """Reports may arrive before it reads the engines of the pool."""
+    hub = Hub(1, kv_tokens=10_000)
+    other = allocator.Allocator("new")
+    runs = (slotmessages.Run(1, "e0", tokens=6000),)
+    report = slotmessages.Report("vm1", 1, runs)
+    for found in (other, hub.allocator):
+        found.apply_report(report, "vm1", hub.now_s)
+    other.set_engines(POOL, hub.engines, hub.now_s, hub.kv_tokens)
+    hub.allocator = other
+    big = make_prompt(("big", 4001))
+    assert isinstance(hub.request(2, big), slotmessages.Queued)
+    assert hub.request(3, make_prompt(("fits", 4000)), never_deny=True) == "e0"
+    assert not other.prompts.fits("e0", 1)
+    report = slotmessages.Report("vm1", 2)
+    other.apply_report(report, "vm1", hub.now_s)
+    assert other.prompts.fits("e0", 6000)
+
+
 def test_what_no_engine_can_hold_does_not_wait():
     """The daemon sends it to an engine, which tells why it cannot run."""
     hub = Hub(2, kv_tokens=1000)
--- a/tests/test_slotexchange.py
+++ b/tests/test_slotexchange.py
@@ -1,5 +1,6 @@
 """Tests the thread that exchanges slotmessages, with an emulated socket."""
 
+import itertools
 import queue
 import socket
 import types
@@ -8,6 +9,7 @@
 
 from samphirepost import codec
 from samphirepost import roster
+from samphirepost import routing
 from samphirepost import slotmessages
 from samphirepost_daemon.entry import pathmonitor
 from samphirepost_daemon.entry import slots
@@ -15,6 +17,7 @@
 from tests import entryhelper
 
 ADDRESS = ("10.0.0.1", 1)
+_numbers = itertools.count(2)
 _decoder = msgspec.msgpack.Decoder(slotmessages.Message)
 
 
@@ -146,3 +149,47 @@
     assert len(announced) == 195
     assert {len(one.suspects) for one, _ in announced} == {32}
     assert {"first" in one.suspects for one, _ in announced} == {True}
+
+
+def test_the_hub_logs_what_it_knows_of_the_engines():
+    """Operators see from hub.loads why an engine gets fewer requests."""
+    exchange = make_exchange()
+    engines = [
+        roster.Engine(f"e{i}", "plants", f"10.0.1.{i}:80", "a", 8)
+        for i in range(5)
+    ]
+    exchange._parts.state.roster.apply_full_read(engines, 0.0)
+    exchange._parts.state.table = routing.Table(
+        1, (), {"plants": routing.Pool("plants", 8, 5000)}
+    )
+    for vm in ("vm0", "vm1", "vm2"):
+        report = slotmessages.Report(vm, 1)
+        exchange.hub_server.serve_report(report, ADDRESS, 1.0)
+    prompt = (slotmessages.PromptPart("p", 300),)
+    for run_id in range(2):
+        req = slotmessages.SlotRequest(
+            "vm0", run_id, "plants", "a", 0, 0.1, prompt=prompt
+        )
+        exchange.hub_server.serve_request(req, ADDRESS, 3.0)
+    for number, engine in enumerate(engines):
+        pace_s = 0.1 if number == 1 else 0.02
+        outcome = slotmessages.Outcome.OK
+        if number == 2:
+            outcome = slotmessages.Outcome.FAILED
+        for vm in ("vm0", "vm1", "vm2"):
+            runs = (slotmessages.Run(100 + number, engine.id),)
+            ended = (slotmessages.RunEnd(100 + number, outcome, pace_s),)
+            for fields in ({"runs": runs}, {"ended": ended}):
+                report = slotmessages.Report(vm, next(_numbers), **fields)
+                exchange.hub_server.serve_report(report, ADDRESS, 3.1)
+    exchange.hub_server._refresh_engines("plants", 4.0)
+    logged = []
+    exchange.hub_server._log = types.SimpleNamespace(
+        event=lambda _, **fields: logged.append(fields)
+    )
+    exchange.hub_server._log_loads()
+    (found,) = logged
+    assert (found["prompt_tokens"], found["reused_tokens"]) == (600, 300)
+    assert found["failing"] == ["e2"]
+    assert found["slow"] == ["e1"]
+    assert found["speeds"] == {"e1": 0.5}
