--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -15,6 +15,7 @@
 from samphirepost import errors
 from samphirepost import leaving
 from samphirepost import memorybudget
+from samphirepost import promptcache
 from samphirepost import quarantine
 from samphirepost import routing
 from samphirepost import slotmessages
@@ -517,6 +518,7 @@
             organisation=held_job.record.organisation,
             end_s=now_s + remaining_s if remaining_s else None,
             preemptions=partial.preemptions,
+            tokens=self._tokens_of(held_job, index),
         )
         self._item_executor.submit(
             self._call_logged, self._run_item, run, held_job, engine
@@ -554,6 +556,16 @@
         events = len(partial.texts) if partial else 0
         return self._duration_estimator.remaining_s(item.tokens, events)
 
+    def _tokens_of(self, held_job, index):
+        """Returns the tokens that an item holds at an engine; 0 if unknown."""
+        route = self._find_route(held_job)
+        if route is None or not route.sticky:
+            return 0
+        item = held_job.record.items[index]
+        return promptcache.tokens_held(
+            wire.prompt_of(item), wire.output_tokens_of(item)
+        )
+
     def _find_route(self, held_job):
         table = self._parts.state.table
         if table is None:
--- a/packages/samphirepost/src/samphirepost/selection.py
+++ b/packages/samphirepost/src/samphirepost/selection.py
@@ -69,6 +69,7 @@
         "late",
         "organisation",
         "preemptions",
+        "tokens",
     )
 
     def __init__(
@@ -80,9 +81,11 @@
         organisation,
         end_s,
         preemptions,
+        tokens,
     ):
         self.end_s = end_s
         self.preemptions = preemptions
+        self.tokens = tokens
         self.organisation = organisation
         self.engine_id = engine_id
         self.batch = batch
@@ -130,8 +133,9 @@
         organisation="",
         end_s=None,
         preemptions=0,
+        tokens=0,
     ):
-        """Records a request that is sent to an engine."""
+        """Records a request that is sent to an engine; see Run."""
         self._runs[run_id] = OwnRun(
             engine_id,
             batch,
@@ -140,6 +144,7 @@
             organisation,
             end_s,
             preemptions,
+            tokens,
         )
 
     def end_run(self, run_id):
@@ -162,6 +167,7 @@
                 run.organisation,
                 run.needs_ms(now_s),
                 run.preemptions,
+                run.tokens,
             )
             for run_id, run in list(self._runs.items())
         )
--- a/packages/samphirepost/src/samphirepost/slotmessages.py
+++ b/packages/samphirepost/src/samphirepost/slotmessages.py
@@ -35,7 +35,8 @@
     deadline, which is `left_s` away. `organisation` is the name of the one
     whose request it is, empty if there is none. An item is expected to run for
     `needs_ms` more, 0 if that is not known, and was preempted `preemptions`
-    times before.
+    times before. Its prompt and output have `tokens`, or 0 if that is
+    unknown.
     """
 
     id: int
@@ -46,6 +47,7 @@
     organisation: str = ""
     needs_ms: int = 0
     preemptions: int = 0
+    tokens: int = 0
 
 
 class RunEnd(msgspec.Struct, frozen=True, array_like=True):
