--- a/packages/samphirepost-daemon/src/samphirepost_daemon/boundedchannel.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/boundedchannel.py
@@ -17,7 +17,7 @@
 from samphirepost_daemon import callerguard
 from samphirepost_daemon import outputbuffer
 
-# Size of the objects of one connection.
+# Memory of the objects of one connection.
 CONNECTION_BYTES = 4_096
 # Most bytes that are copied for one call of send().
 SEND_BYTES = 65_536
--- a/packages/samphirepost/src/samphirepost/expendability.py
+++ b/packages/samphirepost/src/samphirepost/expendability.py
@@ -13,7 +13,7 @@
 # A run that is expected to end within this time (s) leaves its slot as soon as
 # a stopped one would.
 ENDING_S = 0.1
-# What stopping an item would do, the worst first.
+# Ranks of items by what a stop would do to them, the worst first.
 AT_RISK = 0
 ENDING = 1
 ON_TIME = 2
@@ -39,21 +39,22 @@
         Items that are late anyway come first, those at risk last; then those
         that were stopped least often, then those that can wait longest.
         """
-        # Hundreds of items are compared for one request.
+        # Hundreds of items are compared for one request, so this calls no
+        # other functions unless it has to.
         left_s = self.due_s - now_s
         needs_s = 0.0
-        standing = ON_TIME
+        effect = ON_TIME
         end_s = self.end_s
         if end_s is not None:
             needs_s = end_s - now_s
             if needs_s < ENDING_S:
-                standing = ENDING
+                effect = ENDING
                 needs_s = max(0.0, needs_s)
         if self.late:
-            standing = LATE
+            effect = LATE
         elif left_s < 2 * needs_s + WAIT_ALLOWANCE_S:
-            standing = AT_RISK
-        return (standing, -self.preemptions, left_s - needs_s)
+            effect = AT_RISK
+        return (effect, -self.preemptions, left_s - needs_s)
 
 
 # Of an item of which nothing is known but that it runs.
--- a/packages/samphirepost/src/samphirepost/organisations.py
+++ b/packages/samphirepost/src/samphirepost/organisations.py
@@ -40,7 +40,7 @@
 
 
 class Directory(msgspec.Struct, frozen=True):
-    """The organisations of one configuration, and whose each key is.
+    """The organisations of one configuration, and the owner of each key.
 
     `names_by_digest` has the name of an organisation by key_digest().
     """
--- a/packages/samphirepost/src/samphirepost/quotas.py
+++ b/packages/samphirepost/src/samphirepost/quotas.py
@@ -26,7 +26,7 @@
 # Part of the excess that a hub may grant in a window, whatever it hears.
 FLOOR_SHARE = 0.2
 # An organisation is told to the daemons as constrained while its bucket is
-# below this part of the burst.
+# below this part of its capacity.
 CONSTRAINED_SHARE = 0.25
 # Organisations told as constrained in one message.
 CONSTRAINED_MAX = 64
@@ -88,7 +88,11 @@
         return (1.0 - self.level) / self.per_s
 
     def take(self, now_s):
-        """Takes a token, whether there is one or not."""
+        """Takes a token, whether there is one or not.
+
+        Forced charges lower the level to -capacity at most, so that the time
+        to the next token stays bounded.
+        """
         self.refill(now_s)
         self.level = max(self.level - 1.0, -self.capacity)
 
@@ -108,7 +112,7 @@
         "_bounds",
         "_buckets",
         "_directory",
-        "_is_informed",
+        "_has_buckets",
         "_sent_by_vm",
         "_share",
         "refused",
@@ -121,7 +125,7 @@
         self._directory = None
         self._share = 1.0
         self._sent_by_vm = {}
-        self._is_informed = False
+        self._has_buckets = False
         self.refused = 0
 
     def reset(self, now_s):
@@ -129,7 +133,7 @@
         self._began_s = now_s
         self._buckets.clear()
         self._sent_by_vm.clear()
-        self._is_informed = False
+        self._has_buckets = False
         self._share = 1.0
 
     def dry_copy(self, name):
@@ -146,9 +150,10 @@
     def apply_sent(self, vm, sent):
         """Applies what a daemon sent by organisation within a window.
 
-        `sent` is None if the daemon does not know.
+        `sent` is None if the daemon does not know. What is told after the
+        first bucket was made is ignored.
         """
-        if not self._is_informed:
+        if not self._has_buckets:
             self._sent_by_vm[vm] = sent
 
     def set_members(self, heard, members, now_s):
@@ -198,7 +203,7 @@
     def _bucket(self, organisation, now_s):
         bucket = self._buckets.get(organisation.name)
         if bucket is None:
-            self._is_informed = True
+            self._has_buckets = True
             per_s, capacity = self._size(organisation)
             level = self._first_level(organisation)
             # It was filled since this daemon became the hub.
@@ -301,11 +306,11 @@
         return self._bounds
 
     def announce_constrained(self, names):
-        """Applies the hub's word on which organisations are at their quota."""
+        """Records the organisations that the hub told to be constrained."""
         self._constrained = frozenset(names)
 
     def is_constrained(self, name):
-        """Whether the hub told that an organisation is at its quota."""
+        """Whether the hub told that an organisation is constrained."""
         return name in self._constrained
 
     def local_wait_s(self, name, now_s):
--- a/packages/samphirepost/src/samphirepost/whereabouts.py
+++ b/packages/samphirepost/src/samphirepost/whereabouts.py
@@ -27,7 +27,7 @@
 
 
 class EngineState(msgspec.Struct, frozen=True):
-    """An engine and what runs there, as its judge knows it.
+    """An engine and what runs there, as known to the daemon that decides.
 
     `marks` tells what speaks against it: suspect, avoided, slow, at-limit,
     unreached.
@@ -80,7 +80,8 @@
     """An organisation by the tables, and its quota.
 
     `is_constrained` if the hub told that its quota is nearly used up;
-    `quota_wait_s` is the time to its next token, None if only the hub knows.
+    `quota_wait_s` is the time to the next token of the daemon's own bucket,
+    from which it charges while no hub answers; None if the daemon is the hub.
     """
 
     name: str
--- a/tests/test_allocator.py
+++ b/tests/test_allocator.py
@@ -734,9 +734,8 @@
 class TestAnEngineThatNoDaemonReaches:
     """Load pattern: an engine ends, and its entry stays for a while."""
 
-    # Found by soak 11: the hub chose the suspect engine for each item, found
-    # no peer that reaches it, and started none at the other engines.
     def test_items_run_at_the_other_engines(self):
+        """Items waited for a suspect engine that no peer reached (soak 11)."""
         hub = Hub()
         paths = slotmessages.Paths("a", True, ("e0",))
         wanted = [
@@ -762,6 +761,7 @@
         assert "e0" not in hub.grants.values()
 
     def test_a_peer_that_reaches_it_is_used(self):
+        """Else no item runs where each daemon needs a peer."""
         hub = Hub(engines=1)
         for vm, unreached in (("vm0", ("e0",)), ("vm1", ())):
             hub.seq += 1
--- a/tests/test_answerbounds.py
+++ b/tests/test_answerbounds.py
@@ -42,6 +42,7 @@
 
 @hypothesis.given(EVENT_COUNTS, EVENT_COUNTS)
 def test_more_tokens_allow_no_less(tokens, more):
+    """Else a longer output is cut where a shorter one is not."""
     fewer, many = sorted((max(1, tokens), max(1, more)))
     low, high = map(answerbounds.bound_of, (fewer, many))
     assert low.bytes <= high.bytes <= answerbounds.UNKNOWN.bytes
@@ -49,12 +50,13 @@
 
 
 def test_an_answer_of_unknown_tokens_has_the_largest_bound():
+    """Else sound answers to requests without a token count are cut."""
     assert answerbounds.bound_of(0) == answerbounds.UNKNOWN
 
 
-# A count that is not given back would shrink the budget for ever.
 @hypothesis.given(OPERATIONS)
 def test_all_memory_of_an_answer_is_given_back(operations):
+    """A count that is not given back would shrink the budget for ever."""
     budget = memorybudget.Budget(TOTAL_BYTES)
     kind = memorybudget.Kind.ENGINE
     answer = answermemory.AnswerMemory(budget.account(kind, "e"))
@@ -66,6 +68,7 @@
 
 
 def test_a_body_keeps_its_memory_after_its_call():
+    """A body that waits to be passed on would not be counted."""
     budget = memorybudget.Budget(TOTAL_BYTES)
     kind = memorybudget.Kind.ENGINE
     answer = answermemory.AnswerMemory(budget.account(kind, "e"))
@@ -131,8 +134,8 @@
 server = test_itemanswers.server
 
 
-# Such a run is interrupted without a count, so it would go on for ever.
 def test_an_item_with_too_many_events_is_the_engines_failure(server):
+    """An interrupted run is not counted, so the item would go on for ever."""
     runs = ItemRuns(server)
     server.answer = answer_of(1000)
     outcome = runs.run()
@@ -141,8 +144,8 @@
     assert len(runs.partial.texts) <= answerbounds.bound_of(40).events
 
 
-# The bound of each answer alone lets an output grow with each run.
 def test_the_bound_holds_over_all_answers_to_an_item(server):
+    """The bound of each answer alone lets an output grow with each run."""
     runs = ItemRuns(server)
     server.answer = answer_of(300) + b"id: 301\ndata: "
     assert isinstance(runs.run(), items.InterruptedRun)
@@ -153,6 +156,7 @@
 
 
 def test_an_announced_length_is_refused_at_the_head(server):
+    """Else megabytes are read before the answer is refused."""
     runs = ItemRuns(server)
     length = answerbounds.bound_of(40).bytes + 1
     server.answer = (
@@ -161,8 +165,8 @@
     assert isinstance(runs.run(), items.EndlessRun)
 
 
-# An engine must not count as failing where this process has no memory.
 def test_an_item_without_memory_is_interrupted(server):
+    """An engine must not count as failing where this process has no memory."""
     runs = ItemRuns(server, total_bytes=400_000, tokens=100_000)
     server.answer = answer_of(100, b"w" * 1000)
     outcome = runs.run()
@@ -194,8 +198,8 @@
     )
 
 
-# Results that wait for the store are kept as well.
 def test_an_outputs_memory_is_given_back_once_the_result_is_durable():
+    """Results that wait for the store are kept, and have to be counted."""
     budget = memorybudget.Budget(TOTAL_BYTES)
     job = held_job(budget)
     partial = job.begin_output(0, "o")
@@ -211,8 +215,8 @@
     assert budget.held(memorybudget.Kind.ITEM) == 0
 
 
-# The thread of a run may still add to the output of an item given up.
 def test_an_item_given_up_gives_its_memory_back_after_its_run():
+    """The thread of a run may still add to the output of an item given up."""
     budget = memorybudget.Budget(TOTAL_BYTES)
     job = held_job(budget)
     partial = job.begin_output(0, "o")
@@ -226,6 +230,7 @@
 
 
 def test_a_job_that_is_released_gives_its_memory_back():
+    """Each takeover would leave bytes counted for ever."""
     budget = memorybudget.Budget(TOTAL_BYTES)
     job = held_job(budget)
     event = events.Event(b"", 1, b"text")
@@ -240,8 +245,8 @@
     assert budget.held(memorybudget.Kind.ITEM) == 0
 
 
-# A taken over output that there is no memory for begins again.
 def test_stored_outputs_are_taken_over_as_far_as_memory_is_free():
+    """A takeover must not exceed the budget; other outputs begin again."""
     budget = memorybudget.Budget(10_000)
     job = held_job(budget)
     stored = {index: batchjob.PartialOutput(f"o{index}") for index in (0, 1)}
@@ -291,8 +296,8 @@
     return way, set(parts.failed)
 
 
-# An engine that does not stop was taken for one that is not seen.
 def test_a_report_without_end_is_the_engines_failure(server):
+    """An engine that does not stop was taken for one that is not seen."""
     length = enginestatus.REPORT_BYTES_MAX + 1
     server.request_end = b"\r\n\r\n"
     server.answer = test_itemanswers.HEAD + b"\r\n" + b"x" * length
@@ -304,13 +309,14 @@
 
 
 def test_a_report_without_memory_tells_nothing_of_the_engine(server):
+    """A sound engine would be avoided, as this process has no memory."""
     server.request_end = b"\r\n\r\n"
     server.answer = test_itemanswers.HEAD + b"\r\n" + b"x" * 500_000
     assert ask_report(server, 1_000_000) == (None, set())
 
 
-# An engine must not be avoided where this process has no memory.
 def test_an_attempt_without_memory_tells_nothing_of_the_engine():
+    """An engine must not be avoided where this process has no memory."""
     attempt = engineattempt.FailedAttempt(
         attempts.AttemptFailure.NO_MEMORY, "reason"
     )
@@ -350,8 +356,8 @@
     )
 
 
-# A stream for 40 tokens was passed on up to 16 MiB.
 def test_a_stream_over_its_bound_is_broken_off(fleet):
+    """A stream for 40 tokens was passed on up to 16 MiB."""
     endless = test_answermemory.EndlessEngine(
         test_answermemory.numbered_events
     )
@@ -390,8 +396,8 @@
             )
 
 
-# What an item has put out was counted for ever.
 def test_an_item_that_no_attempt_can_complete_gives_its_memory_back(fleet):
+    """What an item has put out was counted for ever."""
     engine = GivingUpEngine()
     list_in_place(fleet, engine)
     assert fleet.submit("j", 1).status == 202
@@ -420,8 +426,8 @@
             conn.sendall(head + b"x" * self._size)
 
 
-# The store would count as out, and all other requests go to peers.
 def test_an_object_without_memory_fails_alone():
+    """The store would count as out, and all other requests go to peers."""
     budget = memorybudget.Budget(TOTAL_BYTES)
     large = LargeStore(TOTAL_BYTES)
     count = metrics.Metrics()
@@ -439,6 +445,7 @@
 
 
 def test_what_is_held_and_refused_is_shown():
+    """Refusals for lack of memory could not be told from other failures."""
     budget = memorybudget.Budget(TOTAL_BYTES)
     shown = metrics.Metrics()
     shown.show_budget(budget)
--- a/tests/test_answerload.py
+++ b/tests/test_answerload.py
@@ -6,8 +6,8 @@
 SEED = 6
 
 
-# Each bound alone may hold while what all of them keep does not fit.
 def test_daemons_stay_within_their_memory_under_mixed_load(tmp_path):
+    """Bounds that hold for each kind of load alone may fail together."""
     report = answerload.run_seed(SEED, tmp_path)
     assert sorted(report.crowds) == ["items", "plain", "relay", "stream"]
     assert not report.violations
--- a/tests/test_answermemory.py
+++ b/tests/test_answermemory.py
@@ -256,9 +256,9 @@
         new_host.stop()
 
 
-# Each answer was kept up to 16 MiB, however many there were.
 @pytest.mark.parametrize("status", [200, 500])
 def test_plain_answers_without_end(host, status):
+    """Each answer was kept up to 16 MiB, however many there were."""
     host.add_plain_route()
     host.list_endless(plain(status))
     found = host.send_many(REQUESTS, PLAIN_PATH)
@@ -267,8 +267,8 @@
     host.check()
 
 
-# The listener kept up to 16 MB for each peer that reads slowly.
 def test_relays_to_peers_that_do_not_read(host):
+    """The listener kept up to 16 MB for each peer that reads slowly."""
     server = host.list_endless(plain(200))
     before = len(server.sent)
     with contextlib.ExitStack() as stack:
@@ -281,8 +281,8 @@
         host.check()
 
 
-# An item for 40 tokens kept every event of an engine that did not stop.
 def test_items_whose_events_have_no_end(host):
+    """An item for 40 tokens kept every event of an engine without end."""
     server = host.list_endless(numbered_events)
     before = server.closed
     host.submit("j")
--- a/tests/test_enginetimes.py
+++ b/tests/test_enginetimes.py
@@ -48,24 +48,28 @@
 
 
 def test_speeds_are_relative_to_the_median_engine():
+    """Slots of slow and fast engines would count the same."""
     times = make_times([0.02, 0.02 / 1.7, 0.02, 0.02 / 0.7, 0.02])
     assert speeds_of(times, 5) == [1.0, 1.59, 1.0, 0.63, 1.0]
 
 
 @pytest.mark.parametrize("pace_s", [0.003, 0.02, 1.0])
 def test_none_is_slow_if_all_are(pace_s):
+    """A load that slows all engines would take all of them out of use."""
     times = make_times([pace_s] * 4)
     assert speeds_of(times, 4) == [1.0] * 4
     assert not times.speeds(POOL, ["e0", "e1", "e2", "e3"], 0.0).slow
 
 
 def test_a_stutter_in_one_run_does_not_make_an_engine_slow():
+    """A sound engine would get no online requests."""
     times = make_times([0.02] * 4)
     record(times, 0, 2.0)
     assert speeds_of(times, 4) == [1.0] * 4
 
 
 def test_an_engine_without_history_counts_as_the_median():
+    """An engine that is new would get no requests, and stay unknown."""
     times = enginetimes.EngineTimes()
     times.set_engines(make_engines(4))
     for number in range(3):
@@ -75,6 +79,7 @@
 
 
 def test_what_was_learned_ends_with_the_incarnation():
+    """A restarted engine would be judged by the runs before its restart."""
     times = make_times([0.02, 0.02, 0.02, 0.09])
     assert speeds_of(times, 4)[3] < 1.0
     times.set_engines(make_engines(4))
--- a/tests/test_promptcache.py
+++ b/tests/test_promptcache.py
@@ -160,6 +160,7 @@
 
 
 def test_a_small_saving_gives_way_to_the_zone():
+    """Few tokens take less time to read than a way to another zone."""
     hub = Hub(2, zones="ba")
     tiny = make_prompt(("tiny", 30))
     assert hub.request(0, tiny, excluded=("e1",)) == "e0"
@@ -210,12 +211,14 @@
 
 
 def test_an_item_that_no_engine_can_hold_holds_up_no_others():
+    """Items behind one that never fits would wait for ever."""
     hub = Hub(2, kv_tokens=1000)
     assert hub.want(1, make_prompt(("huge", 1001))) == {}
     assert list(hub.want(2, make_prompt(("small", 10)))) == [2]
 
 
 def test_items_go_where_their_prompts_were_read():
+    """Else the items of a job read their shared prompt at every engine."""
     hub = Hub()
     holder = hub.request(0, SYSTEM)
     hub.end(0)
@@ -240,6 +243,7 @@
 
 
 def test_an_engine_of_another_version_holds_nothing():
+    """Prompts would be sent to an engine that has to read them again."""
     hub = Hub()
     hub.request(0, SYSTEM)
     hub.end(0)
@@ -251,6 +255,7 @@
 
 
 def test_an_engine_that_leaves_is_forgotten():
+    """Memory of the hub would grow with each engine that was listed."""
     hub = Hub()
     for i in range(3 * SLOTS):
         hub.request(i, SYSTEM)
@@ -262,6 +267,7 @@
 
 
 def test_a_grant_that_was_not_used_leaves_nothing():
+    """Parts that no engine has read would count as held."""
     hub = Hub()
     hub.request(0, SYSTEM)
     hub.end(0, is_unused=True)
