--- a/packages/samphirepost-bench/src/samphirepost_bench/answerload.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/answerload.py
@@ -24,11 +24,14 @@
 from samphirepost_bench import fleet as fleet_module
 from samphirepost_daemon.entry import tunnel
 
+# Memory that each daemon is told to have (MB): that of the smallest VM.
 MEMORY_MB = 160
+# What each daemon may use: resident memory (MB) and descriptors.
 RESIDENT_MAX_MB = 100
 DESCRIPTORS_MAX = 300
 DAEMONS = 2
 CALLERS = 4
+# Requests, runs or items of one kind, and the fewest kinds at once.
 CROWD_MIN, CROWD_MAX = 8, 32
 KINDS_MIN = 2
 CALL_TIMEOUT_S = 10.0
--- a/packages/samphirepost-bench/src/samphirepost_bench/overloadmodel.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/overloadmodel.py
@@ -19,9 +19,12 @@
 SERVICE_S = 0.7
 # Time to the first event at an engine that starts a request at once (s).
 FIRST_EVENT_S = 0.1
+# Load before and after the jump, as a share of the capacity.
 BASE_LOAD = 0.8
+# Times (s) before and after the jump.
 BEGIN_S = 5.0
 AFTER_S = 8.0
+# Lengths (s) of the jumps, and their loads as multiples of the capacity.
 JUMPS_S = (1.0, 3.0, 9.0, 30.0)
 FACTORS = (1.2, 1.5, 2.5, 5.0)
 ROUTE = routing.Route("model", "h", "/", routing.Kind.IDEMPOTENT, ())
@@ -52,7 +55,11 @@
 
 
 class Caller(msgspec.Struct, order=True):
-    """A caller that first arrived at `first_s`, in the order of the queue."""
+    """A caller that first arrived at `first_s`, in the order of the queue.
+
+    `is_second` if the Rule puts it after others: callers that are new or that
+    return. `returns` if it was refused before.
+    """
 
     is_second: bool
     expires_s: float
--- a/packages/samphirepost-bench/src/samphirepost_bench/reservemodel.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/reservemodel.py
@@ -13,7 +13,8 @@
 SLOTS = 64
 TICK_S = 0.01
 TICKS = 12_000
-# Time (s) that an item needs, and the share of their mean of online requests.
+# Range of the time (s) that an item needs, and that of the time of an online
+# request as a share of the mean.
 ITEM_S = (0.5, 5.0)
 ONLINE_SHARES = (0.6, 1.4)
 # A stopped item leaves its slot after this time (s): its daemon is told, and
@@ -23,7 +24,9 @@
 # to read its prompt and text again.
 START_S = 0.02
 REREAD_S = (0.005, 0.02)
+# Time constant (s) with which the rule "peak use" forgets a peak.
 USE_MEMORY_S = 10.0
+# Period of the loads "square" and "sine" (s).
 PERIOD_S = 7.0
 # Mean slots that online requests want.
 LOW = 10.5
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -69,8 +69,8 @@
 class HubLink:
     """Which daemon is the hub, and whether it answers.
 
-    It keeps quotas unless its totals tell otherwise, as those of older builds
-    do; a new hub is taken for one of the same build until then.
+    `keeps_quotas` is what the last totals showed, and true before the first:
+    totals of older builds name no tables, and their hubs keep no quotas.
     """
 
     __slots__ = (
