--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -250,7 +250,7 @@
 
     def settle_charge(self):
         """Gives the charge back if no engine may have run the request."""
-        self._charge.settle(self.run_count)
+        self._charge.settle(self.run_count, bool(self.engines_tried))
 
     def _no_path_error(self):
         self._metrics.no_path.inc()
@@ -446,7 +446,7 @@
             slot.run_id,
             slot.engine.id,
             slot.granted,
-            organisation=self._req.organisation,
+            organisation=self._charge.reported_name,
             tokens=promptcache.tokens_held(
                 self._prompt, self._req.output_tokens
             ),
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -455,9 +455,7 @@
                 message.run_id, message.run_id, engine, message.through
             )
         ):
-            self._parts.slots.end_run(
-                message.run_id, slotmessages.Outcome.UNKNOWN
-            )
+            self._parts.slots.return_grant(message.run_id)
 
     def _start_item(self, run_id, wanted_id, engine, through):
         """Starts a wanted item; returns False if it need not run now.
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
@@ -77,7 +77,7 @@
         self._other_versions = None
         self._next_versions_s = 0.0
         self._tables = reportedtables.ReportedTables()
-        self._constrained = ()
+        self._constrained = None
         self._logged_suspects = set()
         self._next_suspects_log_s = 0.0
         self.decided = None
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
@@ -159,6 +159,9 @@
         self._resume_count += 1
         if resumed.head.status != 200:
             self._exchange.close(resumed)
+            if resumed.account is not None:
+                # Its body is not passed on.
+                resumed.account.close()
             raise StreamCut(f"status {resumed.head.status}")
         return resumed
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/quotacharge.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/quotacharge.py
@@ -8,7 +8,8 @@
 class QuotaCharge:
     """The charge of one request; nothing without an organisation.
 
-    `is_made` once the request was charged, whatever its attempts.
+    `is_made` once the request was charged, whatever its attempts, and
+    `is_local` if this daemon charged it: the hub then learns of it by its run.
     """
 
     __slots__ = (
@@ -17,6 +18,7 @@
         "_quotas",
         "_slots",
         "_state",
+        "is_local",
         "is_made",
     )
 
@@ -26,6 +28,7 @@
         self._state = parts.state
         self._metrics = parts.metrics
         self._organisation = organisation
+        self.is_local = False
         self.is_made = False
 
     def apply_grant(self):
@@ -56,9 +59,15 @@
         )
         if wait_s:
             return self.refusal(wait_s)
+        self.is_local = True
         self.is_made = True
         return None
 
+    @property
+    def reported_name(self):
+        """The organisation that a report of the run has, to be charged."""
+        return self._organisation if self.is_local else ""
+
     def refusal(self, wait_s):
         """Returns the ErrorResponse of a request over its quota."""
         self._metrics.quota_refusals.inc()
@@ -66,8 +75,15 @@
             self._organisation, wait_s, self._slots.hub_vm
         )
 
-    def settle(self, run_count):
-        """Gives the charge back if no engine may have run the request."""
-        if self.is_made and not run_count:
-            self.is_made = False
+    def settle(self, run_count, was_sent):
+        """Gives the charge back if no engine may have run the request.
+
+        With `was_sent`, a run of it was reported.
+        """
+        if not self.is_made or run_count:
+            return
+        self.is_made = False
+        if self.is_local:
+            self._quotas.refund(self._organisation)
+        if was_sent or not self.is_local:
             self._slots.refund(self._organisation)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -530,8 +530,10 @@
                     message.other_versions, state.boottime_s()
                 )
                 self._parts.state.record_peer_tables(message.tables)
-                self._hub.keeps_quotas = message.tables.revision > 0
-                self._parts.quotas.announce_constrained(message.constrained)
+                self._hub.keeps_quotas = message.constrained is not None
+                self._parts.quotas.announce_constrained(
+                    message.constrained or ()
+                )
                 self._apply_suspects(message, now_s)
         elif isinstance(message, slotmessages.Preemption):
             self._metrics.preemptions.inc(len(message.ids))
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
@@ -12,6 +12,7 @@
 from samphirepost import errors
 from samphirepost import fingerprint
 from samphirepost import organisations
+from samphirepost import promptcache
 from samphirepost import slotmessages
 
 READINESS_PATH = "/readiness"
@@ -190,14 +191,14 @@
     Returns none if one of them is malformed.
     """
     found = []
-    for entry in value.split(",")[: SHARED_PARTS_MAX + 1]:
+    for entry in value.split(","):
         part_id, _, tokens = entry.strip().partition(":")
         if not 0 < len(part_id) <= PART_ID_LENGTH_MAX:
             return ()
         if not _is_number(tokens):
             return ()
         found.append(slotmessages.PromptPart(part_id.lower(), int(tokens)))
-    return tuple(found)
+    return promptcache.shortened(found)
 
 
 def parse_prompt(value):
--- a/packages/samphirepost/src/samphirepost/dryallocator.py
+++ b/packages/samphirepost/src/samphirepost/dryallocator.py
@@ -13,6 +13,10 @@
 from samphirepost import waitqueue
 from samphirepost import whereabouts
 
+# Waiting requests that are copied for a preview: the hub answers nobody
+# meanwhile, and 900 of them took it 47 ms.
+WAITING_MAX = 100
+
 
 class DryAllocator(allocator.Allocator):
     """An Allocator whose decisions change nothing."""
@@ -26,6 +30,13 @@
         return ("", slotmessages.Preemption(self._me, (key[1],)))
 
 
+def _is_about(message, req):
+    """Whether a message answers a SlotRequest: it may displace another."""
+    if isinstance(message, slotmessages.Preemption):
+        return True
+    return message.id == req.id
+
+
 def _dry_copy(live, req):
     """Returns a DryAllocator with the state of an Allocator for a request."""
     dry = DryAllocator(live._me)
@@ -44,10 +55,14 @@
     view = live._views.get(req.pool)
     if view is None or not live.has_reporter(req.vm):
         return whereabouts.UNDECIDED
+    if len(live._queues.get(req.pool, ())) > WAITING_MAX:
+        return whereabouts.SlotOutlook(
+            whereabouts.Decision.UNDECIDED, "too many requests wait"
+        )
     dry = _dry_copy(live, req)
     sent = dry.request_slot(req, "", now_s)
     found = whereabouts.outlook_of(
-        [message for _, message in sent],
+        [one for _, one in sent if _is_about(one, req)],
         lambda engine_id: engine_state(live, view, req.vm, engine_id, now_s),
     )
     wait_s = found.wait_s
--- a/packages/samphirepost/src/samphirepost/organisations.py
+++ b/packages/samphirepost/src/samphirepost/organisations.py
@@ -14,6 +14,8 @@
 # Longest key, and most keys of one configuration: each is kept as a digest.
 KEY_BYTES_MAX = 512
 KEYS_MAX = 50_000
+# Longest name: messages between daemons, which are datagrams, have many.
+NAME_LENGTH_MAX = 100
 DIGEST_BYTES = 16
 # Characters of a key's digest in log lines: enough to tell keys apart.
 LOGGED_DIGEST_CHARS = 8
@@ -114,6 +116,8 @@
     """Returns what is wrong with an organisation by itself, or None."""
     if not organisation.name or not organisation.name.isprintable():
         return "its name is empty or has control characters"
+    if len(organisation.name) > NAME_LENGTH_MAX:
+        return f"its name has more than {NAME_LENGTH_MAX} characters"
     if not organisation.name.isascii():
         return "its name has characters that a header cannot have"
     if organisation.name != organisation.name.strip():
--- a/packages/samphirepost/src/samphirepost/promptcache.py
+++ b/packages/samphirepost/src/samphirepost/promptcache.py
@@ -7,9 +7,14 @@
 """
 
 import collections
+import hashlib
+
+from samphirepost import slotmessages
 
 # Parts of a prompt, from its beginning, that may be reused.
 CHAIN_MAX = 16
+# Longest id of a part in messages, in characters.
+ID_LENGTH_MAX = 16
 # Kept parts of one engine that are remembered.
 KEPT_PARTS_MAX = 1024
 # Holders of a part that are compared in one choice.
@@ -45,6 +50,31 @@
         self.tokens = tuple(part.tokens for part in parts[:CHAIN_MAX])
 
 
+def shortened(parts):
+    """Returns the PromptParts as messages between daemons have them.
+
+    A report with the prompts of many items has to fit into a datagram: long
+    ids are replaced by digests, and the parts at the end are joined.
+    """
+    kept = [
+        slotmessages.PromptPart(_short_id(part.id), part.tokens)
+        for part in parts[: CHAIN_MAX - 1]
+    ]
+    rest = parts[CHAIN_MAX - 1 :]
+    if rest:
+        name = ",".join(part.id for part in rest)
+        tokens = sum(part.tokens for part in rest)
+        kept.append(slotmessages.PromptPart(_short_id(name), tokens))
+    return tuple(kept)
+
+
+def _short_id(part_id):
+    if len(part_id) <= ID_LENGTH_MAX:
+        return part_id
+    data = part_id.encode(errors="surrogateescape")
+    return hashlib.blake2b(data, digest_size=ID_LENGTH_MAX // 2).hexdigest()
+
+
 def tokens_needed(req):
     """Returns the tokens that a request holds while it runs.
 
--- a/packages/samphirepost/src/samphirepost/quotas.py
+++ b/packages/samphirepost/src/samphirepost/quotas.py
@@ -31,7 +31,7 @@
 # Organisations told as constrained in one message.
 CONSTRAINED_MAX = 64
 # Organisations whose requests one daemon reports to a new hub.
-SENT_MAX = 256
+SENT_MAX = 128
 
 
 class Bounds(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -236,6 +236,14 @@
             return 0.0
         return self._bucket(organisation, now_s).wait_s(now_s)
 
+    def charge_reported(self, name, now_s):
+        """Charges a request that a daemon sent without a grant.
+
+        Before the first decision, it is among those that apply_sent() has.
+        """
+        if self._has_buckets:
+            self.charge(name, now_s)
+
     def charge(self, name, now_s):
         """Charges a request that is granted, or was sent without a grant."""
         organisation = self._limited(name)
@@ -378,6 +386,13 @@
             self._append(organisation.name, now_s)
         return 0.0
 
+    def refund(self, name):
+        """Gives back the charge of a request that no engine ran."""
+        with self._lock:
+            one = self._sent.get(name)
+            if one is not None and one.bucket is not None:
+                one.bucket.give_back()
+
     def _new_bucket(self, one, organisation, daemon_count, now_s):
         """Returns the bucket with which this daemon begins without a hub.
 
--- a/packages/samphirepost/src/samphirepost/slotmessages.py
+++ b/packages/samphirepost/src/samphirepost/slotmessages.py
@@ -300,7 +300,7 @@
     leaving_engines: tuple[leaving.Incarnation, ...] = ()
     stale_entries: tuple[leaving.StaleEntry, ...] = ()
     tables: TablesAge = UNKNOWN_TABLES
-    constrained: tuple[str, ...] = ()
+    constrained: tuple[str, ...] | None = None
 
 
 Message = Report | SlotRequest | Grant | Queued | Denial | Preemption | Totals
