Split the allocator by job

runtable keeps what runs where, slotgrants records grants and their ends, itemgrants decides which batch items run or stop, and onlinerequests answers online requests. allocator applies reports and is what the hub calls. Behaviour is unchanged.

The mutations follow the texts that moved. "queue the request of a preview" named a text that dryallocator no longer had, so it was reported as misplaced and tested nothing; it now removes the copy of the queue, which test_dryallocator catches.

--- a/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
@@ -299,7 +299,7 @@
     ),
     Mutation(
         "let batch items occupy the slots of online requests",
-        f"{_CORE}/allocator.py",
+        f"{_CORE}/onlinerequests.py",
         "            sent = self._preempt(req, view, is_allowed, now_s)\n",
         "            sent = []\n",
         "tests/test_allocator.py",
@@ -313,7 +313,7 @@
     ),
     Mutation(
         "take the runs that a new hub is told of for a rise",
-        f"{_CORE}/allocator.py",
+        f"{_CORE}/runtable.py",
         "            elif not run.confirmed:\n",
         "            else:\n",
         "tests/test_demandpeaks.py",
@@ -335,14 +335,14 @@
     Mutation(
         "queue the request of a preview",
         f"{_CORE}/dryallocator.py",
-        "    dry._queues = {req.pool: list(live._queues.get(req.pool, ()))}\n",
-        "",
+        "        dry.queues[req.pool] = copy.deepcopy(queue)\n",
+        "        dry.queues[req.pool] = queue\n",
         "tests/test_dryallocator.py",
     ),
     Mutation(
         "grant a slot again before its daemon has reported the run",
-        f"{_CORE}/allocator.py",
-        "        self._add_run(vm, reporter, run_id, run)\n"
+        f"{_CORE}/slotgrants.py",
+        "        self.table.add(vm, reporter, run_id, run)\n"
         "        self.health",
         "        self.health",
         "tests/test_allocator.py",
@@ -472,15 +472,16 @@
     ),
     Mutation(
         "name no peer with a grant",
-        f"{_CORE}/allocator.py",
-        "        if req.relay or self._needs_relay(req.vm, engine.id):\n",
+        f"{_CORE}/onlinerequests.py",
+        "        if req.relay"
+        " or self._grants.needs_relay(req.vm, engine.id):\n",
         "        if False:\n",
         "tests/test_relays.py",
     ),
     Mutation(
         "start items that no peer can relay",
-        f"{_CORE}/allocator.py",
-        "                    or self.relays.can_reach(vm, engine_id)\n",
+        f"{_CORE}/itemgrants.py",
+        "                    or self._relays.can_reach(vm, engine_id)\n",
         "                    or True\n",
         "tests/test_relays.py tests/test_allocator.py",
     ),
--- a/packages/samphirepost/src/samphirepost/dryallocator.py
+++ b/packages/samphirepost/src/samphirepost/dryallocator.py
@@ -1,47 +1,42 @@
 """Decides on requests for slots as the hub does, and grants none.
 
-A DryAllocator shares the state of an allocator.Allocator and runs its code;
-what would change the state is replaced. It is made for one decision and used
-by the thread that owns the Allocator.
+A DryRequests shares the state of an allocator.Allocator and runs the code of
+its requests; what would change the state is replaced. It is made for one
+decision and used by the thread that owns the Allocator.
 """
 
-import collections
 import copy
 
-from samphirepost import allocator
+from samphirepost import onlinerequests
 from samphirepost import slotmessages
-from samphirepost import waitqueue
 from samphirepost import whereabouts
 
 
-class DryAllocator(allocator.Allocator):
-    """An Allocator whose decisions change nothing."""
+class DryRequests(onlinerequests.OnlineRequests):
+    """An OnlineRequests whose decisions change nothing."""
 
     __slots__ = ()
 
     def _grant_request(self, req, engine, now_s):
-        return ("", slotmessages.Grant(self._me, req.id, engine.id))
+        return ("", slotmessages.Grant(self._grants.me, req.id, engine.id))
 
     def _stop_item(self, key, view, now_s):
-        return ("", slotmessages.Preemption(self._me, (key[1],)))
+        return ("", slotmessages.Preemption(self._grants.me, (key[1],)))
 
 
 def _dry_copy(live, req):
-    """Returns a DryAllocator with the state of an Allocator for a request."""
-    dry = DryAllocator(live._me)
-    for name in allocator.Allocator.__slots__:
-        setattr(dry, name, getattr(live, name))
-    queue = live._queues.get(req.pool)
-    dry._queues = collections.defaultdict(waitqueue.WaitQueue)
+    """Returns a DryRequests with the state of an Allocator for a request."""
+    dry = DryRequests(live.grants, live.items)
+    queue = live.requests.queues.get(req.pool)
     if queue is not None:
-        dry._queues[req.pool] = copy.deepcopy(queue)
+        dry.queues[req.pool] = copy.deepcopy(queue)
     dry.quotas = live.quotas.dry_copy(req.organisation)
     return dry
 
 
 def preview(live, req, now_s):
     """Returns the SlotOutlook of a SlotRequest."""
-    view = live._views.get(req.pool)
+    view = live.table.views.get(req.pool)
     if view is None or not live.has_reporter(req.vm):
         return whereabouts.UNDECIDED
     dry = _dry_copy(live, req)
@@ -52,14 +47,14 @@
     )
     wait_s = found.wait_s
     if found.decision is whereabouts.Decision.WAITS:
-        ahead = dry._queues[req.pool].ahead_of(req)
-        wait_s = live._queue_wait_s(ahead, view, now_s)
+        ahead = dry.queues[req.pool].ahead_of(req)
+        wait_s = live.requests.queue_wait_s(ahead, view, now_s)
     return _with_counts(found, live, req.pool, view, now_s, wait_s)
 
 
 def preview_item(live, wanted, vm, now_s):
     """Returns the SlotOutlook of a WantedSlot of a daemon."""
-    view = live._views.get(wanted.pool)
+    view = live.table.views.get(wanted.pool)
     if view is None or not live.has_reporter(vm):
         return whereabouts.UNDECIDED
     found = _decide_item(live, wanted, vm, view, now_s)
@@ -68,20 +63,20 @@
 
 def _decide_item(live, wanted, vm, view, now_s):
     waits = whereabouts.Decision.WAITS
-    if live._queues.get(wanted.pool):
+    if live.requests.queues.get(wanted.pool):
         return whereabouts.SlotOutlook(waits, "online requests wait")
-    budget, _ = live._item_budget(wanted.pool, view, now_s)
+    budget, _ = live.items.budget(wanted.pool, view, now_s)
     if budget <= 0:
         why = "free slots are left to online arrivals"
         return whereabouts.SlotOutlook(waits, why)
     ahead = sum(
         one.pool == wanted.pool
-        for wanting_vm in live._wanting
-        for one, _ in live._reporters[wanting_vm].wanted.values()
+        for wanting_vm in live.table.wanting
+        for one, _ in live.table.reporters[wanting_vm].wanted.values()
     )
     if ahead >= budget:
         return whereabouts.SlotOutlook(waits, f"{ahead} items wait")
-    engine = live._engine_for_item(view, wanted, vm, now_s)
+    engine = live.items.engine_for(view, wanted, vm, now_s)
     if engine is None:
         return whereabouts.SlotOutlook(waits, "no engine takes an item")
     state = engine_state(live, view, vm, engine.id, now_s)
@@ -97,22 +92,22 @@
         found.engine,
         wait_s,
         found.over_quota,
-        len(live._queues.get(pool, ())),
+        len(live.requests.queues.get(pool, ())),
         view.free_total,
-        round(live._reserved(pool, view, now_s)),
+        round(live.table.reserved(pool, view, now_s)),
     )
 
 
 def engine_state(live, view, vm, engine_id, now_s):
     """Returns the EngineState of an engine of a pool, as a daemon sees it."""
     engine = view.engines[engine_id]
-    load = live._engines.get(engine_id)
+    load = live.table.loads.get(engine_id)
     marks = {
         "suspect": engine_id in live.health.suspects,
         "avoided": live.health.is_avoided(engine_id, now_s),
         "slow": engine_id in view.slow,
         "at-limit": not live.limits.allows(engine_id, now_s),
-        "unreached": live._needs_relay(vm, engine_id),
+        "unreached": live.grants.needs_relay(vm, engine_id),
     }
     return whereabouts.EngineState(
         engine_id,
--- a/tests/test_allocator.py
+++ b/tests/test_allocator.py
@@ -7,6 +7,7 @@
 from samphirepost import allocator
 from samphirepost import enginehealth
 from samphirepost import enginetimes
+from samphirepost import onlinerequests
 from samphirepost import roster
 from samphirepost import slotmessages
 from samphirepost import waitqueue
@@ -414,14 +415,14 @@
         tries all of them after each message answers nobody in time.
         """
         tried = []
-        grant = allocator.Allocator._grant_online
+        grant = onlinerequests.OnlineRequests._grant_online
 
         def count_and_grant(self, req, view, now_s):
             tried.append(req.id)
             return grant(self, req, view, now_s)
 
         monkeypatch.setattr(
-            allocator.Allocator, "_grant_online", count_and_grant
+            onlinerequests.OnlineRequests, "_grant_online", count_and_grant
         )
         hub = Hub(2)
         for vm in ("w0", "w1"):
@@ -670,7 +671,7 @@
         for owner, run_id in hub.preempted:
             running[owner].pop(run_id, None)
         hub.preempted.clear()
-        for load in hub.allocator._engines.values():
+        for load in hub.allocator.table.loads.values():
             assert load.occupied <= SLOTS
     hub.now_s += 10.0
     hub.allocate()
--- a/tests/test_fairsharing.py
+++ b/tests/test_fairsharing.py
@@ -247,6 +247,6 @@
     """
     rates = {f"o{number}": 0.5 for number in range(40)}
     fleet = Fleet(rates | {"steady": 2 * CAPACITY_PER_S}, 4.0).run()
-    queue = fleet.allocator._queues[POOL]
+    queue = fleet.allocator.requests.queues[POOL]
     assert len(queue) == 0
     assert all(level.flow_count == 0 for level in queue._levels.values())
