Findings of the review of the whole diff, each with a test

A new hub goes on counting what daemons sent after the first report of a run. Lost grants are refunded; a run that the hub charged is reported without a name; what a daemon charged itself is refunded there. A preview is not the answer to a request that it displaces, and copies 100 waiting requests at most. A failure at an engine that has left leaves no record.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
@@ -61,7 +61,9 @@
         self._log = parts.log
         self._hub_selector = hub_selector
         self._send = send
-        self._allocator = allocator.Allocator(parts.me, parts.quotas.bounds)
+        self._allocator = allocator.Allocator(
+            parts.me, parts.quotas.bounds, parts.follows_rises
+        )
         self._totals_sent_s = {}
         self._next_log_s = 0.0
         self._next_drop_s = 0.0
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/settings.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/settings.py
@@ -56,6 +56,8 @@
     `peer_address` at `peer_port`. `stop_s` is the time from SIGTERM to
     SIGKILL; callers may still send requests for `unready_s` after SIGTERM.
     `memory_mb` is the memory that the VM gives the process; 0 if unknown.
+    With `follow_rises`, batch items leave more slots free after online use has
+    risen, so that fewer of them are stopped, and fewer are done.
     """
 
     id: str
@@ -67,6 +69,7 @@
     stop_s: float = 8.0
     unready_s: float = 3.0
     memory_mb: float = 0.0
+    follow_rises: bool = False
     quota: quotas.Bounds = quotas.Bounds()
     revocation: RevocationSettings = RevocationSettings()
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -85,6 +85,7 @@
         "bases",
         "budget",
         "dialer",
+        "follows_rises",
         "limits",
         "load_tracker",
         "log",
@@ -120,6 +121,7 @@
         self.answers = answermemory.AnswerMemories(self.budget, self.log)
         self.bases = streamversions.Bases()
         self.dialer = engineclient.dial
+        self.follows_rises = False
         self.slots = None
         self.paths = None
         self.streams = None
@@ -138,6 +140,7 @@
         parts = self.parts = SharedParts(
             me, cfg.zone, cfg.revocation, cfg.quota, cfg.memory_mb
         )
+        parts.follows_rises = cfg.follow_rises
         self.log = parts.log
         self.state = parts.state
         self.slots = parts.slots = slots.SlotExchange(
--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -64,11 +64,11 @@
         "times",
     )
 
-    def __init__(self, me, quota_bounds=None):
+    def __init__(self, me, quota_bounds=None, follows_rises=False):
         self._me = me
         self._first_report_s = None
         self.grants = slotgrants.SlotGrants(
-            me, quota_bounds or quotas.Bounds()
+            me, quota_bounds or quotas.Bounds(), follows_rises
         )
         self.table = self.grants.table
         self.health = self.grants.health
@@ -122,6 +122,9 @@
         for run_id in reporter.run_ids - listed:
             run = self.table.runs[report.vm, run_id]
             if run.confirmed or now_s - run.granted_s > UNCONFIRMED_S:
+                if run.charged_to and not run.confirmed:
+                    # The grant was lost; what is sent without it is charged.
+                    self.quotas.refund(run.charged_to)
                 run.settle(now_s - run.granted_s)
                 self.grants.end(report.vm, reporter, run_id)
 
@@ -153,7 +156,9 @@
             self.health.record_success(run.engine, now_s)
             if not run.batch:
                 self._record_service(run, now_s)
-        elif end.outcome is slotmessages.Outcome.FAILED:
+        elif end.outcome is slotmessages.Outcome.FAILED and (
+            run.engine in self.table.pool_names
+        ):
             self.health.record_failure(run.engine, vm, now_s)
         self.times.record_end(run.engine, end, now_s)
         run.settle(0.0 if end.is_unused else now_s - run.granted_s)
@@ -178,7 +183,7 @@
             self.table.add(vm, reporter, run.id, known)
             self.limits.take(run.engine, now_s)
             if run.organisation and not run.batch:
-                self.quotas.charge(run.organisation, now_s)
+                self.quotas.charge_reported(run.organisation, now_s)
         known.confirmed = True
         if run.batch:
             known.claim = expendability.claim_of(run, now_s)
--- a/packages/samphirepost/src/samphirepost/dryallocator.py
+++ b/packages/samphirepost/src/samphirepost/dryallocator.py
@@ -50,7 +50,7 @@
     view = live.table.views.get(req.pool)
     if view is None or not live.has_reporter(req.vm):
         return whereabouts.UNDECIDED
-    if len(live._queues.get(req.pool, ())) > WAITING_MAX:
+    if len(live.requests.queues.get(req.pool, ())) > WAITING_MAX:
         return whereabouts.SlotOutlook(
             whereabouts.Decision.UNDECIDED, "too many requests wait"
         )
--- a/packages/samphirepost/src/samphirepost/runtable.py
+++ b/packages/samphirepost/src/samphirepost/runtable.py
@@ -93,10 +93,12 @@
     `reporters` has the Reporters by VM, `wanting` the VMs of those that want
     slots for items. `runs` has the AllocatedRuns by VM and run id, `loads` the
     poolview.EngineLoads of the engines at which something runs, `views` the
-    poolview.PoolViews by pool, and `pool_names` the pool of each engine.
+    poolview.PoolViews by pool, and `pool_names` the pool of each engine. With
+    `follows_rises`, items leave slots free by the recent rise of online use.
     """
 
     __slots__ = (
+        "_follows_rises",
         "_peaks",
         "loads",
         "pool_names",
@@ -106,7 +108,8 @@
         "wanting",
     )
 
-    def __init__(self):
+    def __init__(self, follows_rises=False):
+        self._follows_rises = follows_rises
         self.reporters = {}
         self.wanting = set()
         self.runs = {}
@@ -174,7 +177,9 @@
 
     def reserved(self, pool, view, now_s):
         """Returns the slots that items leave free for online arrivals."""
-        peaks = self._peaks.get(pool, demandpeaks.NONE)
+        peaks = demandpeaks.NONE
+        if self._follows_rises:
+            peaks = self._peaks.get(pool, demandpeaks.NONE)
         return peaks.reserved(view.online, now_s)
 
     def totals_of_others(self, vm):
--- a/packages/samphirepost/src/samphirepost/slotgrants.py
+++ b/packages/samphirepost/src/samphirepost/slotgrants.py
@@ -33,9 +33,9 @@
         "times",
     )
 
-    def __init__(self, me, quota_bounds):
+    def __init__(self, me, quota_bounds, follows_rises=False):
         self.me = me
-        self.table = runtable.RunTable()
+        self.table = runtable.RunTable(follows_rises)
         self.health = enginehealth.FleetHealth()
         self.times = enginetimes.EngineTimes()
         self.limits = ratelimit.HubLimits()
--- a/tests/test_allocator.py
+++ b/tests/test_allocator.py
@@ -27,9 +27,9 @@
 class Hub:
     """An Allocator with the messages that it sent, by kind."""
 
-    def __init__(self, engines=4):
+    def __init__(self, engines=4, **settings):
         self.engines = make_engines(engines)
-        self.allocator = allocator.Allocator("hub")
+        self.allocator = allocator.Allocator("hub", **settings)
         self.now_s = 0.0
         self.allocator.set_engines(POOL, self.engines, 0.0)
         self.seq = 0
@@ -776,3 +776,13 @@
             hub.allocator.apply_report(report, (vm, 1), hub.now_s)
         hub.allocate()
         assert hub.grants == {(("vm0", 1), 1000): "e0"}
+
+
+def test_a_failure_at_an_engine_that_has_left_leaves_no_record():
+    """It would name an engine as failing that no longer exists."""
+    hub = Hub(2)
+    for vm in ("vm0", "vm1", "vm2"):
+        hub.report(runs=[slotmessages.Run(1, "gone")], vm=vm)
+        failed = slotmessages.RunEnd(1, slotmessages.Outcome.FAILED)
+        hub.report(ended=[failed], vm=vm)
+    assert not hub.allocator.health.suspects
--- a/tests/test_demandpeaks.py
+++ b/tests/test_demandpeaks.py
@@ -104,7 +104,7 @@
 
     def test_the_next_step_finds_its_slots_free(self):
         """Items that had started there would be stopped."""
-        hub = test_allocator.Hub()
+        hub = test_allocator.Hub(follows_rises=True)
         vms = [f"vm{i}" for i in range(12)]
         for vm in vms:
             hub.request(1, vm=vm)
@@ -118,7 +118,7 @@
 
     def test_runs_that_a_new_hub_is_told_of_are_no_rise(self):
         """Else items stand still after each change of the hub."""
-        hub = test_allocator.Hub()
+        hub = test_allocator.Hub(follows_rises=True)
         runs = [slotmessages.Run(i, f"e{i % 4}") for i in range(20)]
         hub.report(runs=runs, vm="vm0")
         hub.report(runs=(), vm="vm0")
@@ -127,7 +127,7 @@
 
     def test_pools_have_reserves_of_their_own(self):
         """A rise at one pool leaves the slots of another to items."""
-        hub = test_allocator.Hub()
+        hub = test_allocator.Hub(follows_rises=True)
         other = [
             roster.Engine(f"o{i}", "other", f"10.0.1.{i}:80", "a", SLOTS)
             for i in range(4)
--- a/tests/test_dryallocator.py
+++ b/tests/test_dryallocator.py
@@ -205,3 +205,14 @@
         assert hub.grants[key] == told.engine.id
         is_stop = told.decision is Decision.STOPS_ITEM
         assert len(hub.preempted) - stopped == is_stop
+
+
+def test_a_preview_is_not_the_answer_to_a_request_that_it_displaces():
+    """A denial of another request comes first among the messages."""
+    hub = test_allocator.Hub(1)
+    for number in range(SLOTS):
+        hub.request(1, vm=f"vm{number}")
+    hub.request(2, vm="vm1", returns=True, wait_max_s=0.12)
+    assert ("vm1", 2) in hub.queued
+    found = preview(hub, wait_max_s=0.12)
+    assert found.decision is whereabouts.Decision.WAITS
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -15,7 +15,9 @@
 from samphirepost import organisations
 from samphirepost import quotas
 from samphirepost import roster
+from samphirepost import routing
 from samphirepost import slotmessages
+from samphirepost_daemon.entry import quotacharge
 
 BOUNDS = quotas.Bounds()
 RATES = strategies.floats(0.5, 200.0)
@@ -353,3 +355,65 @@
         report = slotmessages.Report("vm-1", 2, runs)
         found.apply_report(report, ("h", 1), 0.0)
         assert self.ask(found, 5000).over_quota
+
+
+class TestRunsThatTheHubDidNotGrant:
+    """Tests what reports of runs and lost grants cost an organisation."""
+
+    def test_a_report_of_a_run_does_not_end_what_a_new_hub_is_told(self):
+        """Else it would grant nearly a second window's worth."""
+        one = organisation(10.0, 100.0)
+        found = hub(one)
+        found.apply_sent("a", {"a": 1})
+        found.charge_reported("a", 0.0)
+        found.apply_sent("b", {"a": 149})
+        granted = sum(send(found, "a", 0.0) for _ in range(300))
+        assert granted <= BOUNDS.excess(one)
+
+    def test_a_lost_grant_is_refunded(self):
+        """Its daemon sends the request without it, and that is charged."""
+        make = TestAllocator()
+        found = make.make(rate=0.001, burst=0.0)
+        run_ids = make.exhaust(found)
+        report = slotmessages.Report("vm-1", 2)
+        found.apply_report(report, ("h", 1), 1.0)
+        assert run_ids
+        assert isinstance(make.ask(found, 1), slotmessages.Grant)
+
+    def test_a_run_that_the_hub_charged_is_reported_without_a_name(self):
+        """A further attempt that its daemon chose would be charged twice."""
+        charge = quotacharge.QuotaCharge(Parts(), "a")
+        assert charge.apply_grant() is None
+        assert charge.reported_name == ""
+        charge = quotacharge.QuotaCharge(Parts(), "a")
+        assert charge.make_locally() is None
+        assert charge.reported_name == "a"
+
+    def test_what_was_charged_without_the_hub_is_not_refunded_there(self):
+        """The hub never charged it: a refund would be a token for nothing."""
+        parts = Parts()
+        charge = quotacharge.QuotaCharge(parts, "a")
+        assert charge.make_locally() is None
+        charge.settle(0, was_sent=False)
+        assert parts.refunds == []
+        charge = quotacharge.QuotaCharge(parts, "a")
+        assert charge.apply_grant() is None
+        charge.settle(0, was_sent=False)
+        assert parts.refunds == ["a"]
+
+
+class Parts:
+    """The shared parts that a QuotaCharge uses, as one fake."""
+
+    hub_keeps_quotas = True
+    daemon_count = 1
+    hub_vm = "hub"
+    metrics = None
+
+    def __init__(self):
+        self.refunds = []
+        self.refund = self.refunds.append
+        self.slots = self.state = self
+        self.quotas = quotas.LocalQuotas(BOUNDS, 0.0)
+        directory = organisations.Directory({"a": organisation()})
+        self.table = routing.Table(1, (), {}, directory=directory)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -3,6 +3,11 @@
 import pytest
 
 from samphirepost import batchjob
+from samphirepost import codec
+from samphirepost import quotas
+from samphirepost import slotmessages
+from samphirepost_daemon.entry import holder
+from samphirepost_daemon.entry import slots
 from samphirepost_daemon.platform import wire
 
 
@@ -41,3 +46,31 @@
     value = "a" * 65 + ":1,b:1,c:1"
     found = wire.shared_parts(item_with({"Prompt-Prefix": value}))
     assert found == ("b",)
+
+
+def test_a_report_with_the_prompts_of_many_items_fits_a_datagram():
+    """One that does not is lost, and its daemon with all runs at the hub."""
+    parts = ",".join(f"{number:064x}:1000" for number in range(65))
+    item = item_with({"Prompt-Prefix": parts, "Token-Count": "65000,10"})
+    prompt = wire.prompt_of(item)
+    assert sum(part.tokens for part in prompt) == 65_000
+    wanted = tuple(
+        slotmessages.WantedSlot(
+            run_id, "p" * 200, False, 1.0, "", None, "o" * 100, prompt, 10
+        )
+        for run_id in range(holder.WANTED_MAX)
+    )
+    sent = {f"{number:0100d}": 1 for number in range(quotas.SENT_MAX)}
+    report = slotmessages.Report("vm", 1, wanted=wanted, sent=sent)
+    assert len(codec.pack(report)) < slots.DATAGRAM_BYTES_MAX / 2
+
+
+def test_equal_prompts_are_equal_in_messages():
+    """The hub tells by them which engine holds a part."""
+    value = "a" * 64 + ":1,b:2,c:3"
+    first, second = (
+        wire.prompt_of(item_with({"Prompt-Prefix": value})) for _ in range(2)
+    )
+    assert first == second
+    assert [part.tokens for part in first] == [1, 2, 3]
+    assert [part.id for part in first][1:] == ["b", "c"]
