--- a/tests/test_where.py
+++ b/tests/test_where.py
@@ -56,7 +56,7 @@
 
 def by_role(fleet):
     """Returns the daemon that is the hub, and the other one."""
-    hub_vm = fleet.common_hub()
+    hub_vm = entryhelper.wait_until(fleet.common_hub, "a common hub")
     return sorted(fleet.daemons, key=lambda one: one.parts.me != hub_vm)
 
 
