--- a/review/rig2.py
+++ b/review/rig2.py
@@ -663,10 +663,14 @@
         signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
         return self
 
-    def __exit__(self, *exc):
+    def __exit__(self, exc_type=None, exc=None, trace=None):
         for daemon in self.daemons:
             daemon.stop()
         self.record.write(f"logs of the daemons: {self._logs.name}")
+        if exc_type is not None and issubclass(exc_type, Exception):
+            # An error of the script shows nothing of the daemons.
+            self.record.say(f"the script failed: {exc!r}")
+            sys.exit(EXIT_NOT_RUN)
 
     def configure(self, routes, services):
         """Writes a configuration, as the operator does."""
