Jobs: counts of older builds are not trusted

What callers saw: an item whose answers had no end at a daemon of an older build was given up at its next 500 at a daemon of this one, or before it, as the row of its job held those runs among its failed attempts.

The answers of 500 have a field of their own, error_answers, which older builds drop when they write the row; failures has the same counts for them to read.

tests/test_itemattempts.py::TestOldBuilds failed before (2 of 2).

--- a/packages/samphirepost/src/samphirepost/batchjob.py
+++ b/packages/samphirepost/src/samphirepost/batchjob.py
@@ -119,8 +119,10 @@
     increments `beat`. Items completed after `due_ms` are late; items not
     completed by `give_up_ms` are given up (both on the store's clock).
     `listed` has the index of the item at each position of the results;
-    `waiting_tokens` counts the tokens of all other items. `failures` counts
-    failed attempts by item index. See Record for `organisation`.
+    `waiting_tokens` counts the tokens of all other items. `error_answers`
+    counts the engines' own answers of 500 by item index. `failures` has the
+    same for older builds, which do not keep `error_answers` and count answers
+    without end there too; it is not read. See Record for `organisation`.
     """
 
     route: str
@@ -132,6 +134,7 @@
     listed: tuple[int, ...] = ()
     failures: dict[int, int] = {}
     organisation: str = ""
+    error_answers: dict[int, int] = {}
 
 
 class Result(msgspec.Struct, frozen=True):
@@ -499,7 +502,7 @@
 
     def failure_count(self, index):
         """Returns the number of failed attempts of an item."""
-        durable = self.progress.failures.get(index, 0)
+        durable = self.progress.error_answers.get(index, 0)
         return self.pending_failures.get(index, durable)
 
     def finish_item(self, index, result):
@@ -617,6 +620,7 @@
     def _next_progress(self, listed):
         old = self.progress
         listed_set = set(listed)
+        error_answers = {**old.error_answers, **self.pending_failures}
         unlisted_tokens = sum(
             item.tokens
             for index, item in enumerate(self.record.items)
@@ -627,7 +631,8 @@
             beat=old.beat + 1,
             listed=listed,
             waiting_tokens=unlisted_tokens,
-            failures={**old.failures, **self.pending_failures},
+            failures=error_answers,
+            error_answers=error_answers,
         )
 
     def apply_commit(self, revision):
@@ -642,7 +647,7 @@
             self.stale_checkpoints.pop(index, None)
         for checkpoint in commit.checkpoints:
             self._apply_checkpoint(checkpoint)
-        for index, count in commit.progress.failures.items():
+        for index, count in commit.progress.error_answers.items():
             if self.pending_failures.get(index) == count:
                 del self.pending_failures[index]
         self.progress = commit.progress
