Items: an engine is blamed for an endless answer once the item is done

What callers saw: an item that no engine answers with an end counted as a failure of each engine that it ran at, at its daemon and at the hub. As such runs are no attempts any more, one item would have marked its whole pool again and again, and online callers are kept from marked engines.

Cause: an endless run was charged to the engine at once, while a 500 waits until the item is complete elsewhere: the item itself may be what fails.

It waits in the same list now, once for each start of an engine. An online request that gets no end still marks its engine at once.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -685,8 +685,8 @@
         elif isinstance(outcome, items.FailedRun):
             self._count_failure(held_job, run)
         elif isinstance(outcome, items.EndlessRun):
-            self._parts.load_tracker.record_failure(run.engine, now_s)
             held_job.running.discard(index)
+            self._note_endless_run(held_job, run)
             held_job.avoid_engine(index, run.engine, now_s)
             held_job.restart_item(index, jobstore.new_output_id())
         else:
@@ -705,12 +705,24 @@
         if route is None:
             held_job.running.discard(index)
             return
-        engine = self._parts.state.roster.get(run.engine)
-        if engine is not None:
+        incarnation = self._incarnation(run)
+        if incarnation is not None:
             failed_at = held_job.failed_at.setdefault(index, [])
-            failed_at.append(leaving.incarnation(engine))
+            failed_at.append(incarnation)
         held_job.fail_item(index, route.attempts_max)
 
+    def _note_endless_run(self, held_job, run):
+        """Notes an engine that answered an item without end, once."""
+        incarnation = self._incarnation(run)
+        failed_at = held_job.failed_at.setdefault(run.index, [])
+        if incarnation is not None and incarnation not in failed_at:
+            failed_at.append(incarnation)
+
+    def _incarnation(self, run):
+        """Returns the incarnation of a run's engine, or None if it left."""
+        engine = self._parts.state.roster.get(run.engine)
+        return None if engine is None else leaving.incarnation(engine)
+
     def _report_failed_engines(self, held_job, index):
         """Reports the engines that failed an item which now is complete.
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
@@ -103,11 +103,13 @@
 
 
 def engine_outcome(outcome):
-    """Returns what the outcome of a run shows about its engine."""
+    """Returns what the outcome of a run shows about its engine.
+
+    A FailedRun or EndlessRun shows nothing until the item is complete: the
+    item itself may be what fails.
+    """
     if isinstance(outcome, (CompletedRun, UnprocessableItem)):
         return slotmessages.Outcome.OK
-    if isinstance(outcome, EndlessRun):
-        return slotmessages.Outcome.FAILED
     if (
         isinstance(outcome, InterruptedRun)
         and outcome.is_engine_failure
--- a/tests/test_itemattempts.py
+++ b/tests/test_itemattempts.py
@@ -8,6 +8,8 @@
 
 from samphirepost import batchjob
 from samphirepost import codec
+from samphirepost import selection
+from samphirepost import slotmessages
 from samphirepost_bench import entryfleet
 from samphirepost_daemon.entry import jobstore
 from tests import entryhelper
@@ -94,6 +96,35 @@
     engine.stop()
 
 
+# An item that no engine answers with an end made its whole pool look as if it
+# failed, and online callers were kept from it.
+def test_an_engine_is_to_blame_once_the_item_is_complete(fleet, monkeypatch):
+    daemon = fleet.daemons[0]
+    blamed, outcomes = [], []
+    end_run = daemon.slots.end_run
+
+    def record_and_end(run_id, outcome, *args, **kwargs):
+        outcomes.append(outcome)
+        end_run(run_id, outcome, *args, **kwargs)
+
+    def record_blame(*_):
+        blamed.append(engine.count)
+
+    monkeypatch.setattr(daemon.slots, "end_run", record_and_end)
+    monkeypatch.setattr(daemon.slots, "record_engine_failure", record_blame)
+    monkeypatch.setattr(selection.LoadTracker, "record_failure", record_blame)
+    engine = RecoveringEngine(endless_event, {b"j-0": ENDLESS_RUNS})
+    test_answerbounds.list_in_place(fleet, engine)
+    assert fleet.submit("j", 1, tokens="10,40").status == 202
+    entryhelper.wait_until(
+        lambda: fleet.complete_results("j"), "the item is done"
+    )
+    unknown = [slotmessages.Outcome.UNKNOWN] * ENDLESS_RUNS
+    assert outcomes == [*unknown, slotmessages.Outcome.OK]
+    assert blamed == [ENDLESS_RUNS]
+    engine.stop()
+
+
 def test_an_item_without_any_end_is_abandoned_after_its_retention(fleet):
     """Uncounted runs alone would keep the item for ever."""
     routes = (
