Items: a 500 or 422 that is broken off or has no end counts for nothing

What callers saw: an item was listed as dead_letter after answers of 422 or 500 of which the engine had sent no more than the head, or a body without end.

Cause: items._send_and_collect returned the verdict at the status, before the answer's end; only successes were asked for what a whole head has.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
@@ -87,6 +87,13 @@
     "no memory is free for the output", False, is_without_memory=True
 )
 
+CUT_HEAD = InterruptedRun("the head has no seal", True, True, True)
+# What the whole answers of an engine with these statuses show of an item.
+_VERDICTS = {
+    500: FailedRun("the engine failed"),
+    422: UnprocessableItem(),
+}
+
 
 class UnframedEnd(msgspec.Struct, frozen=True):
     """The answer ended with its connection, and had whole events until then.
@@ -293,14 +300,12 @@
         observer.stale_target()
     if wire.is_rejected(head):
         return InterruptedRun(f"refused with {head.status}", False)
-    if head.status == 422:
-        return UnprocessableItem()
-    if head.status == 500:
-        return FailedRun("the engine failed")
+    if head.status in _VERDICTS:
+        return _read_verdict(call, head, should_stop)
     if head.status != 200:
         return InterruptedRun(f"status {head.status}", True)
     if not wire.is_complete_head(head):
-        return InterruptedRun("the head has no seal", True, True, True)
+        return CUT_HEAD
     if answer.resume_after is not None and wire.is_other_content(head):
         return InterruptedRun("not the rest of the output", True)
     # The bound holds for the whole output, over all its answers.
@@ -308,6 +313,23 @@
     return _collect_events(call, head, answer, should_stop, observer)
 
 
+def _read_verdict(call, head, should_stop):
+    """Returns what an answer of 500 or 422 shows, once it is whole.
+
+    One that is broken off, or that has no end, is no answer of the engine.
+    """
+    if head.is_unframed and not wire.is_sealed(head):
+        # A head that was cut off may end in an empty line all the same.
+        return CUT_HEAD
+    deadline_s = time.monotonic() + READ_TIMEOUT_S
+    part = _read_next(call, should_stop, deadline_s)
+    while isinstance(part, engineclient.BodyData):
+        part = _read_next(call, should_stop, deadline_s)
+    if isinstance(part, engineclient.EndOfResponse):
+        return _VERDICTS[head.status]
+    return _interruption(part)
+
+
 def _collect_events(call, head, answer, should_stop, observer):
     has_begun = False
     parser = events.Parser()
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
@@ -296,7 +296,12 @@
     One that was cut off may end in an empty line all the same.
     """
     is_success = 200 <= head.status < 300
-    return not is_success or bool(head.get(SEAL_HEADER))
+    return not is_success or is_sealed(head)
+
+
+def is_sealed(head):
+    """Whether the head of a response has its engine's signature."""
+    return bool(head.get(SEAL_HEADER))
 
 
 def holds_another_answer(body, req):
--- a/tests/test_itemanswers.py
+++ b/tests/test_itemanswers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from samphirepost import answerbounds
 from samphirepost import batchjob
 from samphirepost import roster
 from samphirepost_daemon.entry import items
@@ -163,6 +164,60 @@
     assert partial.texts == []
 
 
+def verdict(status, framing, body=b"", seal=b"Response-Seal: s\r\n"):
+    """Returns an engine's answer with the status of a failure."""
+    head = b"HTTP/1.1 %d X\r\n%sRequest-Id: i1\r\n" % (status, seal)
+    return head + framing + b"\r\n" + body
+
+
+def verdict_in_chunks(status):
+    """Returns an answer of a failure in chunks."""
+    framing = b"Transfer-Encoding: chunked\r\n"
+    return verdict(status, framing, b"6\r\nbroken\r\n0\r\n\r\n")
+
+
+OUTCOMES = {
+    422: items.UnprocessableItem(),
+    500: items.FailedRun("the engine failed"),
+}
+
+
+# RULES.md, MIXED: an item that no whole 500 or 422 ended was given up.
+@pytest.mark.parametrize("status", OUTCOMES)
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_no_part_of_a_failure_counts(server, status, is_chunked):
+    answer = verdict(status, b"Content-Length: 6\r\n", b"broken")
+    if is_chunked:
+        answer = verdict_in_chunks(status)
+    for cut in range(len(answer)):
+        outcome = run(server, answer[:cut], batchjob.PartialOutput())
+        assert isinstance(outcome, items.InterruptedRun), answer[:cut]
+    assert run(server, answer, batchjob.PartialOutput()) == OUTCOMES[status]
+
+
+@pytest.mark.parametrize("status", OUTCOMES)
+def test_a_failure_whose_head_was_cut_counts_for_nothing(server, status):
+    answer = verdict(status, b"", seal=b"")
+    outcome = run(server, answer, batchjob.PartialOutput())
+    assert outcome == items.CUT_HEAD
+
+
+@pytest.mark.parametrize("status", OUTCOMES)
+def test_a_whole_failure_without_a_length_counts(server, status):
+    """An item that fails at each run must not go on until its retention."""
+    answer = verdict(status, b"", b"broken")
+    assert run(server, answer, batchjob.PartialOutput()) == OUTCOMES[status]
+
+
+@pytest.mark.parametrize("status", OUTCOMES)
+@pytest.mark.parametrize("framing", [b"", b"Content-Length: %d\r\n" % 2**40])
+def test_a_failure_without_end_counts_for_nothing(server, status, framing):
+    size = answerbounds.ANSWER_BYTES_MAX + 1
+    answer = verdict(status, framing, b"x" * size)
+    outcome = run(server, answer, batchjob.PartialOutput())
+    assert isinstance(outcome, items.EndlessRun)
+
+
 # A second answer behind an empty one without a length was read as its events.
 def test_an_answer_inside_another_has_no_events_of_the_item(server):
     partial = batchjob.PartialOutput()
