--- a/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
@@ -267,14 +267,20 @@
     organisations: typing.Annotated[
         bool, cappa.Arg(long=True, help="Callers have keys and quotas.")
     ] = False
+    endless: typing.Annotated[
+        bool, cappa.Arg(long=True, help="Answers to some items have no end.")
+    ] = False
 
     def __call__(self):
+        from samphirepost_bench import entryfleet
         from samphirepost_bench import soak
 
         failed = soak.run(
             _seeds(self.seed, self.runs),
             self.seconds,
-            new_engine=_new_engine(self.unframed),
+            new_engine=entryfleet.endless_engine
+            if self.endless
+            else _new_engine(self.unframed),
             has_organisations=self.organisations,
         )
         return 1 if failed else 0
--- a/packages/samphirepost-bench/src/samphirepost_bench/brokenengine.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/brokenengine.py
@@ -8,6 +8,7 @@
 import collections
 import json
 import os
+import pathlib
 import random
 import signal
 import socket
@@ -19,6 +20,7 @@
 
 from samphirepost_bench import answerfaults
 from samphirepost_bench import entryfleet
+from samphirepost_bench import itemfaults
 from samphirepost_bench import streamengine
 
 ITEMS_PREFIX = "/evening/"
@@ -62,7 +64,10 @@
 
 
 class Answer(msgspec.Struct, frozen=True):
-    """A line of the journal: how an engine ended an answer."""
+    """A line of the journal: how an engine ended an answer.
+
+    With a `fault`, that was written in place of the plan.
+    """
 
     request: str
     engine: str
@@ -71,6 +76,7 @@
     end: int
     ends_plainly: bool
     plan: answerfaults.Plan
+    fault: itemfaults.Fault | None = None
 
 
 class Engine(streamengine.Engine):
@@ -97,7 +103,10 @@
         self._journal = open(settings.journal, "ab", buffering=0)
 
     def next_plan(self, arrival):
-        """Returns the Plan of the answer to an arrival."""
+        """Returns the Plan of the answer to an arrival, and its Fault.
+
+        The second is None unless it replaces the first.
+        """
         with self._lock:
             self._counts[arrival.id] += 1
             count = self._counts[arrival.id]
@@ -105,23 +114,36 @@
         rng = random.Random(
             f"{one.seed} {one.name} {one.born} {arrival.id} {count}"
         )
-        return answerfaults.draw(
-            rng,
-            one.mix,
-            arrival.path.startswith(ITEMS_PREFIX),
-            max(0, one.events - arrival.resume_after),
+        is_item = arrival.path.startswith(ITEMS_PREFIX)
+        plan = answerfaults.draw(
+            rng, one.mix, is_item, max(0, one.events - arrival.resume_after)
         )
+        if not is_item:
+            return plan, None
+        written = read_journal(pathlib.Path(one.journal))[arrival.id]
+        fault = itemfaults.draw_stumble(one.seed, arrival.id, len(written))
+        return plan, fault or itemfaults.draw(rng)
 
     def record_answer(self, arrival, plan, script):
         """Appends an answer to the journal."""
+        self._record(
+            arrival, plan, script.events, ends_plainly=script.ends_plainly
+        )
+
+    def record_fault(self, arrival, plan, fault):
+        """Appends an answer that a Fault replaces to the journal."""
+        self._record(arrival, plan, 0, fault=fault)
+
+    def _record(self, arrival, plan, events, ends_plainly=False, fault=None):
         answer = Answer(
             arrival.id,
             self.name,
             self.born,
             arrival.resume_after,
-            arrival.resume_after + script.events,
-            script.ends_plainly,
+            arrival.resume_after + events,
+            ends_plainly,
             plan,
+            fault,
         )
         self._journal.write(msgspec.json.encode(answer) + b"\n")
 
@@ -144,7 +166,10 @@
     def send_stream(self, arrival, _fault):
         """Answers one request."""
         engine = self.server
-        plan = engine.next_plan(arrival)
+        plan, fault = engine.next_plan(arrival)
+        if fault is not None:
+            self._replace_answer(arrival, plan, fault)
+            return
         numbers = range(arrival.resume_after + 1, engine.events + 1)
         script = answerfaults.compose(
             plan,
@@ -170,6 +195,14 @@
             pause.wait(plan.late_s)
             self.wfile.write(script.extra)
 
+    def _replace_answer(self, arrival, plan, fault):
+        """Writes a Fault until it ends or the reader leaves.
+
+        It is recorded first: what a reader has, the journal has too.
+        """
+        self.server.record_fault(arrival, plan, fault)
+        self.send_fault(arrival, fault)
+
     def _event(self, arrival, number):
         data = answerfaults.event_data(arrival.id, number, self.server.version)
         return f"id: {number}\ndata: {data}\n\n".encode()
--- a/packages/samphirepost-bench/src/samphirepost_bench/kills.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/kills.py
@@ -68,6 +68,7 @@
 
     callers = CALLERS
     engines = ENGINES
+    item_headers = {"Model": "m"}
     job_pause_s = JOB_PAUSE_S
     finish_s = FINISH_S
 
@@ -152,7 +153,7 @@
                 {
                     "id": f"{job}-{number}",
                     "path": "/evening/1",
-                    "headers": {"Model": "m"},
+                    "headers": self.item_headers,
                     "body": "Ym9keQ==",
                     "tokens": 100,
                 }
--- a/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/streamengine.py
@@ -14,6 +14,8 @@
 import threading
 import time
 
+from samphirepost_bench import itemfaults
+
 EVENT_INTERVAL_S = 0.01
 
 
@@ -89,7 +91,8 @@
     `says_leaving`, its answers say that it leaves. `born` tells incarnations
     of an engine apart. Each event has `padding` bytes more; `sent_ids` are the
     requests whose answers were sent whole, `broken_ids` those whose connection
-    broke before.
+    broke before. With `has_endless_answers`, its first answers to some items
+    below `items_path` have no end.
     """
 
     daemon_threads = True
@@ -121,6 +124,8 @@
         self.cut_paths = ("/",)
         self.born = 0
         self.padding = 0
+        self.has_endless_answers = False
+        self.items_path = "/evening/"
         self.sent_ids = []
         self.broken_ids = []
         self.has_crashed = False
@@ -177,6 +182,16 @@
             "born": self.born,
         }
 
+    def endless_fault(self, arrival):
+        """Returns the itemfaults.Fault of the answer to an item, or None."""
+        if not self.has_endless_answers:
+            return None
+        if not arrival.path.startswith(self.items_path):
+            return None
+        return itemfaults.draw_endless_stumble(
+            arrival.id, self.ran(arrival.id) - 1
+        )
+
     def ran(self, request):
         """Returns how many times a request was executed here."""
         return sum(
@@ -244,12 +259,25 @@
         if fault is Fault.IMPOSSIBLE:
             return self._send_status(422)
         try:
+            endless = self.server.endless_fault(arrival)
+            if endless is not None:
+                self.send_fault(arrival, endless)
             return self.send_stream(arrival, fault)
         except OSError:
             self.server.broken_ids.append(arrival.id)
             self.server.disconnected.set()
             return None
 
+    def send_fault(self, arrival, fault):
+        """Writes an itemfaults.Fault until it ends.
+
+        Raises OSError once the reader has left.
+        """
+        self.close_connection = True
+        first_id = arrival.resume_after + 1
+        for piece in itemfaults.pieces(fault, arrival.id, first_id):
+            self.wfile.write(piece)
+
     def _is_cut_inside(self, fault):
         return (
             fault is Fault.CUT
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -45,6 +45,19 @@
     assert not failed, "\n".join(lines)
 
 
+# review/10, MIXED: items were given up after answers without end.
+def test_no_promise_breaks_while_items_get_endless_answers():
+    """Guards against items given up by no engine's own failure."""
+    lines = []
+    failed = soak.run(
+        [10],
+        FAULTS_S,
+        report=lines.append,
+        new_engine=entryfleet.endless_engine,
+    )
+    assert not failed, "\n".join(lines)
+
+
 def test_no_promise_breaks_while_organisations_send_with_keys():
     """Guards against keys at engines, old keys in use, and broken quotas.
 
