--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
@@ -3,6 +3,7 @@
 import base64
 import math
 import re
+import typing
 import urllib.parse
 
 import msgspec
@@ -37,6 +38,9 @@
 # Longest id of a part of a prompt, and most shared parts of one.
 PART_ID_LENGTH_MAX = 64
 SHARED_PARTS_MAX = 64
+# Most tokens of a prompt, of an output or of an item: far beyond any engine's
+# memory, and sums over a daemon's work fit into 64 bits.
+TOKENS_MAX = 1_000_000_000
 WAIT_HEADER = "Wait-Ms"
 # Digits of the largest number in a header or query.
 NUMBER_DIGITS_MAX = 18
@@ -113,7 +117,7 @@
     path: str
     headers: dict[str, str] = {}
     body: str = ""
-    tokens: int = 0
+    tokens: typing.Annotated[int, msgspec.Meta(ge=0, le=TOKENS_MAX)] = 0
 
 
 class _Submission(msgspec.Struct):
@@ -188,15 +192,20 @@
 def _parse_prompt(value):
     """Returns the PromptParts in a list of ID:TOKENS entries.
 
-    Returns none if one of them is malformed.
+    Returns none if one of them is malformed, or if they have more than
+    TOKENS_MAX: no engine has room for them.
     """
     found = []
+    total = 0
     for entry in value.split(","):
         part_id, _, tokens = entry.strip().partition(":")
         if not 0 < len(part_id) <= PART_ID_LENGTH_MAX:
             return ()
         if not _is_number(tokens):
             return ()
+        total += int(tokens)
+        if total > TOKENS_MAX:
+            return ()
         found.append(slotmessages.PromptPart(part_id.lower(), int(tokens)))
     return promptcache.shortened(found)
 
@@ -207,9 +216,14 @@
 
 
 def _parse_output_tokens(value):
-    """Returns the second number of a list of two, or 0."""
+    """Returns the second number of a list of two, or 0.
+
+    Returns 0 for more than TOKENS_MAX.
+    """
     tokens = value.partition(",")[2].strip()
-    return int(tokens) if _is_number(tokens) else 0
+    if not _is_number(tokens) or int(tokens) > TOKENS_MAX:
+        return 0
+    return int(tokens)
 
 
 def _parse_shared_parts(value):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,9 +1,13 @@
 """Tests the platform's HTTP formats."""
 
+import json
+
 import pytest
 
 from samphirepost import batchjob
 from samphirepost import codec
+from samphirepost import errors
+from samphirepost import promptcache
 from samphirepost import quotas
 from samphirepost import slotmessages
 from samphirepost_daemon.entry import holder
@@ -74,3 +78,36 @@
     assert first == second
     assert [part.tokens for part in first] == [1, 2, 3]
     assert [part.id for part in first][1:] == ["b", "c"]
+
+
+# review/8, LOST: the sum of a prompt's tokens did not fit into a report, so
+# that its daemon ended no run any more.
+@pytest.mark.parametrize(
+    "headers",
+    [
+        {"Prompt-Prefix": ",".join(f"{n}:{'9' * 18}" for n in range(19))},
+        {"Prompt-Prefix": f"a:{'9' * 18}", "Token-Count": f"1,{'9' * 18}"},
+        {"Prompt-Prefix": "a:1", "Token-Count": f"1,{'9' * 18}"},
+    ],
+)
+def test_tokens_of_a_request_have_a_range(headers):
+    """A report adds them up, and bears whole numbers of 64 bits."""
+    item = item_with(headers)
+    prompt, output = wire.prompt_of(item), wire.output_tokens_of(item)
+    tokens = promptcache.tokens_held(prompt, output)
+    assert tokens <= 2 * 10**9
+    run = slotmessages.Run(1, "e1", tokens=tokens)
+    report = slotmessages.Report("vm", 1, runs=(run,) * 1000)
+    assert codec.unpack(codec.pack(report), slotmessages.Report) == report
+    total = sum(one.tokens for one in report.runs)
+    assert total < 2**63
+
+
+@pytest.mark.parametrize("tokens", [-1, 10**9 + 1, 2**64])
+def test_tokens_of_an_item_have_a_range(tokens):
+    """The row of a job has their sum; one below 0 would hide others."""
+    job = {"requests": [{"id": "i", "path": "/", "tokens": tokens}]}
+    req = wire.Request("j", "POST", "/", "h", (), json.dumps(job).encode())
+    found = wire.parse_submission(req, "h", None)
+    assert isinstance(found, errors.Failure)
+    assert found.kind is errors.Kind.BAD_JSON
