--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineattempt.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineattempt.py
@@ -19,6 +19,7 @@
 # Failed attempts that tell nothing about their engine.
 NO_ENGINE_FAILURES = (
     attempts.AttemptFailure.REFUSED,
+    attempts.AttemptFailure.UNASKED,
     attempts.AttemptFailure.UNRECORDED,
     attempts.AttemptFailure.PEER,
     attempts.AttemptFailure.NO_MEMORY,
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -192,6 +192,7 @@
             for engine in usable
             if version in (None, engine.version)
         }
+        engines = self._askable_engines(engines)
         if not engines:
             return self._final_error()
         began_s = time.monotonic()
@@ -217,6 +218,24 @@
         self.check_caller()
         return self._choose_engine(list(engines.values()))
 
+    def _askable_engines(self, engines):
+        """Returns those of some engines by id that can tell a stream's end.
+
+        Returns all, unless the stream is resumed as its end is not known, or
+        if none can.
+        """
+        is_unasked = self.last_failure is not None and (
+            self.last_failure.seen is attempts.AttemptFailure.UNASKED
+        )
+        if not is_unasked:
+            return engines
+        askable = {
+            engine_id: engine
+            for engine_id, engine in engines.items()
+            if not self._limits.is_limited(engine)
+        }
+        return askable or engines
+
     def _use_grant(self, grant, engines):
         """Returns the Slot of a Grant.
 
@@ -262,6 +281,11 @@
             if self._load_tracker.is_avoided(engine_id, now_s)
         }
         excluded = set(self.history.excluded)
+        excluded |= {
+            engine.id
+            for engine in self._state.engines(self._pool)
+            if engine.id not in engines and version in (None, engine.version)
+        }
         if len(avoided) < len(engines):
             excluded |= avoided
         wait_max_s = attempts.hub_wait_max_s(
@@ -342,7 +366,8 @@
     def resume(self, response, part, last_id):
         """Resumes an interrupted stream at another engine.
 
-        `part` is what receive() returned when it was interrupted. `last_id` is
+        `part` is what receive() returned when it was interrupted, or the
+        streamend.End UNASKED. `last_id` is
         the id of the last event sent to the caller. Returns OpenResponse,
         or an ErrorResponse when no further attempt is allowed. Raises
         CallerDisconnected.
@@ -480,11 +505,20 @@
         return result
 
     def _failed_attempt(self, part, has_head=True):
-        """Returns the failure shown by `part`, a result of receive()."""
+        """Returns the failure shown by `part`, a result of receive().
+
+        Also that of the streamend.End UNASKED.
+        """
         if part is None:
             return engineattempt.FailedAttempt(
                 attempts.AttemptFailure.SILENT, "the engine is silent"
             )
+        if part is streamend.End.UNASKED:
+            return engineattempt.FailedAttempt(
+                attempts.AttemptFailure.UNASKED,
+                "the engine may not be asked for the stream's rest",
+                has_head=True,
+            )
         if isinstance(part, engineclient.EndOfResponse):
             return engineattempt.FailedAttempt(
                 attempts.AttemptFailure.BROKEN,
@@ -547,6 +581,8 @@
                     return self._failed_attempt(part)
                 end = self.ends.find(response, part, is_empty=True)
                 response.done = end.is_whole
+                if end is streamend.End.UNASKED:
+                    return self._failed_attempt(end)
                 if not end.is_whole and end is not streamend.End.WENT_ON:
                     return self._failed_attempt(part)
             else:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/online.py
@@ -150,7 +150,8 @@
         if end.is_whole:
             response.done = True
             return response
-        return self._resume(response, part)
+        is_unasked = end is streamend.End.UNASKED
+        return self._resume(response, end if is_unasked else part)
 
     def _resume(self, response, part):
         resumed = self._exchange.resume(response, part, self._last_id)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/streamend.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/streamend.py
@@ -31,10 +31,11 @@
     """What an answer is at its end.
 
     FRAMED: it had a length or chunks. RUNNING: the engine still gives its
-    report, and can't be asked for more. GONE: it gives none. STATED: an answer
-    to a question had a length or chunks and added nothing. AGREED: answers
-    without a length agree. WENT_ON: events followed. UNCERTAIN: a question
-    failed, or too many were asked.
+    report, and nothing more can be known, as the request may not be repeated.
+    GONE: it gives none. STATED: an answer to a question had a length or chunks
+    and added nothing. AGREED: answers without a length agree. WENT_ON: events
+    followed. UNASKED: this engine may not be asked, and another one may.
+    UNCERTAIN: a question failed, or too many were asked.
     """
 
     FRAMED = "framed"
@@ -43,6 +44,7 @@
     STATED = "stated"
     AGREED = "agreed"
     WENT_ON = "went-on"
+    UNASKED = "unasked"
     UNCERTAIN = "uncertain"
 
     @property
@@ -109,7 +111,7 @@
         if not part.unframed:
             return End.FRAMED
         if is_empty and not self._may_ask(response):
-            return End.UNCERTAIN
+            return self._unasked_end(response)
         engine = response.engine
         through = enginestatus.find_way(
             self._parts,
@@ -117,11 +119,14 @@
             response.slot.through,
             self._calls.left_s(),
         )
-        end = End.UNCERTAIN if is_empty else End.RUNNING
         if through is None:
             end = End.GONE
         elif self._may_ask(response):
             end = self._ask(response, through)
+        elif is_empty or self._has_questions(response):
+            end = self._unasked_end(response)
+        else:
+            end = End.RUNNING
         self._parts.metrics.unframed.labels(end.value).inc()
         return end
 
@@ -133,12 +138,19 @@
         """
         engine = response.engine
         return (
-            self._is_resumable
-            and response.after_id is not None
+            self._has_questions(response)
             and self._parts.state.is_usable(engine)
             and not self._parts.limits.is_limited(engine)
         )
 
+    def _unasked_end(self, response):
+        """Returns the End of an answer whose engine may not be asked."""
+        return End.UNASKED if self._has_questions(response) else End.UNCERTAIN
+
+    def _has_questions(self, response):
+        """Whether some engine may be asked for the stream's rest."""
+        return self._is_resumable and response.after_id is not None
+
     def _ask(self, response, through):
         """Asks questions until one of them tells the End."""
         began_s = time.monotonic()
--- a/packages/samphirepost/src/samphirepost/attempts.py
+++ b/packages/samphirepost/src/samphirepost/attempts.py
@@ -40,6 +40,7 @@
 class AttemptFailure(enum.Enum):
     """Why an attempt gave no usable response.
 
+    UNASKED: its answer may be whole, and the engine may not be asked.
     UNRECORDED: the daemon could not record where the stream begins. PEER: a
     peer that was to relay the request did not send it. NO_MEMORY: the daemon
     has no memory free for the answer. None of them is a failure of the engine.
@@ -50,6 +51,7 @@
     BROKEN = "broken"
     SILENT = "silent"
     FAILED = "failed"
+    UNASKED = "unasked"
     UNRECORDED = "unrecorded"
     PEER = "peer"
     NO_MEMORY = "no-memory"
--- a/tests/test_streamends.py
+++ b/tests/test_streamends.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import threading
+import time
 
 import pytest
 
@@ -275,13 +276,47 @@
     assert server.resumed == [3, 1, 3]
 
 
-@pytest.mark.parametrize("header", [b"Server-Limit: 50", b"Server-Leaving: 1"])
-def test_an_engine_in_need_is_not_asked(fleet, start, header):
-    server = start(None, headers=header + b"\r\n")
+class FirstInNeed(EndingServer):
+    """An engine whose next answers have the headers in `needs`."""
+
+    def _send(self, *args):
+        self.headers = self.needs.pop() if self.needs else b""
+        super()._send(*args)
+
+
+IN_NEED = pytest.mark.parametrize(
+    "header", [b"Server-Limit: 50", b"Server-Leaving: 1"]
+)
+
+
+# review/9, ORDER: streams that such engines broke off were passed on as whole.
+@IN_NEED
+@pytest.mark.parametrize("end", [None, 3])
+def test_an_engine_in_need_is_not_asked(fleet, start, header, end):
+    """What nobody may be asked about is not known to be whole."""
+    server = start(end, headers=header + b"\r\n")
+    found = fleet.send_online("r1", "/drafts/1")
+    assert not found.complete
+    assert found.text == "\n".join(TEXT.split("\n")[:end])
+    assert server.resumed == [None]
+    assert count_ends(fleet) == {"unasked": 1}
+    tracker = fleet.daemons[0].parts.load_tracker
+    # It is no failure of the engine.
+    assert not tracker.is_avoided("e1", time.monotonic())
+
+
+@IN_NEED
+@pytest.mark.parametrize("end", [None, 3])
+def test_a_stream_of_an_engine_in_need_goes_on_elsewhere(fleet, header, end):
+    servers = [FirstInNeed(end, None) for _ in range(2)]
+    servers[1].ends = servers[0].ends
+    servers[1].needs = servers[0].needs = [header + b"\r\n"]
+    for number, server in enumerate(servers):
+        fleet.list_address(f"e{number}", server.address)
     found = fleet.send_online("r1")
+    for server in servers:
+        server.stop()
     assert (found.text, found.complete) == (TEXT, True)
-    assert server.resumed == [None]
-    assert count_ends(fleet) == {"running": 1}
 
 
 # It may name its limit in the answer to a question.
@@ -295,6 +330,19 @@
     assert server.resumed == [None, 3]
 
 
+def test_an_end_is_asked_of_an_engine_without_a_limit(fleet, start):
+    """Another engine in need could not tell it either."""
+    in_need = [start(None, headers=b"Server-Limit: 50\r\n") for _ in range(4)]
+    for number in range(8):
+        fleet.send_online(f"first-{number}")
+    sound = start(None)
+    found = [fleet.send_online(f"r{number}") for number in range(20)]
+    assert all(one.complete for one in found)
+    assert {one.text for one in found} == {TEXT}
+    assert any(None in server.resumed[4:] for server in in_need)
+    assert sound.resumed
+
+
 def test_a_stream_whose_events_have_no_ids_is_not_asked_about(fleet, start):
     server = start(None, first_id=None)
     found = fleet.send_online("r1")
