--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
@@ -2,7 +2,6 @@
 
 import base64
 import math
-import re
 import typing
 import urllib.parse
 
@@ -10,6 +9,7 @@
 
 from samphirepost import batchjob
 from samphirepost import codec
+from samphirepost import embeddedhead
 from samphirepost import errors
 from samphirepost import fingerprint
 from samphirepost import organisations
@@ -73,7 +73,6 @@
         RESUME_AFTER_HEADER.lower(),
     )
 )
-_STATUS_LINE = rb"HTTP/1\.\d \d{3}[^\r\n]*\r\n"
 _RESULT_STATES = {
     batchjob.FinalStatus.DONE: "done",
     batchjob.FinalStatus.GIVEN_UP: "dead_letter",
@@ -324,9 +323,7 @@
     An engine that answers twice on a connection puts it there, if its first
     answer has no length or lacks bytes of it.
     """
-    header = rf"{REQUEST_ID_HEADER}: *{re.escape(req.id)}\r\n".encode()
-    pattern = _STATUS_LINE + rb"(?:[^\r\n]+\r\n)*?" + header
-    return re.search(pattern, body, re.IGNORECASE) is not None
+    return embeddedhead.holds_head(body, REQUEST_ID_HEADER, req.id)
 
 
 def is_other_content(head):
