Events: bytes of an incomplete event are looked at once

The parser keeps a buffer that grows, and searches the new bytes only.

tests/test_events.py::test_an_event_in_small_pieces_is_looked_at_once failed before: 400,000,000 bytes looked at for an event of 20,000, where 60,000 are allowed.

--- a/packages/samphirepost/src/samphirepost/events.py
+++ b/packages/samphirepost/src/samphirepost/events.py
@@ -48,7 +48,7 @@
     __slots__ = ("_buffer", "is_malformed")
 
     def __init__(self):
-        self._buffer = b""
+        self._buffer = bytearray()
         self.is_malformed = False
 
     @property
@@ -74,11 +74,15 @@
         """
         if self.is_malformed:
             return []
-        blocks = (self._buffer + data).split(EVENT_END)
-        self._buffer = blocks.pop()
+        # The first byte of an event's end may have come before.
+        start = max(0, len(self._buffer) - 1)
+        self._buffer += data
+        if self._buffer.find(EVENT_END, start) < 0:
+            return []
+        *blocks, self._buffer = self._buffer.split(EVENT_END)
         found = []
         for block in blocks:
-            event = _parse_event(block)
+            event = _parse_event(bytes(block))
             if event is None:
                 self.is_malformed = True
                 self._buffer = block
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -76,3 +76,46 @@
     raw = b": comment\nevent: token\nretry\nid: 3\ndata: lily\ndata\n\n"
     (event,) = events.Parser().feed(raw)
     assert (event.id, event.data) == (3, b"lily\n")
+
+
+class CountingBuffer(bytearray):
+    """Counts the bytes that are looked at and copied."""
+
+    looked_at = 0
+
+    def find(self, piece, start=0):
+        """Returns where a piece is."""
+        type(self).looked_at += len(self) - start
+        return super().find(piece, start)
+
+    def __add__(self, data):
+        type(self).looked_at += len(self)
+        return CountingBuffer(super().__add__(data))
+
+    def split(self, piece):
+        """Returns the parts between the pieces."""
+        type(self).looked_at += len(self)
+        return [CountingBuffer(one) for one in super().split(piece)]
+
+
+# review/7, the same cause: an event without end that comes in small pieces was
+# copied with each of them, up to 1 MiB.
+def test_an_event_in_small_pieces_is_looked_at_once():
+    """Its engine would take the whole processor of a daemon."""
+    parser = events.Parser()
+    parser._buffer = CountingBuffer()
+    CountingBuffer.looked_at = 0
+    for _ in range(20_000):
+        assert parser.feed(b"x") == []
+    assert len(parser.incomplete) == 20_000
+    assert CountingBuffer.looked_at <= 3 * 20_000
+
+
+def test_the_end_of_an_event_may_come_in_two_pieces():
+    """Only new bytes are searched, and the last one before them."""
+    parser = events.Parser()
+    for piece in (b"id: 1\ndata: a", b"\n", b"\nid: 2\ndata: b\n", b""):
+        found = parser.feed(piece)
+        assert bool(found) == piece.startswith(b"\nid")
+    assert parser.incomplete == b"id: 2\ndata: b\n"
+    assert [one.id for one in parser.feed(b"\n")] == [2]
