The observer of an item's run is a module of its own

No change of behaviour: holder.py loses 55 lines; which outcomes drop an item's output is a question of items.py; two docstrings of exchange.py.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -219,10 +219,10 @@
         return self._choose_engine(list(engines.values()))
 
     def _askable_engines(self, engines):
-        """Returns those of some engines by id that can tell a stream's end.
+        """Returns the engines that may be asked for a stream's end, by id.
 
-        Returns all, unless the stream is resumed as its end is not known, or
-        if none can.
+        Returns all of `engines` if none may, and unless the stream is resumed
+        because the engine before could not be asked.
         """
         is_unasked = self.last_failure is not None and (
             self.last_failure.seen is attempts.AttemptFailure.UNASKED
@@ -367,10 +367,9 @@
         """Resumes an interrupted stream at another engine.
 
         `part` is what receive() returned when it was interrupted, or the
-        streamend.End UNASKED. `last_id` is
-        the id of the last event sent to the caller. Returns OpenResponse,
-        or an ErrorResponse when no further attempt is allowed. Raises
-        CallerDisconnected.
+        streamend.End UNASKED. `last_id` is the id of the last event sent to
+        the caller. Returns OpenResponse, or an ErrorResponse when no further
+        attempt is allowed. Raises CallerDisconnected.
         """
         failure = msgspec.structs.replace(
             self._failed_attempt(part), events=response.event_count
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -22,6 +22,7 @@
 from samphirepost_daemon.entry import engineclient
 from samphirepost_daemon.entry import exchange
 from samphirepost_daemon.entry import holdermessages
+from samphirepost_daemon.entry import itemobserver
 from samphirepost_daemon.entry import items
 from samphirepost_daemon.entry import jobstore
 from samphirepost_daemon.entry import pathmonitor
@@ -61,59 +62,6 @@
 TAKEOVERS_PER_SCAN_MAX = 2
 
 
-class SlotObserver(items.RunObserver):
-    """Passes on what a run of an item shows of its engine and its prompt."""
-
-    __slots__ = (
-        "_engine",
-        "_item",
-        "_item_id",
-        "_parts",
-        "_shared",
-        "_slots",
-    )
-
-    def __init__(self, shared, engine, item):
-        self._shared = shared
-        self._slots = shared.slots
-        self._engine = engine
-        self._item = quarantine.item_key(item.id)
-        self._item_id = item.id
-        self._parts = wire.shared_parts(item)
-
-    def head_received(self, head):
-        """Records the limit that the engine names."""
-        self._slots.record_head(self._engine, head)
-
-    def stale_target(self):
-        """Records that another engine has the engine's address."""
-        self._slots.record_stale(self._engine)
-
-    def begun(self):
-        """Records that the prompt's parts are answered."""
-        self._slots.record_begun(self._parts, self._item)
-
-    def unframed_end(self, resume_after, end):
-        """Logs an end from which the end of the output is inferred."""
-        self._shared.log.event(
-            "item.unframed",
-            item=self._item_id,
-            engine=self._engine.id,
-            resume_after=resume_after,
-            end=end,
-        )
-
-    def may_ask_again(self):
-        """Whether the engine takes work and names no limit.
-
-        A second request in a run would not be counted towards the limit.
-        """
-        engine = self._engine
-        return self._shared.state.is_usable(engine) and (
-            not self._shared.limits.is_limited(engine)
-        )
-
-
 class Holder(pykka.ThreadingActor):
     """The actor that owns the state of the held jobs.
 
@@ -579,7 +527,7 @@
             )
 
         item = held_job.record.items[run.index]
-        observer = SlotObserver(self._parts, engine, item)
+        observer = itemobserver.SlotObserver(self._parts, engine, item)
         outcome = items.InterruptedRun("internal error of the daemon", False)
         try:
             outcome = items.run_item(
@@ -688,10 +636,7 @@
             self._count_failure(held_job, run)
         else:
             held_job.running.discard(index)
-            if isinstance(outcome, items.EndlessRun) or (
-                # What it has would keep others from their ends.
-                outcome.is_without_memory
-            ):
+            if items.drops_output(outcome):
                 held_job.restart_item(index, jobstore.new_output_id())
             if items.is_unsound(outcome):
                 self._note_unsound_answer(held_job, run)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
@@ -127,6 +127,17 @@
     return isinstance(outcome, EndlessRun)
 
 
+def drops_output(outcome):
+    """Whether an item that is not complete begins again without its output.
+
+    That of an endless answer is not sound; one for which no memory was free
+    would keep others from their ends.
+    """
+    if isinstance(outcome, InterruptedRun):
+        return outcome.is_without_memory
+    return isinstance(outcome, EndlessRun)
+
+
 class RunObserver:
     """Told what the run of an item shows; all its methods do nothing."""
 
