--- a/packages/samphirepost-bench/src/samphirepost_bench/brokenanswers.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/brokenanswers.py
@@ -40,9 +40,10 @@
 VERSIONS = ("v1", "v2")
 # Items are not abandoned while the run lasts.
 RETENTION_S = 600
-# Attempts of an item, by the seed, and how often as many answers of 500 an
-# engine may give, as runs of several daemons may be under way.
+# Attempts that the route allows an item, by the seed.
 ATTEMPTS_MAX = (3, 1)
+# An item may get as many answers of 422, and that many times its attempts of
+# 500: runs of several daemons may be under way.
 FAILURES_MAX = 3
 # Tokens of an item's prompt and output, which bound its answer.
 TOKENS = f"10,{2 * EVENTS}"
@@ -80,8 +81,10 @@
     `counts` has the number of violations by their kind, `untold` that of
     online answers that nothing tells from whole ones: the engine lived, and
     ended an answer without a length between two events, and the route may not
-    be resumed. With `is_swift`, engines that a plan kills start again while
-    new connections to them wait, and are listed before they serve these.
+    be resumed. `given_up` counts the items that whole failures of engines
+    ended, after `attempts_max` of 500. With `is_swift`, engines that a plan
+    kills start again while new connections to them wait, and are listed before
+    they serve these.
     """
 
     callers = 4
--- a/packages/samphirepost-bench/src/samphirepost_bench/itemfaults.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/itemfaults.py
@@ -18,6 +18,7 @@
 FAILED = 500
 UNPROCESSABLE = 422
 STATUSES = (200, FAILED, FAILED, UNPROCESSABLE)
+# Bytes that are written at a time where there is no end.
 PIECE = b"x" * 16_384
 
 
@@ -69,7 +70,8 @@
 def draw_endless_stumble(item, count):
     """Returns the endless Fault of an engine's answer to an item, or None.
 
-    It is an engine's first one, if `count` answers of its own precede it.
+    `count` is the number of this engine's answers to it so far: only the first
+    one has no end.
     """
     rng = random.Random(f"endless for {item}")
     if rng.random() >= STUMBLING_SHARE or count:
