--- a/tests/test_itemfaults.py
+++ b/tests/test_itemfaults.py
@@ -38,7 +38,7 @@
 
 
 # review/10, MIXED: only an engine's own whole failure may end an item.
-@pytest.mark.parametrize("fault", all_faults(), ids=str)
+@pytest.mark.parametrize("fault", list(all_faults()), ids=str)
 def test_only_whole_failures_are_verdicts(fault):
     server = FaultyServer(fault)
     item = batchjob.Item("i1", "/evening/1", {}, b"body", 10)
