--- a/packages/samphirepost-bench/src/samphirepost_bench/fleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/fleet.py
@@ -124,6 +124,14 @@
         """Whether the process has ended without kill() or terminate()."""
         return not self.alive and not self._is_ended_here
 
+    @property
+    def peak_mb(self):
+        """The largest resident memory so far (MB) of a running process."""
+        path = f"/proc/{self.popen.pid}/status"
+        with open(path, encoding="ascii") as status:
+            fields = dict(line.split(":", 1) for line in status)
+        return int(fields["VmHWM"].split()[0]) * 1024 / 1e6
+
     def exit_report(self):
         """Returns how the process has ended and all its output."""
         with open(self._log.name, "rb") as log:
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/batch.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/batch.py
@@ -9,6 +9,8 @@
 from samphirepost import attempts
 from samphirepost import batchjob
 from samphirepost import errors
+from samphirepost import joboutline
+from samphirepost import memorybudget
 from samphirepost_daemon.entry import holdermessages
 from samphirepost_daemon.entry import jobstore
 from samphirepost_daemon.entry import web
@@ -87,10 +89,47 @@
         if isinstance(record, errors.Failure):
             error = attempts.ErrorResponse(400, record.reason)
             return web.send_error_response(start_response, error)
-        found = self._job_store.submit(record, route)
-        if isinstance(found, jobstore.AcceptedJob):
-            self._report_accepted(record, route, found)
-            return web.send_response(start_response, 202, b"{}")
+        outline = joboutline.outline_of(record)
+        key = (record.host, record.id)
+        account = self._parts.budget.account(memorybudget.Kind.JOB, key)
+        is_held = False
+        try:
+            found = self._submit_record(record, route, outline, account)
+            is_held = isinstance(found, jobstore.AcceptedJob) and found.is_new
+        finally:
+            if not is_held:
+                account.close()
+        if not isinstance(found, jobstore.AcceptedJob):
+            return self._refuse(start_response, record, route, found)
+        self._report_accepted(record, route, found)
+        if is_held:
+            self._hold(record, found, outline, account)
+        return web.send_response(start_response, 202, b"{}")
+
+    def _submit_record(self, record, route, outline, account):
+        """Returns what JobStore.submit() does.
+
+        A job for which this daemon has no memory is not written.
+        """
+        if not account.take(outline.kept_bytes):
+            reason = "no memory is free for the job"
+            return self._job_store.accepted_or(
+                record, errors.Failure(errors.Kind.NO_MEMORY, reason)
+            )
+        return self._job_store.submit(record, route)
+
+    def _hold(self, record, accepted, outline, account):
+        open_job = jobstore.OpenJob(
+            record.host,
+            record.id,
+            accepted.revision,
+            accepted.progress,
+            accepted.store_ms,
+        )
+        self._actor.tell(holdermessages.HoldJob(open_job, outline, account))
+
+    def _refuse(self, start_response, record, route, found):
+        """Answers a job that was not accepted, `found` tells why."""
         if isinstance(found, jobstore.QuotaExceeded):
             reason = (
                 f"{found.queued_tokens} of {found.limit_tokens} tokens wait"
@@ -120,15 +159,6 @@
             fresh=found.is_new,
             revision=found.revision,
         )
-        if found.is_new:
-            open_job = jobstore.OpenJob(
-                record.host,
-                record.id,
-                found.revision,
-                found.progress,
-                found.store_ms,
-            )
-            self._actor.tell(holdermessages.HoldJob(open_job, record))
 
     def _read_results(self, environ, start_response, host, job_id):
         after = wire.parse_result_position(environ)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -74,7 +74,9 @@
         self._member_ids = member_ids
         self._parts = parts
         self._job_store = job_store
-        self._takeovers = takeovers.Takeovers(job_store, parts.log)
+        self._takeovers = takeovers.Takeovers(
+            job_store, parts.log, parts.budget
+        )
         self._held_jobs = {}
         self._dead = set()
         self._observer = batchjob.JobObserver()
@@ -115,28 +117,25 @@
             self._parts.log.failure("fault", where=name, error=repr(exc))
 
     def _hold_submitted_job(self, message):
-        self._hold_job(message.open_job, message.record, "submitted")
+        self._hold_job(message, "submitted")
 
     def _hold_taken_over_job(self, message):
         open_job = message.open_job
         key = (open_job.host, open_job.job_id)
         self._observer.end_takeover(key, time.monotonic())
-        self._hold_job(
-            message.open_job,
-            message.record,
-            "taken over",
-            message.partial_outputs,
-        )
+        self._hold_job(message, "taken over", message.partial_outputs)
 
-    def _hold_job(self, open_job, record, why, partial_outputs=None):
+    def _hold_job(self, message, why, partial_outputs=None):
+        open_job = message.open_job
         key = (open_job.host, open_job.job_id)
         held_job = batchjob.HeldJob(
-            record,
+            message.outline,
             open_job.progress,
             open_job.revision,
             open_job.store_ms,
             time.monotonic(),
             lambda: self._parts.budget.account(memorybudget.Kind.ITEM, key),
+            message.account,
         )
         held_job.take_over_outputs(
             partial_outputs or {}, jobstore.new_output_id
@@ -161,6 +160,7 @@
         if held_job is None:
             return
         held_job.close()
+        self._job_store.forget_record(*key)
         self._count_jobs()
         self._parts.log.event(
             "job.dropped", job=message.job_id, reason=message.reason
@@ -226,8 +226,8 @@
                 held_job.give_up_item(index)
                 self._parts.log.failure(
                     "item.given_up",
-                    job=held_job.record.id,
-                    item=held_job.record.items[index].id,
+                    job=held_job.outline.id,
+                    item=held_job.outline.items[index].id,
                     reason="its route was removed"
                     if route_removed
                     else "its retention time has passed",
@@ -271,6 +271,8 @@
         room = min(WANTED_MAX, CONCURRENT_RUNS_MAX - len(self._item_runs))
         found = []
         for key, held_job in jobs_by_deadline:
+            if not self._can_read_items(key):
+                continue
             for index in held_job.runnable_indexes(now_s):
                 if len(found) >= room:
                     return found
@@ -278,6 +280,16 @@
                     found.append((key, index))
         return found
 
+    def _can_read_items(self, key):
+        """Whether the bodies of a job's items are known to be within reach.
+
+        A slot would wait for a store that does not answer.
+        """
+        return (
+            not self._parts.state.is_store_lost
+            or self._job_store.keeps_record(*key)
+        )
+
     def _find_blocked_items(self, now_s):
         """Finds the items with a quarantined part; logs the new ones.
 
@@ -290,7 +302,7 @@
         if not self._parts.quarantine.is_empty:
             for key, held_job in self._held_jobs.items():
                 for index in held_job.queued_indexes():
-                    item = held_job.record.items[index]
+                    item = held_job.outline.items[index]
                     found = self._check_quarantine(item, now_s)
                     if found is None:
                         continue
@@ -300,7 +312,7 @@
                     probing.add(found.cause)
         for key, index in blocked_items - self._blocked_items:
             self._parts.metrics.quarantine_refusals.labels("item").inc()
-            item = self._held_jobs[key].record.items[index]
+            item = self._held_jobs[key].outline.items[index]
             self._parts.log.failure(
                 "item.blocked",
                 job=key[1],
@@ -330,8 +342,8 @@
             ):
                 self._parts.log.event(
                     "item.restarted",
-                    job=held_job.record.id,
-                    item=held_job.record.items[index].id,
+                    job=held_job.outline.id,
+                    item=held_job.outline.items[index].id,
                     versions=sorted(versions),
                 )
 
@@ -344,7 +356,7 @@
         route = self._find_route(held_job)
         if route is None:
             return None
-        item = held_job.record.items[index]
+        item = held_job.outline.items[index]
         found = self._check_quarantine(item, now_s)
         partial = held_job.partial_outputs.get(index)
         pool = routing.pick_pool(route)
@@ -357,7 +369,7 @@
             round(held_job.deadline_s - now_s, 2),
             "" if found is None else found.cause,
             partial.version if partial and partial.texts else None,
-            held_job.record.organisation,
+            held_job.outline.organisation,
             wire.prompt_of(item) if route.sticky else (),
             wire.output_tokens_of(item),
             round(self._remaining_s(held_job, index) * 1000),
@@ -422,7 +434,7 @@
         held_job = self._held_jobs.get(key)
         if held_job is None or index not in held_job.runnable_indexes(now_s):
             return False
-        found = self._check_quarantine(held_job.record.items[index], now_s)
+        found = self._check_quarantine(held_job.outline.items[index], now_s)
         if isinstance(found, quarantine.Blocked):
             return False
         route = self._find_route(held_job)
@@ -442,7 +454,7 @@
         held_job.running.add(index)
         late = self._is_late(held_job, index, now_s)
         remaining_s = self._remaining_s(held_job, index)
-        tokens = wire.output_tokens_of(held_job.record.items[index])
+        tokens = wire.output_tokens_of(held_job.outline.items[index])
         bound = answerbounds.bound_of(tokens)
         run = holdermessages.ItemRun(
             run_id,
@@ -463,7 +475,7 @@
             batch=True,
             late=late,
             deadline_s=held_job.deadline_s,
-            organisation=held_job.record.organisation,
+            organisation=held_job.outline.organisation,
             end_s=now_s + remaining_s if remaining_s else None,
             preemptions=partial.preemptions,
             tokens=self._tokens_of(held_job, index),
@@ -498,7 +510,7 @@
 
     def _remaining_s(self, held_job, index):
         """Returns how long an item is expected to run (s), 0 if unknown."""
-        item = held_job.record.items[index]
+        item = held_job.outline.items[index]
         partial = held_job.partial_outputs.get(index)
         events = len(partial.texts) if partial else 0
         return self._duration_estimator.remaining_s(item.tokens, events)
@@ -508,7 +520,7 @@
         route = self._find_route(held_job)
         if route is None or not route.sticky:
             return 0
-        item = held_job.record.items[index]
+        item = held_job.outline.items[index]
         return promptcache.tokens_held(
             wire.prompt_of(item), wire.output_tokens_of(item)
         )
@@ -517,7 +529,7 @@
         table = self._parts.state.table
         if table is None:
             return None
-        return table.find_route(held_job.record.host, held_job.record.path)
+        return table.find_route(held_job.outline.host, held_job.outline.path)
 
     def _run_item(self, run, held_job, engine):
         def should_stop():
@@ -526,23 +538,34 @@
                 or self._held_jobs.get(run.key) is not held_job
             )
 
-        item = held_job.record.items[run.index]
-        observer = itemobserver.SlotObserver(self._parts, engine, item)
         outcome = items.InterruptedRun("internal error of the daemon", False)
+        account = self._parts.budget.account(memorybudget.Kind.BODY, run.key)
         try:
-            outcome = items.run_item(
-                self._parts.paths,
-                held_job.record,
-                item,
-                engine,
-                run,
-                should_stop,
-                observer,
-            )
-            self._report_lost(run, engine, item, outcome)
+            item = self._job_store.read_item(*run.key, run.index, account)
+            if isinstance(item, batchjob.Item):
+                outcome = self._run_loaded_item(
+                    run, held_job, engine, item, should_stop
+                )
+            else:
+                outcome = items.InterruptedRun(_unread_reason(item), False)
         finally:
+            account.close()
             self.actor_ref.tell(holdermessages.ItemRunFinished(run, outcome))
 
+    def _run_loaded_item(self, run, held_job, engine, item, should_stop):
+        observer = itemobserver.SlotObserver(self._parts, engine, item)
+        outcome = items.run_item(
+            self._parts.paths,
+            held_job.outline,
+            item,
+            engine,
+            run,
+            should_stop,
+            observer,
+        )
+        self._report_lost(run, engine, item, outcome)
+        return outcome
+
     def _report_lost(self, run, engine, item, outcome):
         """Has it found out why the connection of a run failed or ended."""
         if run.stop_requested or not (
@@ -574,7 +597,7 @@
         ):
             run.partial.close()
             return
-        item = held_job.record.items[run.index]
+        item = held_job.outline.items[run.index]
         self._apply_outcome(held_job, run, item, outcome)
         held_job.end_run(run.index, run.partial)
         if isinstance(outcome, items.CompletedRun):
@@ -582,7 +605,7 @@
         else:
             self._parts.log.event(
                 "item.not_done",
-                job=held_job.record.id,
+                job=held_job.outline.id,
                 item=item.id,
                 engine=run.engine,
                 outcome=label,
@@ -602,7 +625,7 @@
         self._parts.metrics.item_ends.labels(end).inc()
         self._parts.log.event(
             "item.done",
-            job=held_job.record.id,
+            job=held_job.outline.id,
             item=item.id,
             engine=run.engine,
             end=end,
@@ -685,7 +708,7 @@
     def _commit_if_due(self, key, held_job, now_s):
         commit = self._next_commit(held_job, now_s)
         if commit is not None:
-            self._call_store(self._run_commit, key, held_job.record, commit)
+            self._call_store(self._run_commit, key, held_job.outline, commit)
 
     def _next_commit(self, held_job, now_s):
         """Returns the commit that a job needs now, or None.
@@ -701,14 +724,14 @@
             jobstore.COMMIT_RESULTS_MAX, jobstore.COMMIT_BYTES_MAX, now_s
         )
 
-    def _run_commit(self, key, record, commit):
+    def _run_commit(self, key, outline, commit):
         outcome = errors.Failure(
             errors.Kind.INTERNAL,
             "internal error of the daemon",
             errors.Outcome.UNKNOWN,
         )
         try:
-            outcome = self._job_store.commit(record, commit)
+            outcome = self._job_store.commit(outline, commit)
         finally:
             self.actor_ref.tell(
                 holdermessages.CommitFinished(key, commit, outcome)
@@ -725,12 +748,12 @@
             self._release_job(message.key, "closed or taken over")
         else:
             self._parts.log.failure(
-                "job.unsaved", job=held_job.record.id, reason=outcome.reason
+                "job.unsaved", job=held_job.outline.id, reason=outcome.reason
             )
             self._call_store(
                 self._retry_commit,
                 message.key,
-                held_job.record,
+                held_job.outline,
                 message.commit,
             )
 
@@ -747,9 +770,9 @@
         host, job_id = key
         self._drop_job(holdermessages.DropJob(host, job_id, reason))
 
-    def _retry_commit(self, key, record, commit):
+    def _retry_commit(self, key, outline, commit):
         time.sleep(RETRY_DELAY_S)
-        self._run_commit(key, record, commit)
+        self._run_commit(key, outline, commit)
 
     # Takeovers.
 
@@ -838,6 +861,11 @@
             self._commit_if_due(key, held_job, time.monotonic())
 
 
+def _unread_reason(found):
+    """Returns why an item could not be read: JobNotFound or a Failure."""
+    return getattr(found, "reason", "the item's record is gone")
+
+
 def _setback(run, outcome):
     """Returns the Setback with which a run ended, or None."""
     if items.is_unsound(outcome):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holdermessages.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holdermessages.py
@@ -5,16 +5,22 @@
 import msgspec
 
 from samphirepost import batchjob
+from samphirepost import joboutline
+from samphirepost import memorybudget
 from samphirepost_daemon.entry import engineattempt
 from samphirepost_daemon.entry import engineclient
 from samphirepost_daemon.entry import jobstore
 
 
 class HoldJob(msgspec.Struct, frozen=True):
-    """Tells the actor to hold a submitted job, whose holder is this daemon."""
+    """Tells the actor to hold a submitted job, whose holder is this daemon.
+
+    `account` has the bytes of the outline.
+    """
 
     open_job: jobstore.OpenJob
-    record: batchjob.Record
+    outline: joboutline.JobOutline
+    account: memorybudget.Account
 
 
 class DropJob(msgspec.Struct, frozen=True):
@@ -180,11 +186,13 @@
 class JobTakeover(msgspec.Struct, frozen=True):
     """Reports that this daemon took a job over.
 
-    `partial_outputs` has the output of unfinished items by index.
+    `account` has the bytes of the outline, `partial_outputs` the output of
+    unfinished items by index.
     """
 
     open_job: jobstore.OpenJob
-    record: batchjob.Record
+    outline: joboutline.JobOutline
+    account: memorybudget.Account
     partial_outputs: dict[int, batchjob.PartialOutput]
 
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/jobstore.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/jobstore.py
@@ -26,7 +26,9 @@
 from samphirepost import batchjob
 from samphirepost import codec
 from samphirepost import errors
+from samphirepost import memorybudget
 from samphirepost_daemon.entry import chunks
+from samphirepost_daemon.entry import recordcache
 from samphirepost_daemon.entry import store
 
 # A transaction holds at most 1 MB and 100 entries; a larger record is
@@ -37,9 +39,11 @@
 COMMIT_BYTES_MAX = 400_000
 # A response with results has at most 1 MB, and JSON escapes lengthen the text.
 RESULTS_TEXT_BYTES_MAX = 700_000
-# Heads and records cached for callers that read jobs.
+# Heads cached for callers that read jobs.
 CACHED_HEADS_MAX = 2000
-CACHED_RECORDS_MAX = 8
+# Longest wait (s) of a read of a record for another one: a record may be as
+# large as all that is kept of them.
+RECORD_WAIT_S = 0.5
 # Attempts at a commit that conflicts with the commits of other daemons.
 COMMIT_ATTEMPTS_MAX = 8
 
@@ -108,15 +112,22 @@
     """Access to the jobs in the store; thread-safe.
 
     Rows that cannot be read are skipped and logged, if there is a `log`.
+    `budget` is the memorybudget.Budget of the records that are kept; by
+    default, that of a VM of unknown size.
     """
 
-    def __init__(self, client, daemon_id, row_bytes_max, log=None):
+    def __init__(
+        self, client, daemon_id, row_bytes_max, log=None, budget=None
+    ):
         self._store = client
         self._log = log
         self._daemon_id = daemon_id
         self._chunker = chunks.Chunker(row_bytes_max)
         self._head_cache = LruCache(CACHED_HEADS_MAX)
-        self._record_cache = LruCache(CACHED_RECORDS_MAX)
+        self._records = recordcache.RecordCache(
+            budget or memorybudget.Budget(memorybudget.budget_bytes(0))
+        )
+        self._record_lock = threading.Lock()
 
     def submit(self, record, route):
         """Writes a new job if its route's token limit admits it.
@@ -138,8 +149,11 @@
             rows = self._chunker.split_to_rows(key, data)
         for _ in range(COMMIT_ATTEMPTS_MAX):
             found = self._try_admission(record, route, rows, name)
-            if found is not None:
-                return found
+            if found is None:
+                continue
+            if isinstance(found, AcceptedJob) and found.is_new:
+                self._records.put((record.host, record.id), record)
+            return found
         reason = "too many jobs are submitted at once"
         return errors.Failure(errors.Kind.OVERLOADED, reason)
 
@@ -159,7 +173,7 @@
         job_tokens = sum(item.tokens for item in record.items)
         limit = route.waiting_tokens_max
         if limit and queued_tokens + job_tokens > limit:
-            return self._accepted_or(
+            return self.accepted_or(
                 record, QuotaExceeded(queued_tokens, limit)
             )
         head = batchjob.Head(
@@ -205,14 +219,14 @@
             )
         if isinstance(found, store.Conflict):
             if found.get(job_key) is not None:
-                return self._accepted_or(record, None)
+                return self.accepted_or(record, None)
             return None
         if found.outcome is errors.Outcome.NOT_RUN:
             return found
-        outcome = self._accepted_or(record, found)
+        outcome = self.accepted_or(record, found)
         return outcome
 
-    def _accepted_or(self, record, otherwise):
+    def accepted_or(self, record, otherwise):
         """Returns AcceptedJob if the job exists, else `otherwise`.
 
         Returns JobNotFound if it is another organisation's.
@@ -286,8 +300,24 @@
         return ResultsPage(head.total, tuple(results))
 
     def read_record(self, host, job_id):
-        """Returns a job's Record, JobNotFound, or a Failure."""
-        cached = self._record_cache.get((host, job_id))
+        """Returns a job's Record, JobNotFound, or a Failure.
+
+        One thread reads at a time: a record takes twice its bytes until it is
+        decoded.
+        """
+        cached = self._records.get((host, job_id))
+        if cached is not None:
+            return cached
+        if not self._record_lock.acquire(timeout=RECORD_WAIT_S):
+            reason = "another record is being read"
+            return errors.Failure(errors.Kind.OVERLOADED, reason)
+        try:
+            return self._load_record(host, job_id)
+        finally:
+            self._record_lock.release()
+
+    def _load_record(self, host, job_id):
+        cached = self._records.get((host, job_id))
         if cached is not None:
             return cached
         head = self.read_head(host, job_id)
@@ -299,9 +329,33 @@
         record = codec.read(data, batchjob.Record)
         if isinstance(record, errors.Failure):
             return record
-        self._record_cache.put((host, job_id), record)
+        self._records.put((host, job_id), record)
         return record
 
+    def read_item(self, host, job_id, index, account):
+        """Returns an item, whose body it takes from a BODY account.
+
+        Returns JobNotFound or a Failure if it cannot be read or kept. Records
+        that are kept give way to it.
+        """
+        record = self.read_record(host, job_id)
+        if not isinstance(record, batchjob.Record):
+            return record
+        item = record.items[index]
+        while not account.take(len(item.body)):
+            if not self._records.remove_oldest():
+                reason = "no memory is free for the item"
+                return errors.Failure(errors.Kind.NO_MEMORY, reason)
+        return item
+
+    def keeps_record(self, host, job_id):
+        """Whether a job's record is in memory."""
+        return (host, job_id) in self._records
+
+    def forget_record(self, host, job_id):
+        """Drops a job's record from memory."""
+        self._records.remove((host, job_id))
+
     def _read_record_bytes(self, host, job_id, head):
         if head.object:
             return self._store.get_object(head.object)
@@ -401,33 +455,33 @@
             return JobNotFound()
         return found
 
-    def commit(self, record, commit):
+    def commit(self, outline, commit):
         """Writes results, checkpoints and progress of a held job.
 
         Returns the new revision, JobNotFound if the job is closed or has
         another holder, or a Failure, after which the same commit must be
         retried.
         """
-        key = store.Key("open", record.host, record.id)
-        is_complete = len(commit.progress.listed) == len(record.items)
+        key = store.Key("open", outline.host, outline.id)
+        is_complete = len(commit.progress.listed) == len(outline.items)
         value = codec.pack(commit.progress)
         puts = {} if is_complete else {key: value}
         for offset, result in enumerate(commit.results):
             position = commit.first + offset
-            name = _result_key(record.id, position)
-            base = store.Key("results", record.host, name)
+            name = _result_key(outline.id, position)
+            base = store.Key("results", outline.host, name)
             puts |= self._chunker.split_to_rows(base, codec.pack(result))
         for checkpoint in commit.checkpoints:
             name = _checkpoint_key(
-                record.id, checkpoint.index, checkpoint.number
+                outline.id, checkpoint.index, checkpoint.number
             )
-            puts[store.Key("partials", record.host, name)] = codec.pack(
+            puts[store.Key("partials", outline.host, name)] = codec.pack(
                 checkpoint
             )
         removes = [key] if is_complete else []
         for index, number in commit.stale:
-            name = _checkpoint_key(record.id, index, number)
-            removes.append(store.Key("partials", record.host, name))
+            name = _checkpoint_key(outline.id, index, number)
+            removes.append(store.Key("partials", outline.host, name))
         found = self._store.commit(
             store.Transaction({key: commit.revision}, puts, tuple(removes))
         )
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/takeovers.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/takeovers.py
@@ -5,6 +5,8 @@
 
 from samphirepost import batchjob
 from samphirepost import errors
+from samphirepost import joboutline
+from samphirepost import memorybudget
 from samphirepost_daemon.entry import holdermessages
 from samphirepost_daemon.entry import jobstore
 from samphirepost_daemon.entry import store
@@ -13,9 +15,10 @@
 class Takeovers:
     """Makes store requests and returns their results as holder messages."""
 
-    def __init__(self, job_store, log):
+    def __init__(self, job_store, log, budget):
         self._job_store = job_store
         self._log = log
+        self._budget = budget
 
     def scan(self, after):
         """Reads the changes `after` a revision, or all open jobs if None.
@@ -54,6 +57,27 @@
                 open_job, getattr(record, "reason", "no record")
             )
             return None
+        outline = joboutline.outline_of(record)
+        key = (open_job.host, open_job.job_id)
+        account = self._budget.account(memorybudget.Kind.JOB, key)
+        if not account.take(outline.kept_bytes):
+            # It stays open for whoever has room.
+            self._log_not_taken_over(open_job, "no memory is free for it")
+            return None
+        found = None
+        try:
+            found = self._make_holder(open_job)
+        finally:
+            if found is None:
+                account.close()
+        if found is None:
+            return None
+        return holdermessages.JobTakeover(
+            found, outline, account, self._read_partial_outputs(open_job)
+        )
+
+    def _make_holder(self, open_job):
+        """Returns the OpenJob that this daemon now holds, or None."""
         found = self._job_store.take_over(open_job)
         if isinstance(found, jobstore.JobNotFound):
             self._log_not_taken_over(
@@ -63,9 +87,7 @@
         if isinstance(found, errors.Failure):
             self._log_not_taken_over(open_job, found.reason)
             return None
-        return holdermessages.JobTakeover(
-            found, record, self._read_partial_outputs(open_job)
-        )
+        return found
 
     def _log_not_taken_over(self, open_job, reason):
         self._log.event("job.not_taken", job=open_job.job_id, reason=reason)
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/wiring.py
@@ -166,7 +166,11 @@
         )
         store_client = self.store
         job_store = jobstore.JobStore(
-            store_client, me, cfg.store.row_bytes_max, parts.log
+            store_client,
+            me,
+            cfg.store.row_bytes_max,
+            parts.log,
+            parts.budget,
         )
         self.actor = holder.Holder.start(
             parts, job_store, self.slots.member_ids
--- a/packages/samphirepost/src/samphirepost/batchjob.py
+++ b/packages/samphirepost/src/samphirepost/batchjob.py
@@ -332,21 +332,22 @@
 class HeldJob:
     """The holder's state of a job, changed by the holder's thread only.
 
-    `progress` and `revision` are the last durable ones. By item index:
-    `running` are the running items, `unlisted_results` the results that are
-    not listed yet, `partial_outputs` the outputs of unfinished items,
-    `stale_checkpoints` how many checkpoints are to be deleted,
-    `pending_failures` the failure counts that are not yet durable, and
-    `retry_at_s` the instants before which items are not started again, and
-    `setback_counts` the runs in a row that ended with a Setback. `failed_at`
-    has the incarnations of the engines at which runs of an item failed, by
-    index, and `avoided_until_s` the instants until which an item avoids an
-    engine, by the engine's id. `new_account()` returns a
-    memorybudget.Account of the job. `pending_commit` is the commit whose
+    `outline` is its JobOutline, whose bytes `account` has. `progress` and
+    `revision` are the last durable ones. By item index: `running` are the
+    running items, `unlisted_results` the results that are not listed yet,
+    `partial_outputs` the outputs of unfinished items, `stale_checkpoints` how
+    many checkpoints are to be deleted, `pending_failures` the failure counts
+    that are not yet durable, and `retry_at_s` the instants before which items
+    are not started again, and `setback_counts` the runs in a row that ended
+    with a Setback. `failed_at` has the incarnations of the engines at which
+    runs of an item failed, by index, and `avoided_until_s` the instants until
+    which an item avoids an engine, by the engine's id. `new_account()` returns
+    a memorybudget.Account of the outputs. `pending_commit` is the commit whose
     outcome is unknown, or None.
     """
 
     __slots__ = (
+        "_account",
         "_accounts",
         "_new_account",
         "avoided_until_s",
@@ -355,11 +356,11 @@
         "failed_at",
         "give_up_s",
         "next_heartbeat_s",
+        "outline",
         "partial_outputs",
         "pending_commit",
         "pending_failures",
         "progress",
-        "record",
         "retry_at_s",
         "revision",
         "running",
@@ -369,14 +370,22 @@
     )
 
     def __init__(
-        self, record, progress, revision, store_ms, now_s, new_account=None
+        self,
+        outline,
+        progress,
+        revision,
+        store_ms,
+        now_s,
+        new_account=None,
+        account=None,
     ):
+        self._account = account
         self._new_account = new_account or (lambda: None)
         self._accounts = {}
         self.deadline_s = now_s + (progress.due_ms - store_ms) / 1000
         self.give_up_s = now_s + (progress.give_up_ms - store_ms) / 1000
         self.commit_started_s = now_s
-        self.record = record
+        self.outline = outline
         self.progress = progress
         self.revision = revision
         self.running = set()
@@ -407,7 +416,7 @@
         listed = set(self.progress.listed)
         return [
             index
-            for index in range(len(self.record.items))
+            for index in range(len(self.outline.items))
             if index not in listed
             and index not in self.running
             and index not in self.unlisted_results
@@ -496,13 +505,15 @@
                 self.restart_item(index, new_id())
 
     def close(self):
-        """Gives back the memory of all items that do not run."""
+        """Gives back its memory, but for the outputs of running items."""
         for index, partial in self.partial_outputs.items():
             if index not in self.running:
                 partial.close()
         for account in self._accounts.values():
             account.close()
         self._accounts.clear()
+        if self._account is not None:
+            self._account.close()
 
     def failure_count(self, index):
         """Returns the number of failed attempts of an item."""
@@ -549,7 +560,7 @@
 
     def give_up_item(self, index):
         """Records an item as given up, without output."""
-        item = self.record.items[index]
+        item = self.outline.items[index]
         self.finish_item(index, Result(item.id, FinalStatus.GIVEN_UP))
 
     def is_commit_due(self, now_s):
@@ -627,7 +638,7 @@
         error_answers = {**old.error_answers, **self.pending_failures}
         unlisted_tokens = sum(
             item.tokens
-            for index, item in enumerate(self.record.items)
+            for index, item in enumerate(self.outline.items)
             if index not in listed_set
         )
         return msgspec.structs.replace(
@@ -691,7 +702,7 @@
     @property
     def is_complete(self):
         """Whether every item is listed."""
-        return len(self.progress.listed) == len(self.record.items)
+        return len(self.progress.listed) == len(self.outline.items)
 
 
 class DurationEstimator:
--- a/packages/samphirepost/src/samphirepost/memorybudget.py
+++ b/packages/samphirepost/src/samphirepost/memorybudget.py
@@ -14,7 +14,7 @@
 
 # Part of a VM's memory that is kept for others; the rest is for the process
 # itself and for what an allocator cannot return.
-BUDGET_SHARE = 0.5
+BUDGET_SHARE = 0.6
 # A VM of unknown size counts as the smallest one (MB).
 MEMORY_DEFAULT_MB = 160.0
 BYTES_PER_MB = 1_000_000
@@ -24,24 +24,33 @@
 
 
 class Kind(enum.Enum):
-    """What data is kept for; see SHARES."""
+    """What data is kept for; see SHARES.
 
+    BODY: bodies of a job's items. JOB: the rest of a job that is held. ITEM:
+    outputs of items.
+    """
+
+    BODY = "body"
     CALLER = "caller"
     ENGINE = "engine"
     ITEM = "item"
+    JOB = "job"
     RELAY = "relay"
     STORE = "store"
 
 
 # Part of the budget for each kind. On the smallest VM, the part of callers has
-# room for two bodies of the largest legal size with a copy each, and that of
-# relays for one order with such a body.
+# room for two bodies of the largest legal size with a copy each, that of
+# relays for one order with such a body, and that of bodies for the item of any
+# job that callers may send.
 SHARES = {
-    Kind.CALLER: 0.35,
-    Kind.ENGINE: 0.25,
-    Kind.ITEM: 0.13,
-    Kind.RELAY: 0.12,
-    Kind.STORE: 0.15,
+    Kind.BODY: 0.11,
+    Kind.CALLER: 0.292,
+    Kind.ENGINE: 0.208,
+    Kind.ITEM: 0.108,
+    Kind.JOB: 0.055,
+    Kind.RELAY: 0.1,
+    Kind.STORE: 0.125,
 }
 
 
