--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/core.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/core.py
@@ -7,6 +7,7 @@
 import time
 
 from samphirepost import errors
+from samphirepost_daemon.entry import heap
 from samphirepost_daemon.entry import holdermessages
 from samphirepost_daemon.entry import settings
 from samphirepost_daemon.entry import wiring
@@ -57,6 +58,7 @@
     if isinstance(cfg, errors.Failure):
         print(f"samphirepostd: {cfg.reason}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
+    heap.return_large_blocks()
     signals = Signals()
     signals.install()
     daemon = wiring.Daemon(cfg)
--- a/tests/test_jobmemory.py
+++ b/tests/test_jobmemory.py
@@ -7,6 +7,7 @@
 import base64
 import http.client
 import json
+import threading
 
 import pytest
 
@@ -17,11 +18,14 @@
 # The smallest VM of the users' deployments.
 MEMORY_MB = 128
 DAEMONS = 2
-ENGINES = 1
+ENGINES = 4
+CALLERS = 8
 JOBS = 40
+JOBS_PER_CALLER = 5
 # A job's bodies in all; with their encoding, nearly the longest legal body.
 JOB_BYTES = 3_000_000
 FEW_ITEMS = 4
+MANY_ITEMS = 20
 PATH = "/evening/x"
 
 
@@ -55,10 +59,10 @@
         data = json.dumps({"requests": items}).encode()
         return self._send("POST", PATH, job, data, daemon)[0]
 
-    def submit_all(self, daemon=0):
+    def submit_all(self, daemon=0, prefix="job", count=JOBS):
         """Submits jobs, each until it is accepted."""
-        for number in range(JOBS):
-            job = f"job{number}"
+        for number in range(count):
+            job = f"{prefix}{number}"
             entryhelper.wait_until(
                 lambda job=job: self.submit(job, daemon) == 202,
                 f"{job} is accepted",
@@ -144,3 +148,22 @@
     submitter.list_engines("ready")
     submitter.wait_done(daemon=1)
     submitter.check_memory()
+
+
+def test_jobs_that_run_while_others_come_stay_within_the_memory(submitter):
+    """Freed bodies stayed in the heaps of the threads that had them."""
+    submitter.items = MANY_ITEMS
+    submitter.list_engines("ready")
+    threads = [
+        threading.Thread(
+            target=submitter.submit_all,
+            args=(number % DAEMONS, f"t{number}-", JOBS_PER_CALLER),
+        )
+        for number in range(CALLERS)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    submitter.wait_done()
+    submitter.check_memory()
