--- a/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
@@ -882,4 +882,25 @@
         "        start = 0\n",
         "tests/test_events.py",
     ),
+    Mutation(
+        "run an item whose body is not in the memory budget",
+        f"{_DAEMON}/entry/jobstore.py",
+        "        while not account.take(len(item.body)):\n",
+        "        while len(item.body) < 0:\n",
+        "tests/test_recordcache.py",
+    ),
+    Mutation(
+        "accept a job without memory for its outline",
+        f"{_DAEMON}/entry/batch.py",
+        "        if not account.take(outline.kept_bytes):\n",
+        "        if not account.take(0):\n",
+        "tests/test_joboutlines.py",
+    ),
+    Mutation(
+        "leave freed bodies in the heaps of threads",
+        f"{_DAEMON}/entry/core.py",
+        "    heap.return_large_blocks()\n",
+        "",
+        "tests/test_jobmemory.py",
+    ),
 )
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -13,6 +13,8 @@
 from samphirepost import answerbounds
 from samphirepost import batchjob
 from samphirepost import errors
+from samphirepost import itemdurations
+from samphirepost import jobobserver
 from samphirepost import leaving
 from samphirepost import memorybudget
 from samphirepost import promptcache
@@ -79,7 +81,7 @@
         )
         self._held_jobs = {}
         self._dead = set()
-        self._observer = batchjob.JobObserver()
+        self._observer = jobobserver.JobObserver()
         self._scan_revision = None
         self._next_scan_s = 0.0
         self._scanning = False
@@ -89,7 +91,7 @@
         self._blocked_items = set()
         self._next_block_s = 0.0
         self._hub_answered_s = time.monotonic()
-        self._duration_estimator = batchjob.DurationEstimator()
+        self._duration_estimator = itemdurations.DurationEstimator()
         self._next_load_log_s = 0.0
         self._stopping = False
         self._item_executor = concurrent.futures.ThreadPoolExecutor(
--- a/packages/samphirepost/src/samphirepost/batchjob.py
+++ b/packages/samphirepost/src/samphirepost/batchjob.py
@@ -12,7 +12,6 @@
 
 from samphirepost import endings
 from samphirepost import events
-from samphirepost import hashing
 
 # Longest time between two progress writes of a holder (s), which serve as its
 # heartbeat: others take over after about three missed ones (TAKEOVER_S).
@@ -39,16 +38,6 @@
 CHECKPOINTS_PER_ITEM_MAX = 40
 # Memory of an event's text beside its bytes.
 TEXT_OBJECT_BYTES = 64
-# Weight of a new sample in the moving averages of item durations.
-DURATION_SAMPLE_SHARE = 0.2
-
-# A job whose holder is not a member is taken over after this time (s), not
-# at once: a starting daemon may hold its first job before its members row is
-# written.
-NON_MEMBER_TAKEOVER_S = 1.0
-
-# Pause between two attempts of one daemon to take the same job over (s).
-TAKEOVER_RETRY_S = 1.5
 
 
 class FinalStatus(enum.Enum):
@@ -703,139 +692,3 @@
     def is_complete(self):
         """Whether every item is listed."""
         return len(self.progress.listed) == len(self.outline.items)
-
-
-class DurationEstimator:
-    """Estimates how long items take, from completed ones."""
-
-    __slots__ = ("_events_per_token", "_seconds_per_event")
-
-    def __init__(self):
-        self._events_per_token = None
-        self._seconds_per_event = None
-
-    def add_sample(self, tokens, events, duration_s):
-        """Records an item that was completed in one attempt."""
-        if not tokens or not events:
-            return
-        self._events_per_token = _average(
-            self._events_per_token, events / tokens
-        )
-        self._seconds_per_event = _average(
-            self._seconds_per_event, duration_s / events
-        )
-
-    def remaining_s(self, tokens, events):
-        """Returns the estimated time until an item is complete (s).
-
-        `tokens` are the item's tokens, `events` the events received so far.
-        Returns 0 while no item has been recorded.
-        """
-        if self._seconds_per_event is None:
-            return 0.0
-        left = max(0.0, tokens * self._events_per_token - events)
-        return left * self._seconds_per_event
-
-
-def _average(old, new):
-    return new if old is None else old + DURATION_SAMPLE_SHARE * (new - old)
-
-
-class ObservedJob(msgspec.Struct):
-    """The last observed state of an open job, and when it changed.
-
-    While `is_taken_over`, an attempt of this daemon is in progress; after a
-    failed one, none is made before `next_takeover_s`.
-    """
-
-    revision: int
-    progress: Progress
-    changed_s: float
-    is_taken_over: bool = False
-    next_takeover_s: float = 0.0
-
-
-class JobObserver:
-    """Observes the open jobs, to find those whose holder has failed."""
-
-    __slots__ = ("_jobs",)
-
-    def __init__(self):
-        self._jobs = {}
-
-    def observe(self, key, revision, progress, now_s):
-        """Records an open job's current revision and progress."""
-        known = self._jobs.get(key)
-        if known is None:
-            self._jobs[key] = ObservedJob(revision, progress, now_s)
-        elif known.revision != revision:
-            known.revision = revision
-            known.progress = progress
-            known.changed_s = now_s
-            known.next_takeover_s = now_s
-
-    def begin_takeover(self, key):
-        """Records that an attempt to take a job over begins.
-
-        Returns the job's observed state, on which the attempt is based.
-        """
-        job = self._jobs[key]
-        job.is_taken_over = True
-        return job
-
-    def end_takeover(self, key, now_s):
-        """Records that an attempt has ended.
-
-        If it failed, the next one follows after TAKEOVER_RETRY_S, so that it
-        does not keep this daemon from other jobs.
-        """
-        job = self._jobs.get(key)
-        if job is not None:
-            job.is_taken_over = False
-            job.next_takeover_s = now_s + TAKEOVER_RETRY_S
-
-    def remove(self, key):
-        """Removes a job that is no longer open."""
-        self._jobs.pop(key, None)
-
-    def restart_waits(self, now_s):
-        """Restarts the wait for each job, as after a failed read.
-
-        Progress written meanwhile could not be read.
-        """
-        for job in self._jobs.values():
-            job.changed_s = now_s
-
-    def keys(self):
-        """Returns the keys of the open jobs."""
-        return list(self._jobs)
-
-    def jobs_to_take_over(self, now_s, held, members, me):
-        """Returns the keys of jobs to take over, in an order of this daemon.
-
-        Each daemon has another order, so that daemons do not all try the same
-        job first. `held` has the keys of the jobs that this daemon holds,
-        `members` the ids of the member daemons, or is None if they are not
-        known. A holder that is not a member has stopped or was restarted
-        under a new id.
-        """
-        found = [
-            key
-            for key, job in self._jobs.items()
-            if key not in held and _is_abandoned(job, now_s, members)
-        ]
-        return hashing.ranked(me, found)
-
-
-def _is_abandoned(job, now_s, members):
-    if job.is_taken_over or now_s < job.next_takeover_s:
-        return False
-    holder = job.progress.holder
-    unchanged_s = now_s - job.changed_s
-    if not holder or unchanged_s >= TAKEOVER_S:
-        return True
-    return (
-        members is not None
-        and holder not in members
-        and unchanged_s >= NON_MEMBER_TAKEOVER_S
-    )
