--- a/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
@@ -494,7 +494,7 @@
     ),
     Mutation(
         "forget the revision of a job whose takeover failed",
-        f"{_CORE}/batchjob.py",
+        f"{_CORE}/jobobserver.py",
         "        job.is_taken_over = True\n",
         "        job.is_taken_over, job.revision = True, -1\n",
         "tests/test_batchjob.py",
--- a/tests/test_batchjob.py
+++ b/tests/test_batchjob.py
@@ -7,6 +7,8 @@
 
 from samphirepost import batchjob
 from samphirepost import errors
+from samphirepost import itemdurations
+from samphirepost import jobobserver
 from samphirepost import joboutline
 from samphirepost import routing
 from samphirepost_bench import memorystore
@@ -320,7 +322,7 @@
 
 def test_a_released_job_is_taken_over_at_once():
     """After a planned stop others need not wait for the timeout."""
-    observer = batchjob.JobObserver()
+    observer = jobobserver.JobObserver()
     progress = batchjob.Progress("evening", "", 1, 100, 0, 0)
     observer.observe((HOST, "job"), 5, progress, 10.0)
     assert observer.jobs_to_take_over(10.0, {}, None, "vm9") == [(HOST, "job")]
@@ -328,7 +330,7 @@
 
 def test_a_job_is_taken_over_only_after_its_holder_timed_out():
     """Each change of the progress, and each failed read, restarts the wait."""
-    observer = batchjob.JobObserver()
+    observer = jobobserver.JobObserver()
     progress = batchjob.Progress("evening", "vm1", 1, 100, 0, 0)
     observer.observe((HOST, "job"), 5, progress, 0.0)
     observer.observe((HOST, "job"), 6, progress, 3.0)
@@ -350,10 +352,10 @@
 
 def test_jobs_of_a_restarted_holder_are_taken_over():
     """The old holders are no members then, so nobody waits for them."""
-    observer = batchjob.JobObserver()
+    observer = jobobserver.JobObserver()
     progress = batchjob.Progress("evening", "vm1-old", 1, 100, 0, 0)
     observer.observe((HOST, "job"), 5, progress, 0.0)
-    soon_s = batchjob.NON_MEMBER_TAKEOVER_S
+    soon_s = jobobserver.NON_MEMBER_TAKEOVER_S
     assert observer.jobs_to_take_over(soon_s, {}, {"vm1-old"}, "vm2") == []
     assert observer.jobs_to_take_over(soon_s, {}, None, "vm2") == []
     found = observer.jobs_to_take_over(soon_s, {}, {"vm1-new", "vm2"}, "vm2")
@@ -362,7 +364,7 @@
 
 def test_a_failed_takeover_is_tried_again_at_the_stored_revision():
     """Else a job whose first takeover fell into an outage is never run."""
-    observer = batchjob.JobObserver()
+    observer = jobobserver.JobObserver()
     progress = batchjob.Progress("evening", "vm1", 1, 100, 0, 0)
     key = (HOST, "job")
     observer.observe(key, 5, progress, 0.0)
@@ -373,14 +375,14 @@
     assert observer.jobs_to_take_over(late_s, {}, None, "vm2") == []
     observer.end_takeover(key, late_s)
     assert observer.jobs_to_take_over(late_s, {}, None, "vm2") == []
-    retry_s = late_s + batchjob.TAKEOVER_RETRY_S
+    retry_s = late_s + jobobserver.TAKEOVER_RETRY_S
     assert observer.jobs_to_take_over(retry_s, {}, None, "vm2") == [key]
     assert observer.begin_takeover(key).revision == 5
 
 
 def test_a_job_that_cannot_be_taken_over_does_not_hold_up_others():
     """A daemon takes few jobs over at a time, in an order that is fixed."""
-    observer = batchjob.JobObserver()
+    observer = jobobserver.JobObserver()
     progress = batchjob.Progress("evening", "", 1, 100, 0, 0)
     observer.observe((HOST, "one"), 5, progress, 0.0)
     observer.observe((HOST, "two"), 6, progress, 0.0)
@@ -435,7 +437,7 @@
 
 def test_an_item_that_cannot_end_in_time_is_known():
     """The remaining time is estimated from completed items."""
-    estimator = batchjob.DurationEstimator()
+    estimator = itemdurations.DurationEstimator()
     assert estimator.remaining_s(1000, 0) == 0.0
     estimator.add_sample(1000, 200, 5.0)
     assert estimator.remaining_s(1000, 0) == pytest.approx(5.0)
