--- a/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
@@ -270,6 +270,9 @@
     endless: typing.Annotated[
         bool, cappa.Arg(long=True, help="Answers to some items have no end.")
     ] = False
+    bodies: typing.Annotated[
+        bool, cappa.Arg(long=True, help="Items have large bodies.")
+    ] = False
 
     def __call__(self):
         from samphirepost_bench import entryfleet
@@ -282,6 +285,7 @@
             if self.endless
             else _new_engine(self.unframed),
             has_organisations=self.organisations,
+            has_large_bodies=self.bodies,
         )
         return 1 if failed else 0
 
--- a/packages/samphirepost-bench/src/samphirepost_bench/soak.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/soak.py
@@ -6,6 +6,7 @@
 draws are seeded, so that a failed seed can be run again.
 """
 
+import base64
 import http.client
 import json
 import random
@@ -38,6 +39,11 @@
 JOB_PAUSE_S = 0.5
 ITEMS_PER_JOB = 4
 CALL_TIMEOUT_S = 6.0
+# The body of an item: usually, and in a soak of large bodies, whose daemons
+# have the memory of the smallest VM (MB).
+BODY = b"body"
+LARGE_BODY = b"p" * 750_000
+SMALL_MEMORY_MB = 128
 CONCURRENT_FAULTS_MAX = 3
 # Engines crash in seeds that are a multiple of CRASH_SEEDS and CRASH_SEED
 # more: on prompts with the part BAD, or, in odd seeds, on the body BAD_BODY of
@@ -145,8 +151,9 @@
 class Soak:
     """One run of a seed: callers, jobs, faults and violated guarantees."""
 
-    def __init__(self, fleet, seed, organisations=None):
+    def __init__(self, fleet, seed, organisations=None, item_body=BODY):
         self.organisations = organisations
+        self._item_body = base64.b64encode(item_body).decode()
         self.fleet = fleet
         self.seed = seed
         self.trace = soakfaults.Trace(time.monotonic())
@@ -290,7 +297,7 @@
                 "id": item,
                 "path": f"/evening/{item}",
                 "headers": {"Model": "m"},
-                "body": "Ym9keQ==",
+                "body": self._item_body,
                 "tokens": 100,
             }
             for item in job.items
@@ -431,6 +438,7 @@
             thread.join()
         self._check_hubs()
         self._read_open_jobs()
+        self._check_memory()
         self._check_engines()
 
     def _check_hubs(self):
@@ -517,6 +525,16 @@
         is_expected = job.accepted_s and not job.cancel_requested
         return is_expected and len(job.results) < ITEMS_PER_JOB
 
+    def _check_memory(self):
+        """Checks that each process has stayed within its VM's memory."""
+        alive = [one for one in self.fleet.daemons if one.process.alive]
+        for daemon in alive:
+            peak_mb = daemon.process.peak_mb
+            if peak_mb > SMALL_MEMORY_MB:
+                self.record_violation(
+                    "MEMORY", f"{daemon.name} has had {peak_mb:.0f} MB"
+                )
+
     def _check_engines(self):
         for name in self._refused:
             if any(one.has_run for one in self.fleet.arrivals(name)):
@@ -615,24 +633,29 @@
     report=print,
     new_engine=streamengine.Engine,
     has_organisations=False,
+    has_large_bodies=False,
 ):
     """Runs each seed; returns those in which a guarantee was violated.
 
     `seconds` is how long faults are injected; see entryfleet.Engine for
-    `new_engine`. With `has_organisations`, callers have keys. Passes one line
-    a seed to `report`, and for a failed seed the violations and the faults as
-    well.
+    `new_engine`. With `has_organisations`, callers have keys, and with
+    `has_large_bodies` items have large bodies. Passes one line a seed to
+    `report`, and for a failed seed the violations and the faults as well.
     """
     failed_seeds = []
+    item_body = LARGE_BODY if has_large_bodies else BODY
     for seed in seeds:
         with entryfleet.Fleet(
-            daemons, engines, new_engine=new_engine
+            daemons,
+            engines,
+            new_engine=new_engine,
+            settings={"memory_mb": SMALL_MEMORY_MB},
         ) as fleet:
             organisations = None
             if has_organisations:
                 organisations = soakorganisations.Organisations()
                 fleet.configure(tenants=organisations.tenants())
-            soak = Soak(fleet, seed, organisations)
+            soak = Soak(fleet, seed, organisations, item_body)
             soak.run(seconds)
         done = sum(len(job.results) == ITEMS_PER_JOB for job in soak.jobs)
         report(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -69,3 +69,14 @@
         [7], FAULTS_S, report=lines.append, has_organisations=True
     )
     assert not failed, "\n".join(lines)
+
+
+# review/6, Fault: daemons that held jobs with large bodies were ended for
+# their memory, as were those that took the jobs over.
+def test_no_promise_breaks_while_items_have_large_bodies():
+    """Guards against processes that exceed the memory of their VM."""
+    lines = []
+    failed = soak.run(
+        [12], FAULTS_S, report=lines.append, has_large_bodies=True
+    )
+    assert not failed, "\n".join(lines)
