--- a/tests/test_joboutlines.py
+++ b/tests/test_joboutlines.py
@@ -7,11 +7,15 @@
 from samphirepost import memorybudget
 from samphirepost_bench import entryfleet
 from samphirepost_bench import streamengine
+from samphirepost_daemon.entry import jobstore
+from samphirepost_daemon.entry import slots
+from samphirepost_daemon.entry import state
 from samphirepost_daemon.entry import store
 from tests import entryhelper
 
 HOLDERS = 40
 STEP_BYTES = 20_000
+TICKS = 5
 KIND = memorybudget.Kind.JOB
 
 
@@ -112,3 +116,28 @@
     entryhelper.wait_until(
         lambda: not any(map(budget.held, kinds)), "the memory is given back"
     )
+
+
+def test_an_item_out_of_reach_asks_for_no_slot(pair, monkeypatch):
+    """Its slot would wait for a store that does not answer."""
+    lost = property(lambda _: True, lambda _, value: None)
+    monkeypatch.setattr(state.State, "is_store_lost", lost)
+    monkeypatch.setattr(jobstore.JobStore, "keeps_record", lambda *_: False)
+    wanted = []
+    want = slots.SlotExchange.want
+
+    def record(exchange, found):
+        wanted.append(found)
+        want(exchange, found)
+
+    assert pair.submit("j1", 3).status == 202
+    daemon = pair.daemons[0]
+    entryhelper.wait_until(lambda: daemon.state.held_jobs, "the job is held")
+    monkeypatch.setattr(slots.SlotExchange, "want", record)
+    entryhelper.wait_until(lambda: len(wanted) > TICKS, "some ticks pass")
+    assert not any(wanted)
+    assert not pair.ran("j1-0")
+    monkeypatch.undo()
+    entryhelper.wait_until(
+        lambda: pair.complete_results("j1"), "the job is done"
+    )
