Stand-ins and the soak end what they began

A run of all tests on had not exited 25 minutes after its last line: a dump of its threads showed seven callers and the reader of a soak that had raised FleetError (its daemons were not ready), and a stand-in that read an ended connection for ever, one processor and the interpreter's lock for the rest of the run, beside all in-process daemons.

tests/test_soak.py::test_callers_stop_when_a_soak_fails failed before (threads left). Stand-ins read heads by one function now.

--- a/packages/samphirepost-bench/src/samphirepost_bench/soak.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/soak.py
@@ -428,18 +428,25 @@
         threads.append(threading.Thread(target=self._run_reader))
         for thread in threads:
             thread.start()
+        try:
+            self._disturb(seconds)
+        finally:
+            # Else they would keep the process from its exit.
+            self._stop.set()
+            for thread in threads:
+                thread.join()
+        self._check_hubs()
+        self._read_open_jobs()
+        self._check_memory()
+        self._check_engines()
+
+    def _disturb(self, seconds):
+        """Injects faults for some seconds, then waits for the recovery."""
         self._inject_faults(seconds)
         self._wait_ready()
         time.sleep(FAULT_EFFECT_S)
         self._faults_over.set()
         time.sleep(FAULT_EFFECT_S)
-        self._stop.set()
-        for thread in threads:
-            thread.join()
-        self._check_hubs()
-        self._read_open_jobs()
-        self._check_memory()
-        self._check_engines()
 
     def _check_hubs(self):
         """Checks that all daemons report to one hub after the last fault."""
--- a/tests/entryhelper.py
+++ b/tests/entryhelper.py
@@ -86,6 +86,20 @@
     )
 
 
+def read_head(conn):
+    """Reads a request's head; returns what came, or None without a head.
+
+    A daemon that tries the path to an engine connects and sends nothing.
+    """
+    data = b""
+    while b"\r\n\r\n" not in data:
+        received = conn.recv(65_536)
+        if not received:
+            return None
+        data += received
+    return data
+
+
 class RawServer:
     """A TCP server on loopback; a subclass serves each connection.
 
--- a/tests/test_answerbounds.py
+++ b/tests/test_answerbounds.py
@@ -383,9 +383,9 @@
 
     def serve(self, conn):
         """Answers one request."""
-        data = b""
-        while b"\r\n\r\n" not in data:
-            data += conn.recv(65_536)
+        data = entryhelper.read_head(conn)
+        if data is None:
+            return
         found = test_answermemory.REQUEST_ID.search(data)
         head = b"Request-Id: %s\r\nResponse-Seal: s\r\n" % found[1]
         self.answers += 1
--- a/tests/test_answermemory.py
+++ b/tests/test_answermemory.py
@@ -75,12 +75,9 @@
 
     def serve(self, conn):
         """Reads the head of a request and answers without end."""
-        data = b""
-        while b"\r\n\r\n" not in data:
-            received = conn.recv(65_536)
-            if not received:
-                return
-            data += received
+        data = entryhelper.read_head(conn)
+        if data is None:
+            return
         found = REQUEST_ID.search(data)
         if found is None:
             # It asks for the engine's report.
--- a/tests/test_itemattempts.py
+++ b/tests/test_itemattempts.py
@@ -68,9 +68,9 @@
 
     def serve(self, conn):
         """Answers one request."""
-        data = b""
-        while b"\r\n\r\n" not in data:
-            data += conn.recv(65_536)
+        data = entryhelper.read_head(conn)
+        if data is None:
+            return
         request_id = test_answermemory.REQUEST_ID.search(data)[1]
         with contextlib.suppress(OSError):
             if self._is_next_endless(request_id):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,8 +1,11 @@
 """Tests real daemons under random faults, with fixed seeds."""
 
+import threading
+
 import pytest
 
 from samphirepost_bench import entryfleet
+from samphirepost_bench import fleet as fleet_module
 from samphirepost_bench import soak
 
 # How long faults are injected in one run (s).
@@ -80,3 +83,22 @@
         [12], FAULTS_S, report=lines.append, has_large_bodies=True
     )
     assert not failed, "\n".join(lines)
+
+
+def test_callers_stop_when_a_soak_fails(monkeypatch):
+    """Their threads kept the whole run of the tests from its exit."""
+
+    def wait(running, *_):
+        running._stop.wait()
+
+    def fail(*_):
+        raise fleet_module.FleetError("the daemons are not ready")
+
+    monkeypatch.setattr(soak.Soak, "_wait_ready", lambda _: None)
+    monkeypatch.setattr(soak.Soak, "_run_caller", wait)
+    monkeypatch.setattr(soak.Soak, "_run_reader", wait)
+    monkeypatch.setattr(soak.Soak, "_inject_faults", fail)
+    before = threading.active_count()
+    with pytest.raises(fleet_module.FleetError):
+        soak.Soak(None, 1).run(FAULTS_S)
+    assert threading.active_count() == before
--- a/tests/test_streamends.py
+++ b/tests/test_streamends.py
@@ -48,7 +48,10 @@
         lines = [line.partition(b":") for line in head.lower().split(b"\r\n")]
         found = {name: value.strip() for name, _, value in lines}
         while len(body) < int(found.get(b"content-length", 0)):
-            body += conn.recv(65_536)
+            received = conn.recv(65_536)
+            if not received:
+                return
+            body += received
         after = found.get(b"last-event-id")
         self.resumed.append(None if after is None else int(after))
         self.deadlines.append(int(found[b"deadline-ms"]))
