--- a/tests/test_batchjob.py
+++ b/tests/test_batchjob.py
@@ -229,9 +229,7 @@
         0.0,
     )
     assert again.queued_indexes() == [0, 1, 2, 4, 5]
-    assert [one.id for one in again.outline.items] == [
-        one.id for one in record.items
-    ]
+    assert again.outline == joboutline.outline_of(make_record())
 
 
 def test_a_next_holder_resumes_from_the_checkpoint(rows):
