Takeovers: one that fails gives the bytes of its outline back

A takeover that raised while it read the job's partial outputs kept the bytes that it had taken for the outline; the job is tried again after 1.5 s, so each attempt lost them once more, until daemons had no room for jobs.

Cause: only the failures of the step before, becoming the job's holder, gave them back. All of the takeover is in one try now.

Evidence: tests/test_takeovers.py, the second test, before the change: 1638 bytes of the kind JOB were held after the failure; now none. Ruled out: that the account goes with the message, as none is sent then.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/takeovers.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/takeovers.py
@@ -64,16 +64,22 @@
             # It stays open for whoever has room.
             self._log_not_taken_over(open_job, "no memory is free for it")
             return None
-        found = None
+        takeover = None
         try:
-            found = self._make_holder(open_job)
+            takeover = self._take_over_outline(open_job, outline, account)
         finally:
-            if found is None:
+            if takeover is None:
                 account.close()
+        return takeover
+
+    def _take_over_outline(self, open_job, outline, account):
+        """Returns what take_over() does; `account` has the outline's bytes."""
+        found = self._make_holder(open_job)
         if found is None:
             return None
+        partial_outputs = self._read_partial_outputs(open_job)
         return holdermessages.JobTakeover(
-            found, outline, account, self._read_partial_outputs(open_job)
+            found, outline, account, partial_outputs
         )
 
     def _make_holder(self, open_job):
