Members: a row is not written once its daemon leaves

Cause: the thread that writes the row of a daemon and the one that removes it had no order. A write under way, or tried again, came after the removal.

Ruled out: a second start of the daemon, as the trace has none then.

Works as one of the two calls the store at a time, and no write begins after leave().

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/members.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/members.py
@@ -63,7 +63,11 @@
 
 
 class MembershipWriter(threading.Thread):
-    """Writes this daemon's row at its start; leave() removes it."""
+    """Writes this daemon's row at its start; leave() removes it.
+
+    One of the two calls the store at a time, so that a write that is under
+    way, or is tried again, can't follow the removal.
+    """
 
     def __init__(self, client, me, address, port, log):
         super().__init__(daemon=True, name="membership")
@@ -71,24 +75,38 @@
         self._me = me
         self._key = store.Key(MEMBERS_TABLE, "", f"{address}:{port}")
         self._log = log
+        self._lock = threading.Lock()
+        self._leaving = threading.Event()
 
     def run(self):
         """Writes the row; retries after WRITE_RETRY_DELAY_S until written."""
+        while not self._write():
+            if self._leaving.wait(WRITE_RETRY_DELAY_S):
+                return
+
+    def _write(self):
+        """Makes one attempt, unless the daemon leaves; returns its success."""
         transaction = store.Transaction({}, {self._key: self._me.encode()})
-        while True:
+        with self._lock:
+            if self._leaving.is_set():
+                return False
             result = self._store.commit(transaction)
-            if isinstance(result, store.CommitReceipt):
-                return
-            reason = getattr(result, "reason", "conflict")
-            self._log.failure("member.unwritten", reason=reason)
-            threading.Event().wait(WRITE_RETRY_DELAY_S)
+        if isinstance(result, store.CommitReceipt):
+            return True
+        reason = getattr(result, "reason", "conflict")
+        self._log.failure("member.unwritten", reason=reason)
+        return False
 
     def leave(self):
         """Removes the row, with one attempt.
 
-        If the row remains, peers stop choosing this daemon as their hub once
-        they receive nothing from it.
+        Waits for a write that is under way. If the row remains, peers stop
+        choosing this daemon as their hub once they receive nothing from it.
         """
-        result = self._store.commit(store.Transaction({}, {}, (self._key,)))
+        self._leaving.set()
+        with self._lock:
+            result = self._store.commit(
+                store.Transaction({}, {}, (self._key,))
+            )
         if isinstance(result, errors.Failure):
             self._log.failure("member.unremoved", reason=result.reason)
