Test: a log line is read from a file that is not emptied meanwhile

Cause: capfd.readouterr() reads the captured output and then empties it; what daemons write between the two is lost.

The test now has the daemon log into a file of its own; it asserts the same, and that each line is JSON. Ruled out: that the daemon did not log (tell() asserts the one refusal of which the line is written at once).

--- a/tests/test_staleentries.py
+++ b/tests/test_staleentries.py
@@ -257,17 +257,21 @@
         server.stop()
 
 
-def test_it_is_logged_once(fleet, capfd):
+# The captured output was read while daemons wrote to it: lines were lost then.
+def test_it_is_logged_once(fleet, tmp_path, monkeypatch):
     """With the address and the start of the entry."""
-    tell(fleet)
-    send_many(fleet, "after", daemons=(0,))
+    path = tmp_path / "daemon.log"
 
     def lines():
-        found.extend(capfd.readouterr().out.splitlines())
-        events = [json.loads(one) for one in found if one.startswith("{")]
+        complete = path.read_text().rpartition("\n")[0]
+        events = [json.loads(one) for one in complete.splitlines()]
         return [one for one in events if one["event"] == "engine.stale"]
 
-    found = []
-    (line,) = entryhelper.wait_until(lines, "the line is written")
+    with path.open("w") as file, monkeypatch.context() as patch:
+        log = fleet.daemons[0].log
+        patch.setattr(log, "_file_no", file.fileno())
+        tell(fleet)
+        send_many(fleet, "after", daemons=(0,))
+        (line,) = entryhelper.wait_until(lines, "the line is written")
     assert line["engine"] == OLD
     assert line["address"] == fleet.engines[0].address
