--- a/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/mutations.py
@@ -903,4 +903,19 @@
         "",
         "tests/test_jobmemory.py",
     ),
+    Mutation(
+        "write the row of a daemon that has left",
+        f"{_DAEMON}/entry/members.py",
+        "            if self._leaving.is_set():\n",
+        "            if not self._me:\n",
+        "tests/test_memberrows.py",
+    ),
+    Mutation(
+        "keep the memory of a takeover that failed",
+        f"{_DAEMON}/entry/takeovers.py",
+        "            if takeover is None:\n                account.close()\n",
+        "            if takeover is None and not account:\n"
+        "                account.close()\n",
+        "tests/test_takeovers.py",
+    ),
 )
