--- a/tests/test_memberrows.py
+++ b/tests/test_memberrows.py
@@ -35,12 +35,17 @@
     return SlowStore()
 
 
+def make_writer(rows):
+    """Returns the writer of a daemon's row."""
+    return members.MembershipWriter(
+        rows, "vm-0", "10.0.0.1", 7720, log.Log("vm-0")
+    )
+
+
 @pytest.fixture
 def writer(rows):
     """The writer of a daemon's row, whose first commit is under way."""
-    new_writer = members.MembershipWriter(
-        rows, "vm-0", "10.0.0.1", 7720, log.Log("vm-0")
-    )
+    new_writer = make_writer(rows)
     new_writer.start()
     assert rows.has_first.wait(entryhelper.WAIT_S)
     return new_writer
@@ -76,6 +81,16 @@
     assert KEY not in rows.rows
 
 
+def test_a_daemon_that_has_left_does_not_begin_to_write():
+    """Its thread may start late."""
+    rows = memorystore.MemoryStore()
+    writer = make_writer(rows)
+    writer.leave()
+    writer.start()
+    writer.join(entryhelper.WAIT_S)
+    assert KEY not in rows.rows
+
+
 def test_a_daemon_is_a_member_until_it_leaves(rows, writer):
     """Its row names its VM."""
     rows.may_go_on.set()
