--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/members.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/members.py
@@ -65,8 +65,8 @@
 class MembershipWriter(threading.Thread):
     """Writes this daemon's row at its start; leave() removes it.
 
-    One of the two calls the store at a time, so that a write that is under
-    way, or is tried again, can't follow the removal.
+    Only one of the two threads calls the store at a time, so that a write
+    that is under way, or is tried again, can't follow the removal.
     """
 
     def __init__(self, client, me, address, port, log):
