--- a/review/12/case.py
+++ b/review/12/case.py
@@ -71,14 +71,11 @@
 
 def record_retention(rig, job, daemon):
     """Records what becomes of the waiting job at its retention time."""
-    end_s = job.accepted_s + RETENTION_S + RETENTION_READ_S
-    while time.monotonic() < end_s and not job.is_complete:
-        job.read(daemon)
-        time.sleep(1.0)
-    arrived = rig.arrivals(job.item_ids)
+    job.read_until(daemon, job.accepted_s + RETENTION_S + RETENTION_READ_S)
     rig.record(
-        f"later: {len(job.results)} items listed, {len(arrived)} requests of"
-        " the job ever reached an engine"
+        f"later: {len(job.results)} items listed,"
+        f" {len(rig.arrivals(job.item_ids))} requests of the job ever reached"
+        " an engine"
     )
 
 
--- a/review/rig3.py
+++ b/review/rig3.py
@@ -15,6 +15,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -94,6 +95,8 @@
 
     def __init__(self, store, service, name, events=40, interval_s=0.02):
         self.name = name
+        # Where daemons reach it, if not at its own address.
+        self.address = None
         self.service = service
         self._store = store
         self.server = streamengine.Engine(name, events, interval_s)
@@ -117,6 +120,7 @@
             self._sequence += 1
             entry = self.server.entry(self.service, self.state)
             entry["seq"] = self._sequence
+            entry["address"] = self.address or entry["address"]
             if not self._is_gone.is_set():
                 self._store.put_row("servers", self.name, entry)
 
@@ -356,7 +360,8 @@
 class Job:
     """A batch job as its client sees it.
 
-    `results` has the results by position. `deadline_s` is a monotonic time.
+    `results` has the results by position. `shared_part` is the part of the
+    prompt that its items share, `tokens` are the Token-Count of each.
     """
 
     def __init__(self, rig, name, prefix, items):
@@ -364,6 +369,8 @@
         self.id = name
         self.prefix = prefix
         self.item_ids = [f"{name}i{number:03d}" for number in range(items)]
+        self.shared_part = "9c2e41:100"
+        self.tokens = "350,216"
         self.accepted_s = None
         self.results = {}
 
@@ -375,8 +382,8 @@
                 "path": f"{self.prefix}{one}",
                 "headers": {
                     "Model": "m",
-                    "Token-Count": "350,216",
-                    "Prompt-Prefix": f"9c2e41:100,{one}:250",
+                    "Token-Count": self.tokens,
+                    "Prompt-Prefix": f"{self.shared_part},{one}:250",
                 },
                 "body": base64.b64encode(one.encode() * 4).decode(),
                 "tokens": 566,
@@ -427,6 +434,12 @@
             )
         return 200
 
+    def read_until(self, daemon, end_s):
+        """Reads results until it is complete or a monotonic time has come."""
+        while time.monotonic() < end_s and not self.is_complete:
+            self.read(daemon)
+            time.sleep(1.0)
+
     @property
     def unlisted(self):
         """The ids of the items that are not listed."""
@@ -523,3 +536,71 @@
             for one in self._open:
                 one.set()
             return len(self._open)
+
+
+class ResettingProxy:
+    """A proxy to an engine that can reset its open connections."""
+
+    def __init__(self, address):
+        host, _, port = address.rpartition(":")
+        self._target = (host, int(port))
+        self._listener = socket.socket()
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen(128)
+        self._lock = threading.Lock()
+        self._open = {}
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def address(self):
+        """Its own IP:PORT."""
+        return f"127.0.0.1:{self._listener.getsockname()[1]}"
+
+    def _accept(self):
+        while True:
+            near, _ = self._listener.accept()
+            threading.Thread(
+                target=self._serve, args=(near,), daemon=True
+            ).start()
+
+    def _serve(self, near):
+        with near, socket.create_connection(self._target) as far:
+            with self._lock:
+                self._open[near] = far
+            back = threading.Thread(
+                target=_copy, args=(far, near), daemon=True
+            )
+            back.start()
+            _copy(near, far)
+            back.join()
+            with self._lock:
+                self._open.pop(near, None)
+
+    def reset(self):
+        """Resets the open connections at both ends; returns how many."""
+        with self._lock:
+            pairs = list(self._open.items())
+            self._open.clear()
+        for pair in pairs:
+            for one in pair:
+                one.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
+                # close() waits for the threads that read; this does not.
+                one.shutdown(socket.SHUT_RD)
+        for pair in pairs:
+            for one in pair:
+                one.close()
+        return len(pairs)
+
+
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+def _copy(source, sink):
+    try:
+        while data := source.recv(65536):
+            sink.sendall(data)
+        sink.shutdown(socket.SHUT_WR)
+    except OSError:
+        return
