--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,6 +1,7 @@
-"""Items of a service without engines keep those of another one waiting."""
+"""A machine's connections are reset once, and a whole job is lost."""
 
 import pathlib
+import socket
 import sys
 import threading
 import time
@@ -10,18 +11,36 @@
 
 import rig3  # noqa: E402
 
-# Items of the jobs of both services; the sheet allows 24.
-ITEMS_OF_SMALL = 20
-ITEMS_OF_LARGE = 10
-JOBS_OF_SMALL = 2
-# From the start of one call to that of the next (s).
-CALL_INTERVAL_S = 0.01
-# The retention time of the routes, and for how long results are read then (s).
+from samphirepost_bench import streamengine  # noqa: E402
+
+ENGINES = 8
+ITEMS = 6
+# Kept connections of clients to the machine, without a request. Beside them it
+# has five to the store.
+IDLE_CONNECTIONS = 4
+STORE_FEEDS = 5
+# A reset takes this share of the machine's connections at most.
+RESET_SHARE_MAX = 0.5
+# Time of an engine until its first event (s).
+PREFILL_S = 0.15
+# From the first job to the last call of a client (s).
+TRAFFIC_S = 5.0
+# The retention time of the route, and for how long results are read then (s).
 RETENTION_S = 60.0
 RETENTION_READ_S = 4.0
 # The bounds of the rule (s).
 CALM_S = 5.0
 NOTHING_FINISHED_S = 3.0
+FAILED_S = 20.0
+
+
+class PrefillingHandler(streamengine.Handler):
+    """Reads the prompt for a while before the answer begins."""
+
+    def send_stream(self, arrival, fault):
+        """Answers with the stream after PREFILL_S."""
+        threading.Event().wait(PREFILL_S)
+        return super().send_stream(arrival, fault)
 
 
 def main():
@@ -31,98 +50,121 @@
 
 
 def play(rig):
-    """Loses the one engine of `small`, then sends jobs for both services."""
-    record = rig.record
-    large = [rig.add_engine("large", f"large-{number}") for number in range(3)]
-    small = rig.add_engine("small", "small-0")
+    """Resets the connections on which a job's items have just begun."""
+    proxies = [add_engine(rig, f"engine-{n}") for n in range(ENGINES)]
     rig.configure(
-        [
-            rig3.batch_route("letters", "/letters/", "large"),
-            rig3.batch_route("notes", "/notes/", "small"),
-        ],
-        ["large", "small"],
+        [rig3.batch_route("letters", "/letters/", "drafts")], ["drafts"]
     )
     daemons = [rig.add_daemon() for _ in range(2)]
     rig.wait_ready()
+    address = (daemons[0].host, daemons[0].ports["front"])
+    idle = [socket.create_connection(address) for _ in range(IDLE_CONNECTIONS)]
     time.sleep(3.0)
+    job = rig3.Job(rig, "7c41e09b52d6a3f8", "/letters/", ITEMS)
+    if job.submit(daemons[0]) != 202:
+        return rig3.CANNOT_RUN
+    began_s = time.monotonic()
+    reset_s = reset_connections(rig, job, proxies)
+    if reset_s is None:
+        return rig3.CANNOT_RUN
+    time.sleep(max(0.0, began_s + TRAFFIC_S - time.monotonic()))
+    for one in idle:
+        one.close()
+    last_job = rig3.Job(rig, "5c41e09b52d6a3f9", "/letters/", 2)
+    last_job.shared_part = "5d07b8:100"
+    if last_job.submit(daemons[1]) != 202:
+        return rig3.CANNOT_RUN
+    finished_s = read_results(job, last_job, daemons[1])
+    code = judge(rig, job, last_job, reset_s, finished_s)
+    if code == rig3.BROKEN:
+        job.read_until(
+            daemons[1], job.accepted_s + RETENTION_S + RETENTION_READ_S
+        )
+        rig.record(f"later: {len(job.results)} items listed")
+    return code
+
+
+def add_engine(rig, name):
+    """Starts an engine that daemons reach through the proxy it returns."""
+    engine = rig.add_engine("drafts", name)
+    engine.server.RequestHandlerClass = PrefillingHandler
+    proxy = rig3.ResettingProxy(engine.server.address)
+    engine.address = proxy.address
+    engine.write_entry()
+    return proxy
+
+
+def reset_connections(rig, job, proxies):
+    """Resets the job's connections to engines, once it has them all.
+
+    Returns when, or None if not all its items began.
+    """
+    end_s = time.monotonic() + 2.0
+    found = []
+    while len(found) < ITEMS and time.monotonic() < end_s:
+        time.sleep(0.002)
+        found = rig.arrivals(job.item_ids)
+    engines = sorted({engine.name for engine, _ in found})
+    rig.record(f"{len(found)} items are at {engines}")
+    if len(found) < ITEMS:
+        return None
     if rig3.has_trouble():
-        small.crash()
-        record("the engine of the service small is lost for good")
-    time.sleep(rig3.ENTRY_EXPIRY_S + 1.0)
-    small_jobs, large_job = submit(rig, daemons[0])
-    jobs = [*small_jobs, large_job]
-    end_s = time.monotonic() + rig3.FINISH_S
+        count = sum(proxy.reset() for proxy in proxies)
+        share = count / (count + IDLE_CONNECTIONS + STORE_FEEDS)
+        rig.record(
+            f"{count} connections of front-0 are reset, {share:.2f} of its own"
+        )
+        if share > RESET_SHARE_MAX:
+            return None
+    return time.monotonic()
+
+
+def read_results(job, last_job, daemon):
+    """Reads for finishS; returns when the last item was listed."""
     finished_s = time.monotonic()
+    end_s = finished_s + rig3.FINISH_S
     while time.monotonic() < end_s:
-        before = sum(len(one.results) for one in jobs)
-        for number, job in enumerate(jobs):
-            if not job.is_complete:
-                job.read(daemons[number % 2])
-        if sum(len(one.results) for one in jobs) > before:
+        before = len(job.results) + len(last_job.results)
+        for one in (job, last_job):
+            if not one.is_complete:
+                one.read(daemon)
+        if len(job.results) + len(last_job.results) > before:
             finished_s = time.monotonic()
-        if all(one.is_complete for one in jobs):
+        if job.is_complete and last_job.is_complete:
             break
         time.sleep(0.4)
-    code = judge(rig, large, large_job, finished_s)
-    if code == rig3.BROKEN:
-        record_retention(rig, large_job, daemons[1])
-    return code
+    return finished_s
 
 
-def record_retention(rig, job, daemon):
-    """Records what becomes of the waiting job at its retention time."""
-    job.read_until(daemon, job.accepted_s + RETENTION_S + RETENTION_READ_S)
-    rig.record(
-        f"later: {len(job.results)} items listed,"
-        f" {len(rig.arrivals(job.item_ids))} requests of the job ever reached"
-        " an engine"
-    )
-
-
-def submit(rig, daemon):
-    """Submits all jobs at once; returns those of `small` and of `large`."""
-    small_jobs = [
-        rig3.Job(rig, f"5c41e09b52d6a3f{number}", "/notes/", ITEMS_OF_SMALL)
-        for number in range(JOBS_OF_SMALL)
-    ]
-    large_job = rig3.Job(rig, "7c41e09b52d6a3f8", "/letters/", ITEMS_OF_LARGE)
-    jobs = [*small_jobs, large_job]
-    threads = [
-        threading.Thread(target=job.submit, args=(daemon,)) for job in jobs
-    ]
-    for thread in threads:
-        thread.start()
-        time.sleep(CALL_INTERVAL_S)
-    for thread in threads:
-        thread.join()
-    if not all(one.accepted_s for one in jobs):
-        sys.exit(rig3.CANNOT_RUN)
-    return small_jobs, large_job
-
-
-def judge(rig, large, job, finished_s):
-    """Applies the rule to the job of the service whose engines are well."""
-    record = rig.record
+def judge(rig, job, last_job, reset_s, finished_s):
+    """Applies the rule to the job's items."""
     now_s = time.monotonic()
-    arrived = rig.arrivals(job.unlisted)
-    late = [one for _, one in arrived if now_s - one.at_s < CALM_S]
-    busy = [
+    again = [
+        one
+        for _, one in rig.arrivals(job.unlisted)
+        if one.at_s > reset_s + rig3.HEARTBEAT_S
+    ]
+    late = [
         one
-        for engine in large
+        for engine in rig.engines
         for one in engine.arrivals
         if now_s - one.at_s < CALM_S
     ]
     idle_s = now_s - finished_s
-    record(
-        f"{len(job.unlisted)} items of the service large are not listed;"
-        f" {len(arrived)} of them ever reached an engine, {len(late)} in the"
-        f" last {CALM_S:g} s; its engines had {len(busy)} requests then;"
-        f" the last item of any job was listed {idle_s:.1f} s ago"
+    rig.record(
+        f"{len(job.unlisted)} of {ITEMS} items are not listed; the reset was"
+        f" {now_s - reset_s:.1f} s ago, no engine has crashed; {len(again)} of"
+        f" these items reached an engine later, and {len(late)} requests any"
+        f" engine in the last {CALM_S:g} s; the last item was listed"
+        f" {idle_s:.1f} s ago; the other job has {len(last_job.results)} of 2"
     )
     is_broken = (
-        job.unlisted and not late and not busy and idle_s > NOTHING_FINISHED_S
+        job.unlisted
+        and not late
+        and idle_s > NOTHING_FINISHED_S
+        and now_s - reset_s > FAILED_S
     )
-    record("LOST is broken" if is_broken else "LOST held")
+    rig.record("LOST is broken" if is_broken else "LOST held")
     return rig3.BROKEN if is_broken else rig3.HELD
 
 
--- a/review/rig3.py
+++ b/review/rig3.py
@@ -3,8 +3,7 @@
 Each daemon is a process of its own, started with the run command of
 deploy/system.toml, with settings of the layout of deploy/settings.json. The
 store, the engines and the proxies run in the script's own process. All
-addresses are loopback addresses; each daemon has one of its own, as each VM
-does.
+addresses are loopback addresses.
 """
 
 import base64
@@ -36,6 +35,7 @@
 ]
 sys.path[:0] = [str(path) for path in _SOURCES]
 
+from samphirepost_bench import fleet  # noqa: E402
 from samphirepost_bench import storeserver  # noqa: E402
 from samphirepost_bench import streamengine  # noqa: E402
 
@@ -73,20 +73,6 @@
             self._file.flush()
 
 
-def free_port(host="127.0.0.1"):
-    """Returns a port that no socket has."""
-    while True:
-        with socket.socket() as one:
-            one.bind((host, 0))
-            port = one.getsockname()[1]
-        with socket.socket(type=socket.SOCK_DGRAM) as one:
-            try:
-                one.bind((host, port))
-            except OSError:
-                continue
-        return port
-
-
 class Engine:
     """One engine with its registry entry, which it writes at intervals.
 
@@ -144,10 +130,10 @@
 
     def __init__(self, rig, number, store_address):
         self.name = f"front-{number}"
-        self.host = f"127.0.{rig.net}.{10 + number}"
+        self.host = fleet.HOST
         self.store_address = store_address
         self.ports = {
-            key: free_port(self.host) for key in ("front", "ready", "peer")
+            key: fleet.free_port() for key in ("front", "ready", "peer")
         }
         self._folder = rig.folder
         self.process = None
@@ -250,8 +236,6 @@
     def __init__(self, folder):
         self.record = Record(folder)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
-        # Runs side by side use different networks of the loopback range.
-        self.net = 1 + os.getpid() % 250
         self.store = storeserver.StoreServer()
         self.store.start()
         self.engines = []
