--- a/review/11/case.py
+++ b/review/11/case.py
@@ -24,12 +24,6 @@
 NOTHING_FINISHED_S = 3.0
 
 
-def main():
-    """Plays the case; returns the exit code."""
-    with rig3.Rig(FOLDER) as rig:
-        return play(rig)
-
-
 def play(rig):
     """Loses the one engine of `small`, then sends jobs for both services."""
     record = rig.record
@@ -127,4 +121,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    rig3.run(FOLDER, play)
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -43,12 +43,6 @@
         return super().send_stream(arrival, fault)
 
 
-def main():
-    """Plays the case; returns the exit code."""
-    with rig3.Rig(FOLDER) as rig:
-        return play(rig)
-
-
 def play(rig):
     """Resets the connections on which a job's items have just begun."""
     proxies = [add_engine(rig, f"engine-{n}") for n in range(ENGINES)]
@@ -169,4 +163,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    rig3.run(FOLDER, play)
--- a/review/rig3.py
+++ b/review/rig3.py
@@ -20,6 +20,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 _SOURCES = [
@@ -57,6 +58,20 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+def run(folder, play):
+    """Plays a case, and exits with the code that `play(rig)` returns.
+
+    An error of the script itself exits with CANNOT_RUN.
+    """
+    code = CANNOT_RUN
+    try:
+        with Rig(folder) as rig:
+            code = play(rig)
+    except Exception:
+        traceback.print_exc()
+    sys.exit(code)
+
+
 class Record:
     """Writes what was sent, answered and run to record.txt; thread-safe."""
 
