--- a/review/rig3.py
+++ b/review/rig3.py
@@ -50,6 +50,8 @@
 GRACE_S = 8
 FINISH_S = 18.0
 READY_WAIT_S = 30.0
+# A script ends before 120 s; what only adds to its record ends by then (s).
+RECORD_END_S = 105.0
 HOST_NAME = "post.example"
 
 
@@ -61,9 +63,11 @@
 def run(folder, play):
     """Plays a case, and exits with the code that `play(rig)` returns.
 
-    An error of the script itself exits with CANNOT_RUN.
+    An error of the script itself exits with CANNOT_RUN, and so does SIGTERM;
+    the processes that it started are ended then too.
     """
     code = CANNOT_RUN
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))
     try:
         with Rig(folder) as rig:
             code = play(rig)
@@ -434,7 +438,11 @@
         return 200
 
     def read_until(self, daemon, end_s):
-        """Reads results until it is complete or a monotonic time has come."""
+        """Reads results until it is complete or a monotonic time has come.
+
+        Ends RECORD_END_S after the start of the script at the latest.
+        """
+        end_s = min(end_s, self._record.began_s + RECORD_END_S)
         while time.monotonic() < end_s and not self.is_complete:
             self.read(daemon)
             time.sleep(1.0)
