--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -5,6 +5,7 @@
 the state, except that a running item appends to its own partial output.
 """
 
+import collections
 import concurrent.futures
 import time
 
@@ -14,6 +15,7 @@
 from samphirepost import batchjob
 from samphirepost import errors
 from samphirepost import itemdurations
+from samphirepost import itemwindow
 from samphirepost import jobobserver
 from samphirepost import leaving
 from samphirepost import memorybudget
@@ -35,12 +37,6 @@
 # Interval between scans of the open jobs: a job that was closed at any daemon
 # must stop within 3 s at its holder.
 SCAN_INTERVAL_S = 1.0
-# Items that one daemon runs at a time; one daemon may hold most of the open
-# jobs of a small fleet.
-CONCURRENT_RUNS_MAX = 32
-# Items for which a daemon asks for slots at a time, most urgent first. Its
-# report stays below the size of a datagram.
-WANTED_MAX = 16
 # While no hub has answered for this long (s), items start on engines of the
 # daemon's own choice. A hub that fails is replaced in less time.
 WITHOUT_HUB_S = 3.0
@@ -56,7 +52,8 @@
 BLOCK_INTERVAL_S = 0.25
 # Interval at which the loads are logged while jobs are held.
 LOADS_LOG_INTERVAL_S = 2.0
-# Items started in one tick without a hub, as load counts lag behind.
+# Items of one need that are tried in one tick without a hub, as load counts
+# lag behind.
 STARTS_PER_TICK_MAX = 2
 # Pause before a failed write is retried (s).
 RETRY_DELAY_S = 0.3
@@ -88,6 +85,7 @@
         self._scan_failed = False
         self._item_runs = {}
         self._wanted = {}
+        self._window_turn = 0
         self._blocked_items = set()
         self._next_block_s = 0.0
         self._hub_answered_s = time.monotonic()
@@ -95,7 +93,7 @@
         self._next_load_log_s = 0.0
         self._stopping = False
         self._item_executor = concurrent.futures.ThreadPoolExecutor(
-            CONCURRENT_RUNS_MAX, thread_name_prefix="items"
+            itemwindow.CONCURRENT_RUNS_MAX, thread_name_prefix="items"
         )
         self._store_executor = concurrent.futures.ThreadPoolExecutor(
             STORE_REQUESTS_MAX, thread_name_prefix="calls"
@@ -250,37 +248,74 @@
             self._next_block_s = now_s + BLOCK_INTERVAL_S
             self._find_blocked_items(now_s)
             self._restart_items()
-        for key, index in self._ready_items(now_s):
+        needs = {}
+        for need, (key, index) in self._ready_items(now_s):
             run_id = known_ids.get((key, index))
             if run_id is None:
                 run_id = self._parts.slots.next_run_id()
-            slot = self._wanted_slot(run_id, key, index, now_s)
-            if slot is not None:
-                self._wanted[key, index] = run_id
-                wanted[run_id] = slot
+            self._wanted[key, index] = run_id
+            wanted[run_id] = self._wanted_slot(run_id, need, key, index, now_s)
+            needs[run_id] = need
         self._parts.slots.want(wanted)
         if now_s - self._hub_answered_s > WITHOUT_HUB_S:
-            self._start_without_hub(wanted, now_s)
+            self._start_without_hub(wanted, needs, now_s)
 
     def _ready_items(self, now_s):
-        """Returns the keys and indexes of the items to start next."""
+        """Returns pairs of the Need and the key and index of items to start.
+
+        Those of one need are in the order of their jobs' deadlines.
+        """
         if self._stopping:
             return []
         jobs_by_deadline = sorted(
             self._held_jobs.items(),
             key=lambda pair: (pair[1].deadline_s < now_s, pair[1].deadline_s),
         )
-        room = min(WANTED_MAX, CONCURRENT_RUNS_MAX - len(self._item_runs))
-        found = []
+        window = itemwindow.ItemWindow(
+            collections.Counter(run.pool for run in self._item_runs.values())
+        )
         for key, held_job in jobs_by_deadline:
-            if not self._can_read_items(key):
+            if self._can_read_items(key):
+                self._add_ready_items(window, key, held_job, now_s)
+        self._window_turn += 1
+        return window.choose(self._window_turn)
+
+    def _add_ready_items(self, window, key, held_job, now_s):
+        route = self._find_route(held_job)
+        if route is None:
+            return
+        partial_outputs = held_job.partial_outputs
+        if not partial_outputs and not _has_room(window, route):
+            return
+        for index in held_job.runnable_indexes(now_s):
+            if (key, index) in self._blocked_items:
                 continue
-            for index in held_job.runnable_indexes(now_s):
-                if len(found) >= room:
-                    return found
-                if (key, index) not in self._blocked_items:
-                    found.append((key, index))
-        return found
+            if index in partial_outputs or _has_room(window, route):
+                need = self._need_of(held_job, route, index, now_s)
+                window.add(need, (key, index))
+
+    def _need_of(self, held_job, route, index, now_s):
+        """Returns the itemwindow.Need of an item that is ready to run."""
+        item = held_job.outline.items[index]
+        found = self._check_quarantine(item, now_s)
+        pool, version = routing.pick_pool(route), ""
+        partial = held_job.partial_outputs.get(index)
+        if partial and partial.texts:
+            version = partial.version
+            if partial.pool in route.pools:
+                pool = partial.pool
+        return itemwindow.Need(
+            pool,
+            version,
+            "" if found is None else found.cause,
+            self._fits(pool, self._tokens_of(held_job, index)),
+        )
+
+    def _fits(self, pool, tokens):
+        """Whether an idle engine of a pool has memory for so many tokens."""
+        known = self._parts.state.table.pools.get(pool)
+        kv_tokens = known.kv_tokens if known else 0
+        return not kv_tokens or tokens <= kv_tokens
 
     def _can_read_items(self, key):
         """Whether the bodies of a job's items are known to be within reach.
@@ -350,26 +385,22 @@
                 )
 
     def _check_quarantine(self, item, now_s):
+        if self._parts.quarantine.is_empty:
+            return None
         parts = wire.shared_parts(item)
         return self._parts.quarantine.check(parts, now_s)
 
-    def _wanted_slot(self, run_id, key, index, now_s):
+    def _wanted_slot(self, run_id, need, key, index, now_s):
         held_job = self._held_jobs[key]
         route = self._find_route(held_job)
-        if route is None:
-            return None
         item = held_job.outline.items[index]
-        found = self._check_quarantine(item, now_s)
         partial = held_job.partial_outputs.get(index)
-        pool = routing.pick_pool(route)
-        if partial and partial.texts and partial.pool in route.pools:
-            pool = partial.pool
         return slotmessages.WantedSlot(
             run_id,
-            pool,
+            need.pool,
             self._is_late(held_job, index, now_s),
             round(held_job.deadline_s - now_s, 2),
-            "" if found is None else found.cause,
+            need.probe,
             partial.version if partial and partial.texts else None,
             held_job.outline.organisation,
             wire.prompt_of(item) if route.sticky else (),
@@ -378,12 +409,16 @@
             partial.preemptions if partial else 0,
         )
 
-    def _start_without_hub(self, wanted, now_s):
+    def _start_without_hub(self, wanted, needs, now_s):
         load_tracker = self._parts.load_tracker
         limits = self._parts.limits
         daemon_count = self._parts.slots.daemon_count
-        startable = [slot for slot in wanted.values() if not slot.probe]
-        for slot in startable[:STARTS_PER_TICK_MAX]:
+        tried = collections.Counter()
+        for slot in wanted.values():
+            need = needs[slot.id]
+            tried[need] += 1
+            if slot.probe or tried[need] > STARTS_PER_TICK_MAX:
+                continue
             engines = limits.sendable(
                 [
                     engine
@@ -868,6 +903,11 @@
     return getattr(found, "reason", "the item's record is gone")
 
 
+def _has_room(window, route):
+    """Whether an item of a route without output may find room."""
+    return any(window.has_room(itemwindow.Need(one)) for one in route.pools)
+
+
 def _setback(run, outcome):
     """Returns the Setback with which a run ended, or None."""
     if items.is_unsound(outcome):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holdermessages.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holdermessages.py
@@ -73,6 +73,7 @@
         "last_event_s",
         "new_call",
         "partial",
+        "pool",
         "stop_requested",
         "through",
         "version",
@@ -96,6 +97,7 @@
         self.key = key
         self.index = index
         self.engine = engine.id
+        self.pool = engine.pool
         self.version = engine.version
         self.partial = partial
         self.through = through
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,10 +7,10 @@
 from samphirepost import batchjob
 from samphirepost import codec
 from samphirepost import errors
+from samphirepost import itemwindow
 from samphirepost import promptcache
 from samphirepost import quotas
 from samphirepost import slotmessages
-from samphirepost_daemon.entry import holder
 from samphirepost_daemon.entry import slots
 from samphirepost_daemon.platform import wire
 
@@ -62,7 +62,7 @@
         slotmessages.WantedSlot(
             run_id, "p" * 200, False, 1.0, "", None, "o" * 100, prompt, 10
         )
-        for run_id in range(holder.WANTED_MAX)
+        for run_id in range(itemwindow.WANTED_MAX)
     )
     sent = {f"{number:0100d}": 1 for number in range(quotas.SENT_MAX)}
     report = slotmessages.Report("vm", 1, wanted=wanted, sent=sent)
