--- a/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/entryfleet.py
@@ -112,6 +112,10 @@
         """Schedules a reset of a forwarder's open connections."""
         self._loop.call_soon_threadsafe(proxy.reset)
 
+    def end(self, proxy):
+        """Schedules the end of a forwarder's open connections."""
+        self._loop.call_soon_threadsafe(proxy.end)
+
 
 class Daemon:
     """One entry daemon; its ports and settings survive a restart.
--- a/packages/samphirepost-bench/src/samphirepost_bench/forwarder.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/forwarder.py
@@ -9,7 +9,8 @@
     """Forwards connections on `port` to `to_port` and injects faults.
 
     `black_hole` drops all traffic of the open connections without closing
-    them, while new ones work; `reset` aborts the open connections. While
+    them, while new ones work; `reset` aborts the open connections, and `end`
+    closes them. While
     `refuses_connections` is set, new connections are aborted; while
     `drops_responses` is set, data from the far end is dropped. Each chunk
     of data is delayed by `delay_s`. `start`, `reset` and `close` are called in
@@ -76,6 +77,11 @@
         for pair in list(self._connections):
             pair.abort()
 
+    def end(self):
+        """Closes the open connections; the peers receive an end."""
+        for pair in list(self._connections):
+            pair.close()
+
 
 class ConnectionPair:
     """The connections to the near and the far end that are forwarded."""
@@ -108,3 +114,9 @@
         self.is_black_holed = False
         self.near.transport.abort()
         self.far.transport.abort()
+
+    def close(self):
+        """Closes the connections to both ends."""
+        self.is_black_holed = False
+        self.near.close()
+        self.far.close()
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/pathmonitor.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/pathmonitor.py
@@ -14,7 +14,9 @@
 import msgspec
 
 from samphirepost import enginepaths
+from samphirepost_daemon.entry import crashprobe
 from samphirepost_daemon.entry import engineclient
+from samphirepost_daemon.entry import enginestatus
 from samphirepost_daemon.entry import tunnel
 
 # Half of a short latency objective: an attempt at another engine can still
@@ -40,12 +42,13 @@
     """A run whose connection to its engine failed, fell silent or closed.
 
     `unreached` if no connection could be opened. With `crash`, the request
-    may have crashed the engine.
+    may have crashed the engine. `lost_s` is the monotonic time of the loss.
     """
 
     engine: object
     unreached: bool
     crash: Crash | None = None
+    lost_s: float = msgspec.field(default_factory=time.monotonic)
 
 
 class PathMonitor(threading.Thread):
@@ -62,6 +65,7 @@
         self._lost = queue.SimpleQueue()
         self._is_doubtful = False
         self._undecided = collections.defaultdict(list)
+        self._probe = crashprobe.CrashProbe(parts, self._decide_crash)
 
     # Called by the threads of requests.
 
@@ -199,11 +203,49 @@
         )
         if fault is enginepaths.Fault.PATH:
             self._parts.load_tracker.record_success(engine.id)
-        if fault is enginepaths.Fault.ENGINE:
+        if is_reached:
+            self._blame_if_ended(runs)
+        elif fault is enginepaths.Fault.ENGINE:
             self._blame(runs)
         elif fault is enginepaths.Fault.UNKNOWN:
             self._undecided[engine.id] += runs
 
+    def _blame_if_ended(self, runs):
+        """Has the crash found out of an engine that is reached.
+
+        An engine that lives on is at fault all the same, but has not crashed.
+        """
+        self._blame([one for one in runs if one.crash is None])
+        doubtful = [one for one in runs if one.crash is not None]
+        if doubtful:
+            self._probe.ask(doubtful)
+
+    def _decide_crash(self, runs, life):
+        """Blames an engine for lost runs by the Life that it was found in.
+
+        Without a report it counts as crashed: a sound one gives it in time.
+        """
+        if not runs:
+            return
+        self._parts.log.event(
+            "crash.judged",
+            engine=runs[-1].engine.id,
+            started_ms=runs[-1].engine.started_ms,
+            life=life.value,
+            runs=len(runs),
+        )
+        if life is enginestatus.Life.UNREACHED:
+            for lost_run in runs:
+                self.report_lost(
+                    msgspec.structs.replace(lost_run, unreached=True)
+                )
+        elif life is enginestatus.Life.RUNNING:
+            self._blame(
+                [msgspec.structs.replace(one, crash=None) for one in runs]
+            )
+        else:
+            self._blame(runs)
+
     def _blame(self, runs):
         """Reports that an engine was at fault for lost runs."""
         for lost_run in runs:
@@ -211,7 +253,11 @@
             self._parts.slots.record_engine_failure(engine.id)
             if crash is not None:
                 self._parts.slots.record_crash(
-                    engine, crash.request, crash.parts, crash.has_head
+                    engine,
+                    crash.request,
+                    crash.parts,
+                    crash.has_head,
+                    lost_run.lost_s,
                 )
 
     def _decide_later(self):
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -297,13 +297,14 @@
             )
             self._send_report()
 
-    def record_crash(self, engine, request, parts, has_head):
+    def record_crash(self, engine, request, parts, has_head, lost_s):
         """Reports a request lost with an engine before its answer had begun.
 
-        `request` is its key, `parts` are the shared parts of its prompt.
+        `request` is its key, `parts` are the shared parts of its prompt, and
+        `lost_s` is the monotonic time of the loss.
         """
         self._observations.record_crash(
-            engine, request, parts, has_head, time.monotonic()
+            engine, request, parts, has_head, lost_s, time.monotonic()
         )
         self._send_report()
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/platform/wire.py
@@ -298,6 +298,19 @@
     )
 
 
+def reported_start(head, body):
+    """Returns the start (ms) that the answer to report_request() names.
+
+    Returns None if it is another engine's answer, or names none.
+    """
+    if head.status != 200 or is_from_another_engine(head):
+        return None
+    found = codec.from_json(body, _Report)
+    if isinstance(found, errors.Failure):
+        return None
+    return found.born or None
+
+
 def is_response_to(head, req):
     """Whether an engine's response belongs to this request."""
     return head.get(REQUEST_ID_HEADER.lower()) == req.id
--- a/packages/samphirepost/src/samphirepost/crashes.py
+++ b/packages/samphirepost/src/samphirepost/crashes.py
@@ -38,12 +38,12 @@
         "request",
     )
 
-    def __init__(self, engine, request, parts, has_head, now_s):
+    def __init__(self, engine, request, parts, has_head, lost_s, now_s):
         self.engine = engine
         self.request = request
         self.parts = parts
         self.has_head = has_head
-        self.at_s = now_s
+        self.at_s = lost_s
         self.report_until_s = now_s + REPORT_S
 
     def message(self, now_s):
@@ -81,12 +81,13 @@
                 self._begun_requests_s, request, now_s, BEGUN_REQUESTS_MAX
             )
 
-    def record_crash(self, engine, request, parts, has_head, now_s):
+    def record_crash(self, engine, request, parts, has_head, lost_s, now_s):
         """Records that an engine ended before the answer had begun.
 
-        `has_head` tells whether the head of the answer had arrived.
+        `has_head` tells whether the head of the answer had arrived, `lost_s`
+        is when the request was lost.
         """
-        crash = OwnCrash(engine, request, parts, has_head, now_s)
+        crash = OwnCrash(engine, request, parts, has_head, lost_s, now_s)
         with self._lock:
             self._crashes.append(crash)
 
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -45,6 +45,7 @@
             tuple(parts),
             has_head,
             self.now_s,
+            self.now_s,
         )
 
     def crash(self, *args, **fields):
@@ -332,7 +333,9 @@
         one = crashes.Observations()
         for number in range(2):
             assert not one.is_suspect(self.REPEATED, 100.0)
-            one.record_crash(engine(number), self.REPEATED, (), True, 100.0)
+            one.record_crash(
+                engine(number), self.REPEATED, (), True, 100.0, 100.0
+            )
         assert one.is_suspect(self.REPEATED, 101.0)
         assert not one.is_suspect(quarantine.request_key("sound"), 101.0)
         one.record_begun((), self.REPEATED, 101.0)
@@ -507,7 +510,9 @@
     one = crashes.Observations()
     for number in range(40):
         parts = tuple(f"{number:060}-{i:03}" for i in range(64))
-        one.record_crash(engine(number), "request:1", parts, True, 100.0)
+        one.record_crash(
+            engine(number), "request:1", parts, True, 100.0, 100.0
+        )
     found = one.crashes(100.0)
     assert found[0].engine == "e39"
     assert len(codec.pack(found)) < 20_000
