--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/hub.py
@@ -124,9 +124,11 @@
         """Applies what a daemon saw of crashed engines and begun answers."""
         if self._judge.has_crashes:
             for end in report.ended:
-                engine = self._allocator.engine_of(report.vm, end.id)
-                if end.outcome is slotmessages.Outcome.OK and engine:
-                    self._judge.record_success(engine, now_s)
+                run = self._allocator.run_of(report.vm, end.id)
+                if end.outcome is slotmessages.Outcome.OK and run is not None:
+                    self._judge.record_success(
+                        run.engine, run.granted_s, now_s
+                    )
         for begun in report.begun:
             self._apply_begun(begun, report.vm, now_s)
         new = [
--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -227,10 +227,9 @@
         """Returns the VMs and addresses of the daemons that report."""
         return [(vm, one.address) for vm, one in self.table.reporters.items()]
 
-    def engine_of(self, vm, run_id):
-        """Returns the id of the engine of a daemon's run, or None."""
-        run = self.table.runs.get((vm, run_id))
-        return run.engine if run is not None else None
+    def run_of(self, vm, run_id):
+        """Returns the runtable.AllocatedRun of a daemon, or None."""
+        return self.table.runs.get((vm, run_id))
 
     def has_reporter(self, vm):
         """Whether a daemon reports to this hub."""
--- a/packages/samphirepost/src/samphirepost/judge.py
+++ b/packages/samphirepost/src/samphirepost/judge.py
@@ -30,8 +30,8 @@
 # daemons report whether answers to it have begun.
 SETTLE_S = 0.25
 # An engine at which a run succeeds within this time (s) after its supposed
-# crash has not crashed: a new process takes longer to start. Within the
-# shorter time, the success may be older than the crash.
+# crash has not crashed, if the run began before. Within the shorter time, the
+# run may have ended before the crash, or begun after it.
 ALIVE_MIN_S = 0.1
 ALIVE_MAX_S = 1.0
 
@@ -247,10 +247,14 @@
             or self.on_probation.get(cause)
         )
 
-    def record_success(self, engine_id, now_s):
-        """Records that a run succeeded at an engine: it has not crashed."""
+    def record_success(self, engine_id, granted_s, now_s):
+        """Records that a run succeeded at an engine.
+
+        The engine has not crashed since the run was granted. A later run may
+        be one of the next incarnation.
+        """
         crashed = self._by_engine.get(engine_id)
-        if crashed is None:
+        if crashed is None or granted_s > crashed.at_s - ALIVE_MIN_S:
             return
         if ALIVE_MIN_S < now_s - crashed.at_s < ALIVE_MAX_S:
             crashed.explain()
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -7,6 +7,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from samphirepost import codec
 from samphirepost import crashes
@@ -363,10 +364,24 @@
         for number in range(5):
             hub.crash(number, (FIRST, SOUND))
             hub.now_s += 0.2
-            hub.judge.record_success(f"e{number}", hub.now_s)
+            began_s = hub.now_s - 1.0
+            hub.judge.record_success(f"e{number}", began_s, hub.now_s)
         hub.wait()
         assert hub.found == []
 
+    # Soak 8, BUDGET: runs that ended well at the next incarnation of an engine
+    # cleared the crash of the one before, so that no cause was ever found.
+    @pytest.mark.parametrize("after_s", [0.0, 0.05, 0.2])
+    def test_a_success_at_the_next_incarnation_clears_nothing(self, after_s):
+        hub = Hub()
+        for number in range(3):
+            hub.crash(number, (FIRST, BAD))
+            began_s = hub.now_s + after_s
+            hub.now_s += 0.3
+            hub.judge.record_success(f"e{number}", began_s, hub.now_s)
+        hub.wait()
+        assert BAD in hub.found
+
     def test_a_pool_that_is_lost_at_once_proves_nothing(self):
         """No answer can begin then, to whatever part."""
         hub = Hub()
