Rigs: services that cannot run beside sound ones, and ends of connections

`stuckpools` draws two to six services, what is wrong with some of them (no engine, an engine that takes 20 s an item, a busy one), the jobs, their order, and sometimes a hub that is frozen for 8 s. Jobs of sound services must be done within their completion time. `resets` draws what runs at which daemons, and which connections to sound engines end, how and how often; all items must be done, and later requests with the same part served.

--- a/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/__main__.py
@@ -22,6 +22,16 @@
 _Runs = typing.Annotated[
     int, cappa.Arg(long=True, help="Number of consecutive seeds to run.")
 ]
+_Build = typing.Annotated[
+    str, cappa.Arg(long=True, help="Commit of the daemons' build.")
+]
+
+
+def _program(build):
+    """Returns the entry program of a build, or None without one."""
+    from samphirepost_bench import upgrade
+
+    return upgrade.extract(build) if build else None
 
 
 def _new_engine(unframed):
@@ -345,19 +355,55 @@
     kills: typing.Annotated[
         int, cappa.Arg(long=True, help="Engines that are killed in each run.")
     ] = 15
-    build: typing.Annotated[
-        str, cappa.Arg(long=True, help="Commit of the daemons' build.")
-    ] = ""
+    build: _Build = ""
 
     def __call__(self):
         from samphirepost_bench import kills
-        from samphirepost_bench import upgrade
 
-        program = upgrade.extract(self.build) if self.build else None
+        program = _program(self.build)
         failed = kills.run(_seeds(self.seed, self.runs), self.kills, program)
         return 1 if failed else 0
 
 
+@cappa.command(
+    name="stuckpools",
+    help="Services that cannot run their items, beside sound ones.",
+)
+@dataclasses.dataclass
+class StuckPools:
+    """Jobs of sound services beside those of lost, slow and busy ones."""
+
+    seed: _Seed = 0
+    runs: _Runs = 1
+    build: _Build = ""
+
+    def __call__(self):
+        from samphirepost_bench import stuckpools
+
+        failed = stuckpools.run(
+            _seeds(self.seed, self.runs), _program(self.build)
+        )
+        return 1 if failed else 0
+
+
+@cappa.command(
+    name="resets", help="Connections to sound engines end at one moment."
+)
+@dataclasses.dataclass
+class Resets:
+    """Requests and items whose connections end; no engine crashes."""
+
+    seed: _Seed = 0
+    runs: _Runs = 1
+    build: _Build = ""
+
+    def __call__(self):
+        from samphirepost_bench import resets
+
+        failed = resets.run(_seeds(self.seed, self.runs), _program(self.build))
+        return 1 if failed else 0
+
+
 @cappa.command(
     name="brokenanswers",
     help="Engines break answers off, answer twice and die.",
@@ -371,9 +417,7 @@
     kills: typing.Annotated[
         int, cappa.Arg(long=True, help="Processes that are killed in a run.")
     ] = 15
-    build: typing.Annotated[
-        str, cappa.Arg(long=True, help="Commit of the daemons' build.")
-    ] = ""
+    build: _Build = ""
     beside: typing.Annotated[
         str, cappa.Arg(long=True, help="Commit of one daemon's build.")
     ] = ""
@@ -440,6 +484,8 @@
     | Drains
     | Upgrade
     | Kills
+    | StuckPools
+    | Resets
     | BrokenAnswers
     | AnswerLoad
 )
--- a/tests/test_resets.py
+++ b/tests/test_resets.py
@@ -11,6 +11,7 @@
 import pytest
 
 from samphirepost_bench import entryfleet
+from samphirepost_bench import resets
 from samphirepost_bench import streamengine
 from tests import entryhelper
 
@@ -170,3 +171,8 @@
         proxy.to_port = sock.getsockname()[1]
 
     return hold
+
+
+# The seed has resets and ends, items and callers.
+def test_nothing_is_lost_by_connections_that_end():
+    assert resets.run([4], report=lambda _: None) == []
--- a/tests/test_waitingitems.py
+++ b/tests/test_waitingitems.py
@@ -1,10 +1,11 @@
-"""Items of one service that cannot run, beside those of another one."""
+"""Items of services that cannot run, beside those of sound ones."""
 
 import json
 
 import pytest
 
 from samphirepost_bench import entryfleet
+from samphirepost_bench import stuckpools
 from tests import entryhelper
 
 LOST_SERVICE = "bulbs"
@@ -91,3 +92,8 @@
     entryhelper.wait_until(
         lambda: fleet.complete_results("job"), "the job is done"
     )
+
+
+# The seed has a service without engines, and slow and busy ones.
+def test_sound_services_are_on_time_beside_stuck_ones():
+    assert stuckpools.run([4], report=lambda _: None) == []
