--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/itemobserver.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/itemobserver.py
@@ -1,6 +1,7 @@
 """Passes on what the run of an item shows while it lasts."""
 
 from samphirepost import quarantine
+from samphirepost_daemon.entry import enginestatus
 from samphirepost_daemon.entry import items
 from samphirepost_daemon.platform import wire
 
@@ -37,6 +38,16 @@
         """Records that the prompt's parts are answered."""
         self._slots.record_begun(self._parts, self._item)
 
+    def is_engine_running(self, through):
+        """Whether the engine still gives its report."""
+        way = enginestatus.find_way(
+            self._shared,
+            self._engine,
+            through,
+            enginestatus.REPORT_TIMEOUT_S,
+        )
+        return way is not None
+
     def unframed_end(self, resume_after, end):
         """Logs an end from which the end of the output is inferred."""
         self._shared.log.event(
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/items.py
@@ -88,6 +88,9 @@
 )
 
 CUT_HEAD = InterruptedRun("the head has no seal", True, True, True)
+CUT_VERDICT = InterruptedRun(
+    "the engine ended with its answer", True, True, True
+)
 # What the whole answers of an engine with these statuses show of an item.
 _VERDICTS = {
     500: FailedRun("the engine failed"),
@@ -152,6 +155,13 @@
     def begun(self):
         """Called once the engine has begun to answer; maybe repeatedly."""
 
+    def is_engine_running(self, _through):
+        """Whether the engine that answered still runs.
+
+        It was called through the peer at an address, unless that is empty.
+        """
+        return True
+
     def unframed_end(self, resume_after, end):
         """Called when an answer has ended with its connection.
 
@@ -313,7 +323,7 @@
     if wire.is_rejected(head):
         return InterruptedRun(f"refused with {head.status}", False)
     if head.status in _VERDICTS:
-        return _read_verdict(call, head, should_stop)
+        return _read_verdict(run, head, should_stop, observer)
     if head.status != 200:
         return InterruptedRun(f"status {head.status}", True)
     if not wire.is_complete_head(head):
@@ -325,11 +335,13 @@
     return _collect_events(call, head, answer, should_stop, observer)
 
 
-def _read_verdict(call, head, should_stop):
+def _read_verdict(run, head, should_stop, observer):
     """Returns what an answer of 500 or 422 shows, once it is whole.
 
     One that is broken off, or that has no end, is no answer of the engine.
+    Without a length it ends as one does whose engine is killed.
     """
+    call = run.call
     if head.is_unframed and not wire.is_sealed(head):
         # A head that was cut off may end in an empty line all the same.
         return CUT_HEAD
@@ -337,9 +349,11 @@
     part = _read_next(call, should_stop, deadline_s)
     while isinstance(part, engineclient.BodyData):
         part = _read_next(call, should_stop, deadline_s)
-    if isinstance(part, engineclient.EndOfResponse):
-        return _VERDICTS[head.status]
-    return _interruption(part)
+    if not isinstance(part, engineclient.EndOfResponse):
+        return _interruption(part)
+    if part.unframed and not observer.is_engine_running(run.through):
+        return CUT_VERDICT
+    return _VERDICTS[head.status]
 
 
 def _collect_events(call, head, answer, should_stop, observer):
