--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineclient.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineclient.py
@@ -21,6 +21,10 @@
 RESPONSE_BYTES_MAX = answerbounds.ANSWER_BYTES_MAX
 # Number of informational responses before a response.
 INFORMATIONAL_MAX = 8
+BODILESS_STATUSES = (
+    http.HTTPStatus.NO_CONTENT,
+    http.HTTPStatus.NOT_MODIFIED,
+)
 LENGTH_DIGITS_MAX = 18
 
 
@@ -279,7 +283,7 @@
             return self._next_event()
         if isinstance(event, h11.Response):
             head = _response_head(event)
-            self._is_unframed = head.is_unframed
+            self._is_unframed = head.is_unframed and self._has_body(head)
             return self._check_length(head) or head
         if isinstance(event, h11.Data):
             return BodyData(bytes(event.data))
@@ -287,13 +291,13 @@
             return EndOfResponse(self._is_unframed)
         return CallFailure("the engine closed the connection", lost=True)
 
+    def _has_body(self, head):
+        """Whether a body follows a head, which may name a length anyway."""
+        return self._method != "HEAD" and head.status not in BODILESS_STATUSES
+
     def _check_length(self, head):
         """Returns the CallFailure of a body that is too long, or None."""
-        if (
-            self._method == "HEAD"
-            or head.status == http.HTTPStatus.NOT_MODIFIED
-        ):
-            # It names the length of a body that does not follow.
+        if not self._has_body(head):
             return None
         return excess_failure(self.memory.announce(head.length))
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/exchange.py
@@ -617,12 +617,7 @@
                 chunks.append(part.data)
                 self.record_progress()
             elif isinstance(part, engineclient.EndOfResponse):
-                is_success = response.head.status == 200
-                # The engine may have ended after its head.
-                is_cut = part.unframed and not chunks
-                if is_success and (
-                    is_cut or not self.ends.find(response, part).is_whole
-                ):
+                if not self._is_whole(response, part, chunks):
                     return self._failed_attempt(part)
                 break
             else:
@@ -649,6 +644,14 @@
         response.account = memory.hand_over()
         return response
 
+    def _is_whole(self, response, part, chunks):
+        """Whether a body is whole at `part`, an EndOfResponse."""
+        if response.head.status != 200:
+            return self.ends.find_failure(response, part).is_whole
+        # The engine may have ended after its head.
+        is_cut = part.unframed and not chunks
+        return not is_cut and self.ends.find(response, part).is_whole
+
     def record_progress(self):
         """Records that a head or an event has arrived, or is now due.
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/streamend.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/streamend.py
@@ -112,13 +112,7 @@
             return End.FRAMED
         if is_empty and not self._may_ask(response):
             return self._unasked_end(response)
-        engine = response.engine
-        through = enginestatus.find_way(
-            self._parts,
-            engine,
-            response.slot.through,
-            self._calls.left_s(),
-        )
+        through = self._find_way(response)
         if through is None:
             end = End.GONE
         elif self._may_ask(response):
@@ -130,6 +124,27 @@
         self._parts.metrics.unframed.labels(end.value).inc()
         return end
 
+    def find_failure(self, response, part):
+        """Returns the End of a response whose status tells a failure.
+
+        See find(); only the engine's report is asked for.
+        """
+        if not part.unframed:
+            return End.FRAMED
+        end = End.RUNNING
+        if self._find_way(response) is None:
+            end = End.GONE
+        self._parts.metrics.unframed.labels(end.value).inc()
+        return end
+
+    def _find_way(self, response):
+        return enginestatus.find_way(
+            self._parts,
+            response.engine,
+            response.slot.through,
+            self._calls.left_s(),
+        )
+
     def _may_ask(self, response):
         """Whether the engine may be asked for the stream once more.
 
