--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineclient.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/engineclient.py
@@ -21,6 +21,8 @@
 RESPONSE_BYTES_MAX = answerbounds.ANSWER_BYTES_MAX
 # Number of informational responses before a response.
 INFORMATIONAL_MAX = 8
+# Statuses above it are none of HTTP.
+STATUS_MAX = 599
 BODILESS_STATUSES = (
     http.HTTPStatus.NO_CONTENT,
     http.HTTPStatus.NOT_MODIFIED,
@@ -282,6 +284,8 @@
                 return CallFailure("too many informational responses")
             return self._next_event()
         if isinstance(event, h11.Response):
+            if event.status_code > STATUS_MAX:
+                return CallFailure(f"status {event.status_code}")
             head = _response_head(event)
             self._is_unframed = head.is_unframed and self._has_body(head)
             return self._check_length(head) or head
