--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -218,8 +218,7 @@
     def _abandon_items(self, now_s):
         """Abandons items past their job's retention or without a route."""
         for held_job in self._held_jobs.values():
-            has_table = self._parts.state.table is not None
-            route_removed = has_table and self._find_route(held_job) is None
+            route_removed = self._is_route_removed(held_job, now_s)
             if not route_removed and now_s < held_job.give_up_s:
                 continue
             for index in held_job.queued_indexes():
@@ -234,6 +233,17 @@
                     **self._parts.state.age_fields(),
                 )
 
+    def _is_route_removed(self, held_job, now_s):
+        """Whether a job's route was there at first and is not any more.
+
+        Tables that are older than the job may lack a route that is new.
+        """
+        return self._find_route(
+            held_job
+        ) is None and self._parts.state.knows_tables_since(
+            held_job.held_s, now_s
+        )
+
     def _want_slots(self, now_s):
         """Asks the hub for slots for the items that are ready to run.
 
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/state.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/state.py
@@ -98,6 +98,17 @@
             return None
         return boottime_s() - self.table_confirmed_s
 
+    def knows_tables_since(self, since_s, now_s):
+        """Whether these are the newest tables of some instant after another.
+
+        `since_s` is that other instant and `now_s` the present one, both
+        monotonic. An answer of the store may be as old as its request.
+        """
+        age_s = self.table_age_s()
+        if self.is_behind or age_s is None:
+            return False
+        return age_s + TABLE_FRESH_S < now_s - since_s
+
     def tables_age(self):
         """Returns the slotmessages.TablesAge of this daemon."""
         if self.table is None:
--- a/packages/samphirepost/src/samphirepost/batchjob.py
+++ b/packages/samphirepost/src/samphirepost/batchjob.py
@@ -322,7 +322,8 @@
     """The holder's state of a job, changed by the holder's thread only.
 
     `outline` is its JobOutline, whose bytes `account` has. `progress` and
-    `revision` are the last durable ones. By item index: `running` are the
+    `revision` are the last durable ones; it is held since `held_s`. By item
+    index: `running` are the
     running items, `unlisted_results` the results that are not listed yet,
     `partial_outputs` the outputs of unfinished items, `stale_checkpoints` how
     many checkpoints are to be deleted, `pending_failures` the failure counts
@@ -344,6 +345,7 @@
         "deadline_s",
         "failed_at",
         "give_up_s",
+        "held_s",
         "next_heartbeat_s",
         "outline",
         "partial_outputs",
@@ -374,6 +376,7 @@
         self.deadline_s = now_s + (progress.due_ms - store_ms) / 1000
         self.give_up_s = now_s + (progress.give_up_ms - store_ms) / 1000
         self.commit_started_s = now_s
+        self.held_s = now_s
         self.outline = outline
         self.progress = progress
         self.revision = revision
