Tests: a stand-in's accepting thread ends before its socket is closed

Once in nine runs of test_itemanswers.py, beside load average 11, an item's text was that of the answer which the stand-in of the test before sends. Likely, not shown: a thread that was about to call accept() had read the descriptor, which the next stand-in's socket got after close(). shutdown() makes any accept() return, so stop() now waits for the thread before it closes the socket.

--- a/tests/entryhelper.py
+++ b/tests/entryhelper.py
@@ -109,7 +109,8 @@
 
     def __init__(self):
         self._sock = socket.create_server(("127.0.0.1", 0))
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._thread = threading.Thread(target=self._accept, daemon=True)
+        self._thread.start()
 
     @property
     def address(self):
@@ -139,6 +140,9 @@
         with contextlib.suppress(OSError):
             # Ends a call of accept(), which close() leaves waiting.
             self._sock.shutdown(socket.SHUT_RDWR)
+        # A thread that is about to call accept() would accept on the next
+        # server's socket if that got the same descriptor.
+        self._thread.join(WAIT_S)
         self._sock.close()
 
 
