--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -57,6 +57,8 @@
 STARTS_PER_TICK_MAX = 2
 # Pause before a failed write is retried (s).
 RETRY_DELAY_S = 0.3
+# Engines that an item names as avoided: its report has to fit into a datagram.
+AVOIDED_MAX = 3
 # Jobs taken over after one scan; leaves some to the other daemons.
 TAKEOVERS_PER_SCAN_MAX = 2
 
@@ -417,8 +419,17 @@
             wire.output_tokens_of(item),
             round(self._remaining_s(held_job, index) * 1000),
             partial.preemptions if partial else 0,
+            self._avoided(held_job, index, need.pool, now_s),
         )
 
+    def _avoided(self, held_job, index, pool, now_s):
+        """Returns the engines that an item avoids; none if it avoids all."""
+        found = held_job.avoided_engines(index, now_s)
+        if not found:
+            return ()
+        others = {one.id for one in self._parts.state.engines(pool)} - found
+        return tuple(sorted(found))[:AVOIDED_MAX] if others else ()
+
     def _start_without_hub(self, wanted, needs, now_s):
         load_tracker = self._parts.load_tracker
         limits = self._parts.limits
--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/slots.py
@@ -238,7 +238,18 @@
         )
 
     def return_grant(self, run_id):
-        """Records a grant for which nothing is sent."""
+        """Records a grant for which nothing is sent.
+
+        The hub would grant the slot again at once if it were still wanted; its
+        item is asked for again with the next ones.
+        """
+        if run_id in self._wanted:
+            self._wanted = {
+                known: slot
+                for known, slot in self._wanted.items()
+                if known != run_id
+            }
+            self._wanted_ids = tuple(self._wanted)
         self._end_run(
             slotmessages.RunEnd(
                 run_id, slotmessages.Outcome.UNKNOWN, is_unused=True
--- a/packages/samphirepost/src/samphirepost/allocator.py
+++ b/packages/samphirepost/src/samphirepost/allocator.py
@@ -150,6 +150,8 @@
             return
         if end.is_unused and run.charged_to:
             self.quotas.refund(run.charged_to)
+        if end.is_unused:
+            self.health.cancel_probe(run.engine, now_s)
         if run.hold is not None:
             run.hold.is_unused = end.is_unused
         if end.outcome is slotmessages.Outcome.OK:
--- a/packages/samphirepost/src/samphirepost/batchjob.py
+++ b/packages/samphirepost/src/samphirepost/batchjob.py
@@ -453,6 +453,11 @@
         avoided = self.avoided_until_s.get(index, {})
         return now_s < avoided.get(engine_id, 0.0)
 
+    def avoided_engines(self, index, now_s):
+        """Returns the ids of the engines that an item avoids."""
+        avoided = self.avoided_until_s.get(index, {})
+        return {one for one, until_s in avoided.items() if now_s < until_s}
+
     def restart_items(self, versions, new_id):
         """Starts items again whose output no engine can continue.
 
--- a/packages/samphirepost/src/samphirepost/enginehealth.py
+++ b/packages/samphirepost/src/samphirepost/enginehealth.py
@@ -333,6 +333,14 @@
         if record.trials <= 0:
             record.avoid_until_s = now_s + PROBE_S
 
+    def cancel_probe(self, engine_id, now_s):
+        """Records that a run was not sent after all; another one may be."""
+        record = self._records.get(engine_id)
+        if record is None or not record.probing:
+            return
+        record.trials = max(0, record.trials) + 1
+        record.avoid_until_s = min(record.avoid_until_s, now_s)
+
     def remove(self, engine_id):
         """Drops the record of an engine that left its pool."""
         record = self._records.pop(engine_id, None)
--- a/packages/samphirepost/src/samphirepost/itemgrants.py
+++ b/packages/samphirepost/src/samphirepost/itemgrants.py
@@ -29,7 +29,7 @@
 LATE_RESERVE_SHARE = 0.12
 
 # What an item asks for that any engine may run; see _asked().
-ANY_ENGINE = ("", None)
+ANY_ENGINE = ("", None, ())
 
 
 class Served(enum.Enum):
@@ -173,6 +173,7 @@
         def is_usable(engine_id):
             return (
                 version in (None, view.engines[engine_id].version)
+                and engine_id not in wanted.avoided
                 and self._limits.allows(engine_id, now_s)
                 and self._prompts.fits(engine_id, needed)
                 and not self._health.is_avoided(engine_id, now_s)
@@ -234,9 +235,9 @@
 
 
 def _asked(vm, paths, wanted):
-    """Returns the daemon and the version that limit an item's engines.
+    """Returns the daemon, version and avoided engines that limit an item.
 
     The daemon is empty if it reaches all engines.
     """
     reaches_all = not (paths.doubtful or paths.unreached)
-    return ("" if reaches_all else vm, wanted.version)
+    return ("" if reaches_all else vm, wanted.version, wanted.avoided)
--- a/packages/samphirepost/src/samphirepost/slotmessages.py
+++ b/packages/samphirepost/src/samphirepost/slotmessages.py
@@ -71,7 +71,7 @@
 
     The grant has the same `id`; see Run for `late`, `left_s`, `organisation`,
     `needs_ms` and `preemptions`, SlotRequest for the other fields from `probe`
-    on.
+    on. Engines that are `avoided` will not do.
     """
 
     id: int
@@ -85,6 +85,7 @@
     output_tokens: int = 0
     needs_ms: int = 0
     preemptions: int = 0
+    avoided: tuple[str, ...] = ()
 
 
 class Crash(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_allocator.py
+++ b/tests/test_allocator.py
@@ -75,6 +75,13 @@
             elif isinstance(message, slotmessages.Preemption):
                 self.preempted += [(address, one) for one in message.ids]
 
+    def make_suspect(self, engine_id):
+        """Lets two daemons see an engine fail until it is suspect."""
+        for _ in range(4):
+            for vm in ("w0", "w1"):
+                self.allocator.health.record_failure(engine_id, vm, self.now_s)
+        assert engine_id in self.allocator.health.suspects
+
     def fill_with_items(self, count, vm="batch", **fields):
         """Lets a daemon want slots for `count` items, with ids from 1000."""
         fields = {"late": False, "left_s": 10.0} | fields
@@ -810,6 +817,36 @@
             ("sound", 1000 + i) for i in range(others)
         }
 
+    # Soak 9533, LOST: a suspect engine was offered first to items that avoid
+    # it; each unused grant counted as its probe, so that it was never tried.
+    def test_an_avoided_engine_is_not_offered_and_keeps_its_probe(self):
+        hub = Hub(engines=2)
+        hub.make_suspect("e0")
+        hub.now_s += enginehealth.AVOID_MAX_S
+        avoiding = slotmessages.WantedSlot(
+            1, POOL, False, 5.0, avoided=("e0",)
+        )
+        hub.report(wanted=[avoiding], vm="batch")
+        assert hub.grants == {("batch", 1): "e1"}
+        hub.report(
+            wanted=[slotmessages.WantedSlot(2, POOL, False, 5.0)], vm="x"
+        )
+        assert hub.grants["x", 2] == "e0"
+
+    def test_a_probe_that_is_not_sent_leaves_it_to_the_next(self):
+        hub = Hub(engines=2)
+        hub.make_suspect("e0")
+        hub.now_s += enginehealth.AVOID_MAX_S
+        wanted = [slotmessages.WantedSlot(1, POOL, False, 5.0)]
+        hub.report(wanted=wanted, vm="batch")
+        assert hub.grants == {("batch", 1): "e0"}
+        end = slotmessages.RunEnd(
+            1, slotmessages.Outcome.UNKNOWN, is_unused=True
+        )
+        wanted = [slotmessages.WantedSlot(2, POOL, False, 5.0)]
+        hub.report(ended=[end], wanted=wanted, vm="batch")
+        assert hub.grants["batch", 2] == "e0"
+
 
 def test_a_failure_at_an_engine_that_has_left_leaves_no_record():
     """It would name an engine as failing that no longer exists."""
--- a/tests/test_slotexchange.py
+++ b/tests/test_slotexchange.py
@@ -96,6 +96,24 @@
     )
 
 
+# Soak 9533: the hub granted 15,000 slots in 6 s, as each grant that an item
+# did not use came back in a report that still asked for it.
+def test_an_item_whose_grant_is_returned_is_not_asked_for_at_once():
+    exchange = make_exchange()
+    exchange._select_hub(0.0)
+    wanted = {
+        run_id: slotmessages.WantedSlot(run_id, "plants", False, 5.0)
+        for run_id in (7, 8)
+    }
+    exchange.want(wanted)
+    exchange.return_grant(7)
+    report, _ = exchange._sock.sent[-1]
+    assert [one.id for one in report.wanted] == [8]
+    exchange.want(wanted)
+    report, _ = exchange._sock.sent[-1]
+    assert [one.id for one in report.wanted] == [7, 8]
+
+
 def test_a_request_does_not_wait_for_a_hub_that_is_lost():
     """The next hub does not know of it; a returning caller may wait long."""
     exchange = make_exchange()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,6 +11,7 @@
 from samphirepost import promptcache
 from samphirepost import quotas
 from samphirepost import slotmessages
+from samphirepost_daemon.entry import holder
 from samphirepost_daemon.entry import slots
 from samphirepost_daemon.platform import wire
 
@@ -60,7 +61,16 @@
     assert sum(part.tokens for part in prompt) == 65_000
     wanted = tuple(
         slotmessages.WantedSlot(
-            run_id, "p" * 200, False, 1.0, "", None, "o" * 100, prompt, 10
+            run_id,
+            "p" * 200,
+            False,
+            1.0,
+            "",
+            None,
+            "o" * 100,
+            prompt,
+            10,
+            avoided=("e" * 40,) * holder.AVOIDED_MAX,
         )
         for run_id in range(itemwindow.WANTED_MAX)
     )
