Hub: waiting requests that may not be repeated hide none that may

Four that may not be repeated, which a suspect engine does not get before 1 s, so hid those that may probe it, while it had the only free slot.

Evidence: the test in test_allocator.py failed before and passes now. Weighed and left: the same with prompts that do not fit into any engine's memory now; small ones that go past them for ever would starve the large ones.

--- a/packages/samphirepost/src/samphirepost/waitqueue.py
+++ b/packages/samphirepost/src/samphirepost/waitqueue.py
@@ -16,8 +16,8 @@
 from samphirepost import fairqueue
 
 # Waiting requests that are passed over in one look for free slots, as none
-# will do for them, and those of them that are tried of each version and
-# excluded engines: what all others of these need is not free either.
+# will do for them, and those of them that are tried with equal needs: what all
+# others of these need is not free either.
 PASSED_MAX = 256
 TRIED_MAX = 4
 
@@ -170,7 +170,7 @@
             while index < len(level):
                 name = level.name_at(index)
                 waiting = self._lines[priority, name][passed.get(name, 0)]
-                needs = (waiting.req.version, waiting.req.excluded)
+                needs = _needs_of(waiting.req)
                 if failures[needs] < TRIED_MAX:
                     yield waiting
                 if waiting.has_left:
@@ -227,6 +227,14 @@
         )
 
 
+def _needs_of(req):
+    """Returns what limits the engines that a SlotRequest may get.
+
+    One that may not be repeated gets no engine that is to be probed.
+    """
+    return (req.version, req.excluded, req.is_repeatable)
+
+
 def _urgency(waiting):
     return waiting.urgency
 
--- a/tests/test_allocator.py
+++ b/tests/test_allocator.py
@@ -833,6 +833,31 @@
         )
         assert hub.grants["x", 2] == "e0"
 
+    # As review/11 among online requests: four that may not be repeated, which
+    # a suspect engine does not get, hid those that may probe it.
+    def test_requests_that_may_not_probe_hide_none_that_may(self):
+        hub = Hub(engines=2)
+        for run_id in range(2 * SLOTS):
+            hub.request(run_id)
+        for run_id in range(100, 106):
+            hub.request(run_id, wait_max_s=60.0, is_repeatable=False)
+        hub.request(200, wait_max_s=60.0)
+        hub.make_suspect("e0")
+        hub.now_s += enginehealth.AVOID_S
+        ended = next(
+            run_id
+            for (vm, run_id), engine in hub.grants.items()
+            if engine == "e0" and vm == "vm0"
+        )
+        end = slotmessages.RunEnd(ended, slotmessages.Outcome.UNKNOWN)
+        runs = [
+            slotmessages.Run(run_id, engine)
+            for (_, run_id), engine in hub.grants.items()
+            if run_id != ended
+        ]
+        hub.report(runs=runs, ended=[end])
+        assert hub.grants.get(("vm0", 200)) == "e0"
+
     def test_a_probe_that_is_not_sent_leaves_it_to_the_next(self):
         hub = Hub(engines=2)
         hub.make_suspect("e0")
