--- a/tests/test_earlyanswers.py
+++ b/tests/test_earlyanswers.py
@@ -7,10 +7,12 @@
 import pytest
 
 from samphirepost_bench import entryfleet
+from tests import cutnetwork
 from tests import entryhelper
 
 # Larger than what the buffers of a connection hold, and smaller.
 BODIES = {"large": 3_900_000, "small": 10_000}
+TRIES_MAX = 20
 PART = b"a part of the answer"
 PATHS = ["/notes/1", "/bills/1", "/slips/1", "/prints/1"]
 
@@ -60,10 +62,9 @@
         return PART
 
 
-@pytest.fixture
-def fleet():
-    """A daemon without engines, with routes of all online kinds."""
-    new_fleet = entryhelper.Fleet(engines=0)
+def start_fleet(daemons):
+    """Returns daemons without engines, with routes of all online kinds."""
+    new_fleet = entryhelper.Fleet(engines=0, daemons=daemons)
     new_fleet.configure(
         2,
         (
@@ -72,10 +73,28 @@
             entryfleet.route("prints", "/prints/", "non_idempotent"),
         ),
     )
-    state = new_fleet.daemons[0].state
-    entryhelper.wait_until(
-        lambda: state.table.revision == 2, "the tables are read"
-    )
+    for daemon in new_fleet.daemons:
+        entryhelper.wait_until(
+            lambda one=daemon: one.state.table.revision == 2, "it is read"
+        )
+    return new_fleet
+
+
+@pytest.fixture
+def fleet():
+    """One daemon."""
+    new_fleet = start_fleet(1)
+    yield new_fleet
+    new_fleet.stop()
+
+
+@pytest.fixture
+def stranded_fleet():
+    """Two daemons, of which the first reaches engines through the other."""
+    new_fleet = start_fleet(2)
+    network = cutnetwork.Network()
+    network.cut("refuse")
+    new_fleet.daemons[0].parts.dialer = network.dial
     yield new_fleet
     new_fleet.stop()
 
@@ -99,6 +118,28 @@
     server.stop()
 
 
+# The same through a peer, whose end could pass for that of the answer.
+@pytest.mark.parametrize("size", sorted(BODIES))
+@pytest.mark.parametrize("path", PATHS)
+def test_an_early_answer_that_is_reset_behind_a_peer_is_no_answer(
+    stranded_fleet, size, path
+):
+    server = EarlyServer()
+    stranded_fleet.list_address("e1", server.address)
+
+    def send(number):
+        body = b"x" * BODIES[size]
+        return stranded_fleet.send_online(f"r{number}", path, body=body)
+
+    replies = []
+    # Until the daemon knows that it needs the peer, nothing is sent.
+    while not server.request_count:
+        replies.append(send(len(replies)))
+        assert len(replies) < TRIES_MAX
+    assert not any(map(is_answered, replies))
+    server.stop()
+
+
 # MIXED, seen on other systems: status 000 was passed on as an answer. 600 and
 # more is none of HTTP either.
 @pytest.mark.parametrize("status", [0, 99, 600, 999])
