Holder: what items wait for is a module of its own

entry/itemdemand.py has what holder.py told of waiting items: which are ready and what they need, which a quarantine blocks, how long they last.

--- a/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
+++ b/packages/samphirepost-daemon/src/samphirepost_daemon/entry/holder.py
@@ -19,13 +19,11 @@
 from samphirepost import jobobserver
 from samphirepost import leaving
 from samphirepost import memorybudget
-from samphirepost import promptcache
 from samphirepost import quarantine
-from samphirepost import routing
-from samphirepost import slotmessages
 from samphirepost_daemon.entry import engineclient
 from samphirepost_daemon.entry import exchange
 from samphirepost_daemon.entry import holdermessages
+from samphirepost_daemon.entry import itemdemand
 from samphirepost_daemon.entry import itemobserver
 from samphirepost_daemon.entry import items
 from samphirepost_daemon.entry import jobstore
@@ -43,10 +41,6 @@
 # Concurrent store requests: one may take seconds while the store is
 # unavailable.
 STORE_REQUESTS_MAX = 8
-# An item counts as late if this share of its estimated remaining time ends
-# after its job's deadline. The share is below 1 because only an upper limit of
-# the item's tokens is known.
-FEASIBLE_SHARE = 0.8
 # Interval at which items that are quarantined, or whose software version has
 # no engine left, are looked for (s).
 BLOCK_INTERVAL_S = 0.25
@@ -57,8 +51,6 @@
 STARTS_PER_TICK_MAX = 2
 # Pause before a failed write is retried (s).
 RETRY_DELAY_S = 0.3
-# Engines that an item names as avoided: its report has to fit into a datagram.
-AVOIDED_MAX = 3
 # Jobs taken over after one scan; leaves some to the other daemons.
 TAKEOVERS_PER_SCAN_MAX = 2
 
@@ -87,11 +79,12 @@
         self._scan_failed = False
         self._item_runs = {}
         self._wanted = {}
-        self._window_turn = 0
-        self._blocked_items = set()
         self._next_block_s = 0.0
         self._hub_answered_s = time.monotonic()
-        self._duration_estimator = itemdurations.DurationEstimator()
+        self._durations = itemdurations.DurationEstimator()
+        self._demand = itemdemand.ItemDemand(
+            parts, job_store, self._held_jobs, self._durations
+        )
         self._next_load_log_s = 0.0
         self._stopping = False
         self._item_executor = concurrent.futures.ThreadPoolExecutor(
@@ -240,7 +233,7 @@
 
         Tables that are older than the job may lack a route that is new.
         """
-        return self._find_route(
+        return self._demand.find_route(
             held_job
         ) is None and self._parts.state.knows_tables_since(
             held_job.held_s, now_s
@@ -258,118 +251,25 @@
         wanted = {}
         if now_s >= self._next_block_s:
             self._next_block_s = now_s + BLOCK_INTERVAL_S
-            self._find_blocked_items(now_s)
+            self._demand.find_blocked(now_s)
             self._restart_items()
         needs = {}
-        for need, (key, index) in self._ready_items(now_s):
+        ready = []
+        if not self._stopping:
+            ready = self._demand.ready_items(self._item_runs.values(), now_s)
+        for need, (key, index) in ready:
             run_id = known_ids.get((key, index))
             if run_id is None:
                 run_id = self._parts.slots.next_run_id()
             self._wanted[key, index] = run_id
-            wanted[run_id] = self._wanted_slot(run_id, need, key, index, now_s)
+            wanted[run_id] = self._demand.wanted_slot(
+                run_id, need, key, index, now_s
+            )
             needs[run_id] = need
         self._parts.slots.want(wanted)
         if now_s - self._hub_answered_s > WITHOUT_HUB_S:
             self._start_without_hub(wanted, needs, now_s)
 
-    def _ready_items(self, now_s):
-        """Returns pairs of the Need and the key and index of items to start.
-
-        Those of one need are in the order of their jobs' deadlines.
-        """
-        if self._stopping:
-            return []
-        jobs_by_deadline = sorted(
-            self._held_jobs.items(),
-            key=lambda pair: (pair[1].deadline_s < now_s, pair[1].deadline_s),
-        )
-        window = itemwindow.ItemWindow(
-            collections.Counter(run.pool for run in self._item_runs.values())
-        )
-        for key, held_job in jobs_by_deadline:
-            if self._can_read_items(key):
-                self._add_ready_items(window, key, held_job, now_s)
-        self._window_turn += 1
-        return window.choose(self._window_turn)
-
-    def _add_ready_items(self, window, key, held_job, now_s):
-        route = self._find_route(held_job)
-        if route is None:
-            return
-        partial_outputs = held_job.partial_outputs
-        if not partial_outputs and not _has_room(window, route):
-            return
-        for index in held_job.runnable_indexes(now_s):
-            if (key, index) in self._blocked_items:
-                continue
-            if index in partial_outputs or _has_room(window, route):
-                need = self._need_of(held_job, route, index, now_s)
-                window.add(need, (key, index))
-
-    def _need_of(self, held_job, route, index, now_s):
-        """Returns the itemwindow.Need of an item that is ready to run."""
-        item = held_job.outline.items[index]
-        found = self._check_quarantine(item, now_s)
-        pool, version = routing.pick_pool(route), ""
-        partial = held_job.partial_outputs.get(index)
-        if partial and partial.texts:
-            version = partial.version or ""
-            if partial.pool in route.pools:
-                pool = partial.pool
-        return itemwindow.Need(
-            pool,
-            version,
-            "" if found is None else found.cause,
-            self._fits(pool, self._tokens_of(held_job, index)),
-        )
-
-    def _fits(self, pool, tokens):
-        """Whether an idle engine of a pool has memory for so many tokens."""
-        known = self._parts.state.table.pools.get(pool)
-        kv_tokens = known.kv_tokens if known else 0
-        return not kv_tokens or tokens <= kv_tokens
-
-    def _can_read_items(self, key):
-        """Whether the bodies of a job's items are known to be within reach.
-
-        A slot would wait for a store that does not answer.
-        """
-        return (
-            not self._parts.state.is_store_lost
-            or self._job_store.keeps_record(*key)
-        )
-
-    def _find_blocked_items(self, now_s):
-        """Finds the items with a quarantined part; logs the new ones.
-
-        They wait until the quarantine is over or their retention has passed.
-        Of those that could probe a part, all but one wait, so that they do not
-        keep other items from being wanted.
-        """
-        blocked_items = set()
-        probing = set()
-        if not self._parts.quarantine.is_empty:
-            for key, held_job in self._held_jobs.items():
-                for index in held_job.queued_indexes():
-                    item = held_job.outline.items[index]
-                    found = self._check_quarantine(item, now_s)
-                    if found is None:
-                        continue
-                    is_blocked = isinstance(found, quarantine.Blocked)
-                    if is_blocked or found.cause in probing:
-                        blocked_items.add((key, index))
-                    probing.add(found.cause)
-        for key, index in blocked_items - self._blocked_items:
-            self._parts.metrics.quarantine_refusals.labels("item").inc()
-            item = self._held_jobs[key].outline.items[index]
-            self._parts.log.failure(
-                "item.blocked",
-                job=key[1],
-                item=item.id,
-                parts=wire.shared_parts(item),
-            )
-        self._blocked_items = blocked_items
-
     def _restart_items(self):
         """Starts items again whose version has no engine in their pool.
 
@@ -378,7 +278,7 @@
         for held_job in self._held_jobs.values():
             if not held_job.partial_outputs:
                 continue
-            route = self._find_route(held_job)
+            route = self._demand.find_route(held_job)
             versions = {
                 (engine.version, pool)
                 for pool in (route.pools if route else ())
@@ -396,40 +296,6 @@
                     versions=sorted(versions),
                 )
 
-    def _check_quarantine(self, item, now_s):
-        if self._parts.quarantine.is_empty:
-            return None
-        parts = wire.shared_parts(item)
-        return self._parts.quarantine.check(parts, now_s)
-
-    def _wanted_slot(self, run_id, need, key, index, now_s):
-        held_job = self._held_jobs[key]
-        route = self._find_route(held_job)
-        item = held_job.outline.items[index]
-        partial = held_job.partial_outputs.get(index)
-        return slotmessages.WantedSlot(
-            run_id,
-            need.pool,
-            self._is_late(held_job, index, now_s),
-            round(held_job.deadline_s - now_s, 2),
-            need.probe,
-            partial.version if partial and partial.texts else None,
-            held_job.outline.organisation,
-            wire.prompt_of(item) if route.sticky else (),
-            wire.output_tokens_of(item),
-            round(self._remaining_s(held_job, index) * 1000),
-            partial.preemptions if partial else 0,
-            self._avoided(held_job, index, need.pool, now_s),
-        )
-
-    def _avoided(self, held_job, index, pool, now_s):
-        """Returns the engines that an item avoids; none if it avoids all."""
-        found = held_job.avoided_engines(index, now_s)
-        if not found:
-            return ()
-        others = {one.id for one in self._parts.state.engines(pool)} - found
-        return tuple(sorted(found))[:AVOIDED_MAX] if others else ()
-
     def _start_without_hub(self, wanted, needs, now_s):
         load_tracker = self._parts.load_tracker
         limits = self._parts.limits
@@ -492,13 +358,15 @@
         held_job = self._held_jobs.get(key)
         if held_job is None or index not in held_job.runnable_indexes(now_s):
             return False
-        found = self._check_quarantine(held_job.outline.items[index], now_s)
+        found = self._demand.check_quarantine(
+            held_job.outline.items[index], now_s
+        )
         if isinstance(found, quarantine.Blocked):
             return False
-        route = self._find_route(held_job)
+        route = self._demand.find_route(held_job)
         if route is None or engine.pool not in route.pools:
             return False
-        if self._avoids(held_job, index, engine, now_s):
+        if self._demand.avoids(held_job, index, engine, now_s):
             # The hub would grant the same engine again at once.
             held_job.delay_item(index, now_s)
             return False
@@ -510,8 +378,8 @@
             partial.pool = engine.pool
         del self._wanted[key, index]
         held_job.running.add(index)
-        late = self._is_late(held_job, index, now_s)
-        remaining_s = self._remaining_s(held_job, index)
+        late = self._demand.is_late(held_job, index, now_s)
+        remaining_s = self._demand.remaining_s(held_job, index)
         tokens = wire.output_tokens_of(held_job.outline.items[index])
         bound = answerbounds.bound_of(tokens)
         run = holdermessages.ItemRun(
@@ -536,20 +404,13 @@
             organisation=held_job.outline.organisation,
             end_s=now_s + remaining_s if remaining_s else None,
             preemptions=partial.preemptions,
-            tokens=self._tokens_of(held_job, index),
+            tokens=self._demand.tokens_of(held_job, index),
         )
         self._item_executor.submit(
             self._call_logged, self._run_item, run, held_job, engine
         )
         return True
 
-    def _avoids(self, held_job, index, engine, now_s):
-        """Whether an item avoids an engine while another one is there."""
-        return held_job.avoids_engine(index, engine.id, now_s) and any(
-            not held_job.avoids_engine(index, other.id, now_s)
-            for other in self._parts.state.engines(engine.pool)
-        )
-
     def _stop_preempted_runs(self, message):
         """Stops items whose slots the hub gave to online requests."""
         for run_id in message.run_ids:
@@ -561,34 +422,6 @@
                 run.partial.preemptions += 1
             run.stop()
 
-    def _is_late(self, held_job, index, now_s):
-        """Whether an item is unlikely to complete by its job's deadline."""
-        left_s = self._remaining_s(held_job, index)
-        return now_s + FEASIBLE_SHARE * left_s > held_job.deadline_s
-
-    def _remaining_s(self, held_job, index):
-        """Returns how long an item is expected to run (s), 0 if unknown."""
-        item = held_job.outline.items[index]
-        partial = held_job.partial_outputs.get(index)
-        events = len(partial.texts) if partial else 0
-        return self._duration_estimator.remaining_s(item.tokens, events)
-
-    def _tokens_of(self, held_job, index):
-        """Returns the tokens that an item holds at an engine; 0 if unknown."""
-        route = self._find_route(held_job)
-        if route is None or not route.sticky:
-            return 0
-        item = held_job.outline.items[index]
-        return promptcache.tokens_held(
-            wire.prompt_of(item), wire.output_tokens_of(item)
-        )
-
-    def _find_route(self, held_job):
-        table = self._parts.state.table
-        if table is None:
-            return None
-        return table.find_route(held_job.outline.host, held_job.outline.path)
-
     def _run_item(self, run, held_job, engine):
         def should_stop():
             return (
@@ -701,9 +534,7 @@
             duration_s = run.last_event_s - run.began_s
             events = len(run.partial.texts) - run.events_before
             if not run.events_before:
-                self._duration_estimator.add_sample(
-                    item.tokens, events, duration_s
-                )
+                self._durations.add_sample(item.tokens, events, duration_s)
             self._report_failed_engines(held_job, index)
             held_job.finish_item(
                 index,
@@ -729,7 +560,7 @@
 
     def _count_failure(self, held_job, run):
         index = run.index
-        route = self._find_route(held_job)
+        route = self._demand.find_route(held_job)
         if route is None:
             held_job.running.discard(index)
             return
@@ -924,11 +755,6 @@
     return getattr(found, "reason", "the item's record is gone")
 
 
-def _has_room(window, route):
-    """Whether an item of a route without output may find room."""
-    return any(window.has_room(itemwindow.Need(one)) for one in route.pools)
-
-
 def _setback(run, outcome):
     """Returns the Setback with which a run ended, or None."""
     if items.is_unsound(outcome):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,7 +11,7 @@
 from samphirepost import promptcache
 from samphirepost import quotas
 from samphirepost import slotmessages
-from samphirepost_daemon.entry import holder
+from samphirepost_daemon.entry import itemdemand
 from samphirepost_daemon.entry import slots
 from samphirepost_daemon.platform import wire
 
@@ -70,7 +70,7 @@
             "o" * 100,
             prompt,
             10,
-            avoided=("e" * 40,) * holder.AVOIDED_MAX,
+            avoided=("e" * 40,) * itemdemand.AVOIDED_MAX,
         )
         for run_id in range(itemwindow.WANTED_MAX)
     )
