--- a/packages/samphirepost/src/samphirepost/batchjob.py
+++ b/packages/samphirepost/src/samphirepost/batchjob.py
@@ -323,17 +323,17 @@
 
     `outline` is its JobOutline, whose bytes `account` has. `progress` and
     `revision` are the last durable ones; it is held since `held_s`. By item
-    index: `running` are the
-    running items, `unlisted_results` the results that are not listed yet,
-    `partial_outputs` the outputs of unfinished items, `stale_checkpoints` how
-    many checkpoints are to be deleted, `pending_failures` the failure counts
-    that are not yet durable, and `retry_at_s` the instants before which items
-    are not started again, and `setback_counts` the runs in a row that ended
-    with a Setback. `failed_at` has the incarnations of the engines at which
-    runs of an item failed, by index, and `avoided_until_s` the instants until
-    which an item avoids an engine, by the engine's id. `new_account()` returns
-    a memorybudget.Account of the outputs. `pending_commit` is the commit whose
-    outcome is unknown, or None.
+    index: `running` are the running items, `unlisted_results` the results that
+    are not listed yet, `partial_outputs` the outputs of unfinished items,
+    `stale_checkpoints` how many checkpoints are to be deleted,
+    `pending_failures` the failure counts that are not yet durable, and
+    `retry_at_s` the instants before which items are not started again, and
+    `setback_counts` the runs in a row that ended with a Setback. `failed_at`
+    has the incarnations of the engines at which runs of an item failed, by
+    index, and `avoided_until_s` the instants until which an item avoids an
+    engine, by the engine's id. `new_account()` returns a memorybudget.Account
+    of the outputs. `pending_commit` is the commit whose outcome is unknown, or
+    None.
     """
 
     __slots__ = (
