--- a/packages/samphirepost-bench/src/samphirepost_bench/stuckpools.py
+++ b/packages/samphirepost-bench/src/samphirepost_bench/stuckpools.py
@@ -5,6 +5,7 @@
 sound services must be complete within the completion time of their routes.
 """
 
+import concurrent.futures
 import random
 import time
 
@@ -113,14 +114,31 @@
         jobs = [*stuck, *sound]
         if self._rng.random() < 0.5:
             self._rng.shuffle(jobs)
+        with concurrent.futures.ThreadPoolExecutor(SERVICES_MAX) as readers:
+            reads = self._submit(jobs, holder, readers)
+            if frozen is not None:
+                time.sleep(HUB_FREEZE_S)
+                frozen.process.thaw()
+        for read in reads:
+            self._check(read.result())
+
+    def _submit(self, jobs, holder, readers):
+        """Submits all jobs; returns the reads of those of sound services.
+
+        Each begins at once: it takes long to submit many jobs.
+        """
+        reads = []
         for service, job in jobs:
             job.submit(holder, service.path, f"{service.name}:9,own:9")
-        if frozen is not None:
-            time.sleep(HUB_FREEZE_S)
-            frozen.process.thaw()
-        for job in batchjobs.find_incomplete(
-            [job for _, job in sound], holder, COMPLETION_S
-        ):
+            if service in self._services[len(self.troubles) :]:
+                read = readers.submit(
+                    batchjobs.find_incomplete, [job], holder, COMPLETION_S
+                )
+                reads.append(read)
+        return reads
+
+    def _check(self, incomplete):
+        for job in incomplete:
             self.violations.append(
                 f"LOST {job.id}: {job.done_count} of {job.count} done within"
                 f" {COMPLETION_S:g} s"
