--- a/tests/entryhelper.py
+++ b/tests/entryhelper.py
@@ -447,3 +447,25 @@
         if len(body["results"]) < body["total"]:
             return None
         return body["results"]
+
+
+def start_without_engines(daemons=1):
+    """Returns a Fleet without engines, with routes of all online kinds.
+
+    All its daemons have read the routes.
+    """
+    fleet = Fleet(engines=0, daemons=daemons)
+    fleet.configure(
+        2,
+        (
+            *entryfleet.ROUTES,
+            entryfleet.route("slips", "/slips/", "idempotent"),
+            entryfleet.route("prints", "/prints/", "non_idempotent"),
+        ),
+    )
+    for daemon in fleet.daemons:
+        wait_until(
+            lambda one=daemon: one.state.table.revision == 2,
+            "the routes are known",
+        )
+    return fleet
--- a/tests/test_cutfailures.py
+++ b/tests/test_cutfailures.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from samphirepost_bench import entryfleet
 from tests import entryhelper
 
 PATHS = ["/notes/1", "/bills/1", "/slips/1", "/prints/1"]
@@ -41,19 +40,7 @@
 @pytest.fixture
 def fleet():
     """A daemon without engines, with routes of all online kinds."""
-    new_fleet = entryhelper.Fleet(engines=0)
-    new_fleet.configure(
-        2,
-        (
-            *entryfleet.ROUTES,
-            entryfleet.route("slips", "/slips/", "idempotent"),
-            entryfleet.route("prints", "/prints/", "non_idempotent"),
-        ),
-    )
-    state = new_fleet.daemons[0].state
-    entryhelper.wait_until(
-        lambda: state.table.revision == 2, "the tables are read"
-    )
+    new_fleet = entryhelper.start_without_engines()
     yield new_fleet
     new_fleet.stop()
 
--- a/tests/test_earlyanswers.py
+++ b/tests/test_earlyanswers.py
@@ -6,7 +6,6 @@
 
 import pytest
 
-from samphirepost_bench import entryfleet
 from tests import cutnetwork
 from tests import entryhelper
 
@@ -62,28 +61,10 @@
         return PART
 
 
-def start_fleet(daemons):
-    """Returns daemons without engines, with routes of all online kinds."""
-    new_fleet = entryhelper.Fleet(engines=0, daemons=daemons)
-    new_fleet.configure(
-        2,
-        (
-            *entryfleet.ROUTES,
-            entryfleet.route("slips", "/slips/", "idempotent"),
-            entryfleet.route("prints", "/prints/", "non_idempotent"),
-        ),
-    )
-    for daemon in new_fleet.daemons:
-        entryhelper.wait_until(
-            lambda one=daemon: one.state.table.revision == 2, "it is read"
-        )
-    return new_fleet
-
-
 @pytest.fixture
 def fleet():
     """One daemon."""
-    new_fleet = start_fleet(1)
+    new_fleet = entryhelper.start_without_engines()
     yield new_fleet
     new_fleet.stop()
 
@@ -91,7 +72,7 @@
 @pytest.fixture
 def stranded_fleet():
     """Two daemons, of which the first reaches engines through the other."""
-    new_fleet = start_fleet(2)
+    new_fleet = entryhelper.start_without_engines(daemons=2)
     network = cutnetwork.Network()
     network.cut("refuse")
     new_fleet.daemons[0].parts.dialer = network.dial
--- a/tests/test_unframed.py
+++ b/tests/test_unframed.py
@@ -7,7 +7,6 @@
 
 from samphirepost import batchjob
 from samphirepost import roster
-from samphirepost_bench import entryfleet
 from samphirepost_bench import streamengine
 from samphirepost_daemon.entry import engineclient
 from samphirepost_daemon.entry import holdermessages
@@ -138,19 +137,7 @@
 @pytest.fixture
 def lone_fleet():
     """A daemon without engines, with routes of all online kinds."""
-    new_fleet = entryhelper.Fleet(engines=0)
-    new_fleet.configure(
-        2,
-        (
-            *entryfleet.ROUTES,
-            entryfleet.route("slips", "/slips/", "idempotent"),
-            entryfleet.route("prints", "/prints/", "non_idempotent"),
-        ),
-    )
-    state = new_fleet.daemons[0].state
-    entryhelper.wait_until(
-        lambda: state.table.revision == 2, "the routes are known"
-    )
+    new_fleet = entryhelper.start_without_engines()
     yield new_fleet
     new_fleet.stop()
 
